--- /dev/null
+++ b/src/quincespool/net/__init__.py
@@ -0,0 +1,3 @@
+"""Sockets and codecs: what carries events in and effects out."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/quincespool/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Scheduling policies: which backend server runs a call, and in which order."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,3 @@
+"""tests of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/cli/__init__.py
@@ -0,0 +1,3 @@
+"""cli of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,3 @@
+"""core of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/net/__init__.py
@@ -0,0 +1,3 @@
+"""net of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,3 @@
+"""policy of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,3 @@
+"""processes of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,3 @@
+"""support of quincespool."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/support/standins/__init__.py
@@ -0,0 +1,3 @@
+"""standins of quincespool."""
+
+from __future__ import annotations
