--- a/src/quincespool/core/call.py
+++ b/src/quincespool/core/call.py
@@ -33,6 +33,8 @@
       idempotent: What the caller says; the catalogue's service entry can only make it stricter.
       max_tokens: The most tokens a model call may generate; 0 for service calls.
       deadline_ms: Time left for this call when it was received; 0 leaves it to the class entry.
+      first_send: The caller says it has never sent this call before (`x-first-send: true`), so that
+        a daemon which knows nothing of the program may still say truly that it was not run.
     """
 
     program_id: str
@@ -47,6 +49,7 @@
     idempotent: bool = False
     max_tokens: int = 0
     deadline_ms: int = 0
+    first_send: bool = False
 
     @property
     def root_id(self) -> str:
--- a/src/quincespool/core/context.py
+++ b/src/quincespool/core/context.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
+from typing import TypedDict
 
 if TYPE_CHECKING:
     from quincespool.core.entries import AccountEntry
@@ -24,6 +25,15 @@
     from quincespool.core.timers import Timers
 
 
+class Described(TypedDict):
+    """An accepted version of an entry, for auditors."""
+
+    name: str
+    version: int
+    owner: str
+    editor: str
+
+
 class CatalogueView(Protocol):
     """The accepted catalogue. Names are given without their kind prefix."""
 
@@ -53,6 +63,9 @@
     def backends_for(self, target: str) -> list[str]:
         """Returns the sorted names of the backend servers that serve a model or service."""
 
+    def describe(self, name: str, version: int) -> Described | None:
+        """Returns who owned an entry in a version, and who published it."""
+
 
 class MembersView(Protocol):
     """Who is alive, by this daemon's own judgement."""
--- a/src/quincespool/core/events.py
+++ b/src/quincespool/core/events.py
@@ -200,12 +200,14 @@
 class LedgerAdvanced(NamedTuple):
     """Raised by the ledger: the stream has been applied up to `next_offset`.
 
-    `resources` are the claims that changed hands, `programs` the program ids whose state changed.
+    `resources` are the claims that changed hands, `programs` the program ids whose state changed;
+    `last_sequence` is this daemon's last group that has been applied.
     """
 
     stream: str
     next_offset: int
     at_end: bool
+    last_sequence: int
     resources: tuple[str, ...]
     programs: tuple[str, ...]
 
--- a/src/quincespool/core/messages.py
+++ b/src/quincespool/core/messages.py
@@ -25,6 +25,7 @@
     idempotent: bool
     max_tokens: int
     deadline_ms: int
+    first_send: bool
     hops: int
 
 
--- /dev/null
+++ b/src/quincespool/core/owner_dispatch.py
@@ -0,0 +1,252 @@
+"""Attempts: chooses a backend server, sends the attempt to its keeper, tries again where it may."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.core import owner_finish
+from quincespool.core.call import CallKind
+from quincespool.core.effects import Count
+from quincespool.core.effects import SendMessage
+from quincespool.core.messages import Dispatch
+from quincespool.core.messages import SummaryAsked
+from quincespool.core.owner_env import PART
+from quincespool.core.owner_env import finish_refused
+from quincespool.core.placement import backend_resource
+from quincespool.core.placement import desired_holder
+from quincespool.core.program_run import Phase
+from quincespool.core.reasons import Reason
+from quincespool.core.retry_budget import backoff_ms
+from quincespool.core.timers import TimerKey
+from quincespool.policy.protocol import BackendView
+from quincespool.policy.protocol import CallView
+from quincespool.policy.registry import make_policy
+
+if TYPE_CHECKING:
+    from quincespool.core.effects import Effects
+    from quincespool.core.messages import KeeperElsewhere
+    from quincespool.core.owner_env import OwnerEnv
+    from quincespool.core.program_run import CallRun
+    from quincespool.policy.protocol import Policy
+
+MAX_TRIES = 4
+MAX_KEEPER_SEARCHES = 10
+SUMMARY_ASK_MS = 3_000
+BYTES_PER_TOKEN = 4
+DEFAULT_POLICY = "program_aware"
+
+
+def first_dispatch(env: OwnerEnv, run: CallRun) -> Effects:
+    """Sends a call's first attempt, unless the policy finds that it can't finish in time."""
+    if run.tries:
+        return dispatch(env, run)
+    env.state.retries.note_first_try()
+    policy = _policy(env, run.call.class_name)
+    backends = _backend_views(env, run)
+    if backends:
+        admission = policy.admit(_call_view(env, run), backends)
+        if not admission.admitted:
+            return owner_finish.give_up(
+                env, run, Reason.OVERLOAD, retry_after_ms=admission.retry_after_ms
+            )
+    return dispatch(env, run)
+
+
+def dispatch(env: OwnerEnv, run: CallRun) -> Effects:
+    """Sends one attempt to the keeper of the backend server that the policy chooses."""
+    if env.ledger.epoch_held(env.ledger.partition(run.call.program_id)) != run.epoch:
+        return _superseded(env, run)
+    if run.licensed and env.context.now_ms > run.licence_at_ms + env.state.settings.licence_ms:
+        return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
+    if env.quarantine.blocked(run.call.fingerprint):
+        return owner_finish.give_up(env, run, Reason.QUARANTINED, retry_after_ms=0)
+    backends = _backend_views(env, run)
+    if not backends:
+        return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
+    view = _call_view(env, run)
+    policy = _policy(env, run.call.class_name)
+    run.backend = policy.choose(view, backends, now_ms=env.context.now_ms)
+    run.keeper = keeper_of(env, run.backend)
+    if not run.keeper:
+        return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
+    return [
+        *_ask_summary(env, run.backend, run.keeper),
+        SendMessage(run.keeper, _attempt(env, run, rank=policy.rank(view))),
+        Count("owner_attempts_total"),
+    ]
+
+
+def on_elsewhere(env: OwnerEnv, message: KeeperElsewhere) -> Effects:
+    """The daemon asked is not the keeper and has sent nothing on: asks another one."""
+    run = owner_finish.take_attempt(env, message.attempt_id)
+    if run is None:
+        return []
+    if message.holder:
+        env.state.keeper_hints[message.backend] = message.holder
+    else:
+        env.state.keeper_hints.pop(message.backend, None)
+    run.tries += 1
+    if run.tries > MAX_KEEPER_SEARCHES:
+        return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
+    return retry_later(env, run)
+
+
+def on_link_down(env: OwnerEnv, member_id: str) -> Effects:
+    """Attempts at a daemon that can't be reached any more may or may not have run."""
+    effects: Effects = []
+    lost = [run for run in env.state.runs.attempts.values() if run.keeper == member_id]
+    for run in lost:
+        effects += owner_finish.attempt_lost(env, run, Reason.BACKEND_FAILED)
+    stale = [name for name, holder in env.state.keeper_hints.items() if holder == member_id]
+    for name in stale:
+        del env.state.keeper_hints[name]
+    return effects
+
+
+def on_members(env: OwnerEnv) -> Effects:
+    """A keeper believed dead answers no more, even if its connection still stands (it froze)."""
+    keepers = {run.keeper for run in env.state.runs.attempts.values()}
+    effects: Effects = []
+    for keeper in sorted(keepers):
+        if env.context.members.find(keeper) is None:
+            effects += on_link_down(env, keeper)
+    return effects
+
+
+def retry_later(env: OwnerEnv, run: CallRun) -> Effects:
+    """Waits a little, then sends the next attempt."""
+    run.phase = Phase.BACKOFF
+    at_ms = env.context.now_ms + backoff_ms(run.tries, run.key)
+    env.context.timers.subscribe(TimerKey(PART, "retry", run.key), at_ms=at_ms)
+    return []
+
+
+def may_retry(env: OwnerEnv, run: CallRun) -> bool:
+    """Whether another attempt is allowed, by its number, its time and the retry budget."""
+    if run.tries >= MAX_TRIES or env.context.now_ms >= run.deadline_at_ms:
+        return False
+    return env.state.retries.take()
+
+
+def _superseded(env: OwnerEnv, run: CallRun) -> Effects:
+    """Sends nothing under an epoch that may no longer be in force.
+
+    A daemon that was paused, or can't read the log, may have been superseded: its attempt could
+    take effect after a later call of the same program, or twice.
+    """
+    if run.licensed:
+        return owner_finish.give_up(env, run, Reason.LOG_OUT, retry_after_ms=500)
+    return finish_refused(env, run, Reason.LOG_OUT, retry_after_ms=500)
+
+
+def _attempt(env: OwnerEnv, run: CallRun, *, rank: int) -> Dispatch:
+    state, call = env.state, run.call
+    state.attempt_count += 1
+    run.attempt_id = f"{state.member_id}:{state.incarnation}:{state.attempt_count}"
+    run.phase = Phase.DISPATCHED
+    run.dispatched_ms = env.context.now_ms
+    run.text = []
+    state.runs.attempts[run.attempt_id] = run
+    state.outstanding[run.backend] = state.outstanding.get(run.backend, 0) + 1
+    program = state.runs.program(call.program_id)
+    return Dispatch(
+        attempt_id=run.attempt_id,
+        backend=run.backend,
+        program_id=call.program_id,
+        call_number=call.call_number,
+        epoch=run.epoch,
+        call_kind=call.kind,
+        target=call.target,
+        path=call.path,
+        body=call.body,
+        non_idempotent=run.licensed,
+        priority=rank,
+        time_limit_ms=max(1, run.deadline_at_ms - env.context.now_ms),
+        max_tokens=call.max_tokens,
+        prompt_tokens=len(call.body) // BYTES_PER_TOKEN,
+        attained_ms=program.attained_ms,
+        fingerprint=call.fingerprint,
+    )
+
+
+def _policy(env: OwnerEnv, class_name: str) -> Policy:
+    entry = env.context.catalogue.class_entry(class_name)
+    name = entry.get("policy", DEFAULT_POLICY) if entry else DEFAULT_POLICY
+    latency = entry.get("latency_weight", 1.0) if entry else 1.0
+    cache = entry.get("cache_weight", 1.0) if entry else 1.0
+    key = (name, latency, cache)
+    if key not in env.state.policies:
+        env.state.policies[key] = make_policy(
+            name, latency_weight=latency, cache_weight=cache, seed=env.state.incarnation
+        )
+    return env.state.policies[key]
+
+
+def _backend_views(env: OwnerEnv, run: CallRun) -> list[BackendView]:
+    """Returns the backend servers that may get the call; those that failed it come last."""
+    entries = env.context.catalogue.backends()
+    staying = [
+        name
+        for name in env.context.catalogue.backends_for(run.call.target)
+        if not entries[name].get("leaving", False)
+        and not env.context.members.backend_leaving(entries[name]["address"])
+    ]
+    names = [name for name in staying if name not in run.avoid] or staying
+    program = env.state.runs.program(run.call.program_id)
+    views = []
+    for name in names:
+        known = env.state.summaries.get(name)
+        own = env.state.outstanding.get(name, 0)
+        summary = known.summary if known else None
+        views.append(
+            BackendView(
+                name=name,
+                zone=entries[name]["zone"],
+                slots=entries[name]["slots"],
+                running=max(summary.running if summary else 0, min(own, entries[name]["slots"])),
+                waiting=summary.waiting if summary else max(0, own - entries[name]["slots"]),
+                waiting_tokens=summary.waiting_tokens if summary else 0,
+                reported_running=-1,
+                summary_age_ms=env.context.now_ms - known.received_ms if known else -1,
+                cached_tokens=program.cached_tokens if program.cached_backend == name else 0,
+            )
+        )
+    return views
+
+
+def _call_view(env: OwnerEnv, run: CallRun) -> CallView:
+    call = run.call
+    entry = env.context.catalogue.class_entry(call.class_name)
+    root = env.ledger.program(call.root_id)
+    age_ms = env.context.now_ms - root.opened_at_ms if root else 0
+    deadline_ms = entry["program_deadline_ms"] if entry else 0
+    root_run = env.state.runs.program(call.root_id)
+    return CallView(
+        program_id=call.program_id,
+        call_number=call.call_number,
+        prompt_tokens=len(call.body) // BYTES_PER_TOKEN if call.kind == CallKind.MODEL else 0,
+        max_tokens=call.max_tokens,
+        attained_ms=root_run.attained_ms,
+        program_age_ms=age_ms,
+        deadline_left_ms=deadline_ms - age_ms,
+        priority=entry.get("priority", 5) if entry else 5,
+        sub_agent=call.program_id != call.root_id,
+    )
+
+
+def keeper_of(env: OwnerEnv, backend: str) -> str:
+    """Returns the daemon to ask for a backend server; empty if there is none."""
+    resource = backend_resource(backend)
+    known = env.ledger.holder(resource) or env.state.keeper_hints.get(backend)
+    if known and env.context.members.find(known) is not None:
+        return known
+    members = env.context.members.alive()
+    return desired_holder(resource, members, env.state.settings.stream_count) or ""
+
+
+def _ask_summary(env: OwnerEnv, backend: str, keeper: str) -> Effects:
+    asked_ms = env.state.summary_asked_ms.get(backend, 0)
+    if env.context.now_ms - asked_ms < SUMMARY_ASK_MS:
+        return []
+    env.state.summary_asked_ms[backend] = env.context.now_ms
+    return [SendMessage(keeper, SummaryAsked(backend=backend))]
--- /dev/null
+++ b/src/quincespool/core/owner_lifecycle.py
@@ -0,0 +1,363 @@
+"""Takeover and loss of partitions, the turn of waiting calls, and the end of programs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quincespool.core import commit
+from quincespool.core import owner_finish
+from quincespool.core import owner_start
+from quincespool.core.call import Answer
+from quincespool.core.effects import Count
+from quincespool.core.effects import Log
+from quincespool.core.effects import SendMessage
+from quincespool.core.messages import CacheRelease
+from quincespool.core.messages import DispatchCancel
+from quincespool.core.messages import ProgramsOver
+from quincespool.core.outcomes import OK
+from quincespool.core.outcomes import OutcomeId
+from quincespool.core.outcomes import stored_answer
+from quincespool.core.owner_dispatch import keeper_of
+from quincespool.core.owner_env import PART
+from quincespool.core.owner_env import finish
+from quincespool.core.owner_env import finish_refused
+from quincespool.core.owner_env import tell
+from quincespool.core.placement import PARTITION_PREFIX
+from quincespool.core.program_record import next_chain
+from quincespool.core.program_run import Phase
+from quincespool.core.reasons import STATUS
+from quincespool.core.reasons import Reason
+from quincespool.core.timers import TimerKey
+from quincespool.verdict import Verdict
+
+if TYPE_CHECKING:
+    from quincespool.core.context import Context
+    from quincespool.core.effects import Effects
+    from quincespool.core.events import LedgerAdvanced
+    from quincespool.core.messages import ProgramsAsked
+    from quincespool.core.owner_env import OwnerEnv
+    from quincespool.core.program_record import ProgramRecord
+    from quincespool.core.program_run import Caller
+    from quincespool.core.program_run import CallRun
+    from quincespool.core.records import LedgerEntry
+
+REVIEW_MS = 2_000
+"""How often programs are looked through for those that are idle or too old."""
+COME_BACK_MS = 500
+
+
+def subscribe_review(context: Context) -> None:
+    """Subscribes to the next look through all programs."""
+    context.timers.subscribe(TimerKey(PART, "review"), at_ms=context.now_ms + REVIEW_MS)
+
+
+def on_advance(env: OwnerEnv, event: LedgerAdvanced) -> Effects:
+    """Goes on with what waited for the stream to be read this far."""
+    effects: Effects = []
+    for resource in event.resources:
+        if resource.startswith(PARTITION_PREFIX):
+            effects += _on_claim_changed(env, resource)
+    effects += _on_committed(env, event.stream, event.last_sequence)
+    for program_id in event.programs:
+        effects += _on_program_changed(env, program_id)
+    return effects
+
+
+def on_end(env: OwnerEnv, caller: Caller, program_id: str) -> Effects:
+    """A caller ends its program."""
+    if env.ledger.epoch_held(env.ledger.partition(program_id)) is None:
+        return tell([caller], _end_refusal(program_id, Reason.NO_OWNER, COME_BACK_MS))
+    record = env.ledger.program(program_id)
+    if record is None:
+        return tell([caller], _end_refusal(program_id, Reason.UNKNOWN_PROGRAM, 0))
+    if record.ended:
+        return tell([caller], _end_answer(record))
+    program = env.state.runs.program(program_id)
+    program.ending.append(caller)
+    program.end_reason = program.end_reason or "caller"
+    return _try_end(env, record)
+
+
+def review(env: OwnerEnv) -> Effects:
+    """Ends programs that have been idle too long or have passed their deadline."""
+    subscribe_review(env.context)
+    effects: Effects = []
+    for followed in env.ledger.streams.values():
+        for record in list(followed.ledger.state.programs.values()):
+            if not record.ended and "/" not in record.program_id:
+                effects += _review_program(env, record)
+    return effects
+
+
+def on_programs_asked(env: OwnerEnv, sender: str, message: ProgramsAsked) -> Effects:
+    """A keeper found cache of these programs on its engine."""
+    over, unknown = [], []
+    for program_id in message.program_ids:
+        if env.ledger.epoch_held(env.ledger.partition(program_id)) is None:
+            continue
+        record = env.ledger.program(program_id)
+        if record is None and program_id not in env.state.runs.programs:
+            unknown.append(program_id)
+        elif record is not None and record.ended:
+            over.append(program_id)
+    reply = ProgramsOver(
+        ticket=message.ticket,
+        backend=message.backend,
+        over=tuple(over),
+        unknown=tuple(unknown),
+    )
+    return [SendMessage(sender, reply)]
+
+
+def busy(env: OwnerEnv, partition: str) -> bool:
+    """Whether anything of a partition is under way."""
+    return any(
+        (program.calls or program.ending) and env.ledger.partition(program_id) == partition
+        for program_id, program in env.state.runs.programs.items()
+    )
+
+
+def unrecorded_tokens(env: OwnerEnv, partition: str) -> dict[str, int]:
+    """Returns what failed attempts have spent that no outcome says, by root program."""
+    return {
+        root_id: spending.unrecorded_tokens
+        for root_id, spending in env.state.runs.spending.items()
+        if spending.unrecorded_tokens and env.ledger.partition(root_id) == partition
+    }
+
+
+def _on_claim_changed(env: OwnerEnv, partition: str) -> Effects:
+    epoch = env.ledger.epoch_believed(partition)
+    if env.state.known_epochs.get(partition) == epoch:
+        return []
+    effects = _drop_runs(env, partition)
+    if epoch is None:
+        env.state.known_epochs.pop(partition, None)
+        return effects
+    env.state.known_epochs[partition] = epoch
+    effects.append(Log("info", "holds a partition", {"partition": partition, "epoch": epoch}))
+    return effects + _resolve_intents(env, partition, epoch)
+
+
+def _drop_runs(env: OwnerEnv, partition: str) -> Effects:
+    """Lets go of a partition that has changed hands; its new owner has the history from the log."""
+    effects: Effects = []
+    for program_id, program in list(env.state.runs.programs.items()):
+        if env.ledger.partition(program_id) != partition:
+            continue
+        for run in list(program.calls.values()):
+            effects += _drop_run(env, run)
+        effects += tell(program.ending, _end_refusal(program_id, Reason.NO_OWNER, COME_BACK_MS))
+        del env.state.runs.programs[program_id]
+        env.state.runs.spending.pop(program_id, None)
+    return effects
+
+
+def _drop_run(env: OwnerEnv, run: CallRun) -> Effects:
+    effects: Effects = []
+    if run.phase == Phase.DISPATCHED:
+        if not run.licensed:
+            effects.append(SendMessage(run.keeper, DispatchCancel(run.attempt_id)))
+        owner_finish.take_attempt(env, run.attempt_id)
+    for waiting in env.state.runs.committing.values():
+        if run in waiting:
+            waiting.remove(run)
+    return effects + finish_refused(
+        env, run, Reason.NO_OWNER, retry_after_ms=COME_BACK_MS, verdict=Verdict.MAY_HAVE_RUN
+    )
+
+
+def _resolve_intents(env: OwnerEnv, partition: str, epoch: int) -> Effects:
+    """Settles the licences that earlier epochs left without an outcome.
+
+    Whether such a call ran is known to nobody here: running it again could double it, and calling
+    it not run could be a lie. So its outcome is that it may have run.
+    """
+    ledger = env.ledger.stream_ledger(partition)
+    if ledger is None:
+        return []
+    entries: list[LedgerEntry] = []
+    for record in ledger.state.programs.values():
+        if record.intent is None or record.ended or record.intent.epoch == epoch:
+            continue
+        if env.ledger.partition(record.program_id) == partition:
+            entries.append(_unresolved(env, record, epoch))
+    if not entries:
+        return []
+    stream = env.ledger.stream_of(partition)
+    _, effects = commit.submit(env.commits, env.context, stream=stream, entries=entries)
+    return [*effects, Count("owner_unresolved_total", len(entries))]
+
+
+def _unresolved(env: OwnerEnv, record: ProgramRecord, epoch: int) -> LedgerEntry:
+    intent = record.intent
+    assert intent is not None
+    reason = Reason.UNRESOLVED
+    return {
+        "kind": "outcome",
+        "epoch": epoch,
+        "program": record.program_id,
+        "call_number": intent.call_number,
+        "fingerprint": intent.fingerprint,
+        "verdict": Verdict.MAY_HAVE_RUN,
+        "status": STATUS[reason],
+        "reason": reason,
+        "body": "",
+        "encoding": "utf8",
+        "content_type": "application/json",
+        "tokens": 0,
+        "backend": "",
+        "class_version": record.class_version,
+        "outcome_id": str(
+            OutcomeId(
+                record.class_name,
+                record.class_version,
+                reason,
+                intent.call_number,
+                record.program_id,
+            )
+        ),
+        "chain": next_chain(
+            record.chain,
+            call_number=intent.call_number,
+            fingerprint=intent.fingerprint,
+            body="",
+        ),
+        "at_ms": env.context.now_ms,
+    }
+
+
+def _on_committed(env: OwnerEnv, stream: str, last_sequence: int) -> Effects:
+    waiting = env.state.runs.committing.get(stream)
+    if not waiting:
+        return []
+    effects: Effects = []
+    ready = [run for run in waiting if run.sequence <= last_sequence]
+    env.state.runs.committing[stream] = [run for run in waiting if run.sequence > last_sequence]
+    for run in ready:
+        if run.phase == Phase.OPENING:
+            effects += owner_start.on_applied(env, run)
+        elif run.phase == Phase.CLOSING:
+            effects += owner_finish.on_applied(env, run)
+    return effects
+
+
+def _on_program_changed(env: OwnerEnv, program_id: str) -> Effects:
+    record = env.ledger.program(program_id)
+    program = env.state.runs.programs.get(program_id)
+    if record is None or program is None:
+        return []
+    if record.ended:
+        return _on_ended(env, record)
+    effects: Effects = []
+    for run in sorted(program.calls.values(), key=lambda run: run.call.call_number):
+        if run.phase != Phase.WAITING or run.call.call_number > record.last_call + 1:
+            continue
+        if run.call.call_number == record.last_call + 1:
+            effects += owner_start.start(env, run)
+        else:
+            effects += _answer_taken(env, run, record)
+    if program.end_reason and not program.end_sequence:
+        effects += _try_end(env, record)
+    return effects
+
+
+def _answer_taken(env: OwnerEnv, run: CallRun, record: ProgramRecord) -> Effects:
+    """The number of a waiting call has got its outcome meanwhile."""
+    stored = record.answer(run.call.call_number)
+    if stored is None or stored.fingerprint != run.call.fingerprint:
+        return finish_refused(env, run, Reason.CALL_CONFLICT)
+    return finish(env, run, stored_answer(stored))
+
+
+def _review_program(env: OwnerEnv, record: ProgramRecord) -> Effects:
+    partition = env.ledger.partition(record.program_id)
+    if env.ledger.epoch_held(partition) is None:
+        return []
+    entry = env.context.catalogue.class_entry(record.class_name)
+    if entry is None:
+        return []
+    program = env.state.runs.program(record.program_id)
+    if program.end_reason:
+        return [] if program.end_sequence else _try_end(env, record)
+    now_ms = env.context.now_ms
+    if now_ms > record.opened_at_ms + entry["program_deadline_ms"]:
+        program.end_reason = "deadline"
+    elif not _active(env, record) and now_ms > _last_at_ms(env, record) + entry["idle_limit_ms"]:
+        program.end_reason = "idle"
+    else:
+        return []
+    return _try_end(env, record)
+
+
+def _last_at_ms(env: OwnerEnv, record: ProgramRecord) -> int:
+    family = [record.last_at_ms]
+    for child_id in record.children:
+        child = env.ledger.program(child_id)
+        if child is not None:
+            family.append(child.last_at_ms)
+    return max(family)
+
+
+def _active(env: OwnerEnv, record: ProgramRecord) -> bool:
+    return any(
+        program_id in env.state.runs.programs and env.state.runs.programs[program_id].calls
+        for program_id in (record.program_id, *record.children)
+    )
+
+
+def _try_end(env: OwnerEnv, record: ProgramRecord) -> Effects:
+    """Writes the end once no call of the program or its sub-agents is under way."""
+    program = env.state.runs.program(record.program_id)
+    epoch = env.ledger.epoch_held(env.ledger.partition(record.program_id))
+    if epoch is None or _active(env, record) or program.end_sequence:
+        return []
+    entry: LedgerEntry = {
+        "kind": "ended",
+        "epoch": epoch,
+        "program": record.program_id,
+        "reason": program.end_reason,
+        "at_ms": env.context.now_ms,
+    }
+    stream = env.ledger.stream_of(env.ledger.partition(record.program_id))
+    program.end_sequence, effects = commit.submit(
+        env.commits, env.context, stream=stream, entries=[entry]
+    )
+    return effects
+
+
+def _on_ended(env: OwnerEnv, record: ProgramRecord) -> Effects:
+    """The end stands in the log: answers who asked for it and has the engines release the cache."""
+    program = env.state.runs.programs.pop(record.program_id, None)
+    env.state.runs.spending.pop(record.program_id, None)
+    effects: Effects = []
+    if program is not None:
+        effects += tell(program.ending, _end_answer(record))
+        for run in list(program.calls.values()):
+            effects += finish_refused(env, run, Reason.PROGRAM_ENDED)
+    for backend in record.backends:
+        keeper = keeper_of(env, backend)
+        if keeper:
+            release = CacheRelease(backend=backend, program_id=record.program_id)
+            effects.append(SendMessage(keeper, release))
+    return effects
+
+
+def _end_answer(record: ProgramRecord) -> Answer:
+    outcome_id = OutcomeId(record.class_name, record.class_version, OK, 0, record.program_id)
+    body = {"program": record.program_id, "ended": record.ended, "calls": record.last_call}
+    return Answer(status=200, body=msgspec.json.encode(body), outcome_id=str(outcome_id))
+
+
+def _end_refusal(program_id: str, reason: Reason, retry_after_ms: int) -> Answer:
+    outcome_id = OutcomeId("", -1, reason, 0, program_id)
+    return Answer(
+        status=STATUS[reason],
+        body=b"",
+        verdict=Verdict.NOT_RUN,
+        outcome_id=str(outcome_id),
+        retry_after_ms=retry_after_ms,
+        reason=reason,
+    )
--- a/src/quincespool/core/reasons.py
+++ b/src/quincespool/core/reasons.py
@@ -29,6 +29,8 @@
     CANCELLED = "cancelled"
     MALFORMED = "malformed"
     NOT_READY = "not_ready"
+    UNKNOWN_PROGRAM = "unknown_program"
+    ANSWER_NOT_KEPT = "answer_not_kept"
 
 
 STATUS: dict[Reason, int] = {
@@ -53,4 +55,6 @@
     Reason.CANCELLED: 499,
     Reason.MALFORMED: 400,
     Reason.NOT_READY: 503,
+    Reason.UNKNOWN_PROGRAM: 404,
+    Reason.ANSWER_NOT_KEPT: 410,
 }
--- a/src/quincespool/core/records.py
+++ b/src/quincespool/core/records.py
@@ -27,11 +27,16 @@
 
 
 class Yield(TypedDict):
-    """The holder gives a resource back, with nothing in flight."""
+    """The holder gives a resource back, with nothing in flight.
+
+    `unrecorded_tokens` is, by root program, what failed attempts have spent in this epoch that no
+    outcome says.
+    """
 
     kind: Literal["yield"]
     resource: str
     epoch: int
+    unrecorded_tokens: dict[str, int]
 
 
 class Opened(TypedDict):
@@ -72,7 +77,8 @@
 class Outcome(TypedDict):
     """The final outcome of one call; part of the program's history.
 
-    `chain` is the hash over the previous chain value and this call's fingerprint and answer.
+    `chain` is the hash over the previous chain value and this call's fingerprint and answer. A body
+    that is not UTF-8 stands in base64.
     """
 
     kind: Literal["outcome"]
@@ -84,6 +90,7 @@
     status: int
     reason: str
     body: str
+    encoding: Literal["utf8", "base64"]
     content_type: str
     tokens: int
     backend: str
--- /dev/null
+++ b/src/quincespool/net/http_connection.py
@@ -0,0 +1,325 @@
+"""One connection of a caller or operator: HTTP/1.1 by `h11`, one request at a time.
+
+Whatever comes in is bounded in size and time, so that no caller can harm another one's request by
+sending too much, too slowly or never, or by not reading its answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+from typing import cast
+
+import h11
+
+from quincespool.net.requests import HttpRequest
+from quincespool.net.requests import RequestError
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+MAX_HEAD_BYTES = 65_536
+MAX_UNREAD_BYTES = 65_536
+MAX_UNSENT_BYTES = 1_048_576
+
+HEAD_LIMIT_S = 10.0
+BODY_LIMIT_S = 30.0
+IDLE_LIMIT_S = 75.0
+STALL_LIMIT_S = 30.0
+LINGER_LIMIT_S = 2.0
+
+Headers = list[tuple[str, str]]
+
+
+class HttpResponse(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class ConnectionOwner(Protocol):
+    """What a connection needs of the server it belongs to."""
+
+    max_body_bytes: int
+    draining: bool
+
+    def opened(self, connection: Connection) -> bool:
+        """Takes note of a connection; false if there are too many."""
+
+    def closed(self, connection: Connection) -> None:
+        """Forgets a connection; its request, if there is one, has lost its caller."""
+
+    def reserve(self, size_bytes: int) -> bool:
+        """Takes memory for a part of a request body; false if there is none left."""
+
+    def release(self, size_bytes: int) -> None:
+        """Gives memory of a request body back."""
+
+    def handle(self, connection: Connection, request: HttpRequest) -> None:
+        """Answers a request, now or later, by `respond` or `start_stream`."""
+
+    def refuse(self, connection: Connection, error: RequestError) -> None:
+        """Answers a request that is malformed as HTTP, by `respond`."""
+
+    def overloaded(self, connection: Connection) -> None:
+        """Answers that there is no room for the connection or the request, by `respond`."""
+
+
+class _Phase(Enum):
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+    ANSWER = "answer"
+    DISCARD = "discard"
+
+
+class Connection(asyncio.Protocol):
+    """The server's side of one connection."""
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        self._owner = owner
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport
+        self._phase = _Phase.IDLE
+        self._limit: asyncio.TimerHandle | None = None
+        self._stall: asyncio.TimerHandle | None = None
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._unread_bytes = 0
+        self._lost = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is coming in, being answered or its answer not sent yet."""
+        unsent = not self._lost and self._transport.get_write_buffer_size() > 0
+        return unsent or self._phase not in {_Phase.IDLE, _Phase.DISCARD}
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts the time limit for the first request."""
+        self._transport = cast("asyncio.Transport", transport)
+        self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES // 4)
+        if not self._owner.opened(self):
+            self._owner.overloaded(self)
+            return
+        self._enter(_Phase.IDLE, HEAD_LIMIT_S)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells the server that the caller has gone."""
+        self._lost = True
+        for handle in (self._limit, self._stall):
+            if handle is not None:
+                handle.cancel()
+        self._drop_body()
+        self._owner.closed(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Takes what the caller sends."""
+        self._unread_bytes += len(data)
+        if self._phase is _Phase.DISCARD:
+            if self._unread_bytes > self._owner.max_body_bytes:
+                self.abort()
+            return
+        self._http.receive_data(data)
+        if self._phase is not _Phase.ANSWER:
+            self._advance()
+        elif self._unread_bytes > MAX_UNREAD_BYTES:
+            # A caller that sends request after request while one is answered would fill memory.
+            self._transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Takes the end of what the caller sends for the end of its interest.
+
+        A caller that closes and one that closes only its sending side look alike; waiting for the
+        difference would keep calls of callers that have gone running.
+        """
+        partial = self._phase is _Phase.BODY or (
+            self._phase is _Phase.HEAD and bool(self._http.trailing_data[0])
+        )
+        if not partial:
+            return False
+        self._owner.refuse(self, RequestError(status=400, message="the request ended early"))
+        return True
+
+    def pause_writing(self) -> None:
+        """Starts the time limit for a caller that does not read."""
+        self._stall = self._loop.call_later(STALL_LIMIT_S, self.abort)
+
+    def resume_writing(self) -> None:
+        """Goes on with the next request, which waited for the last answer to be read."""
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+        self._loop.call_soon(self._advance)
+
+    def respond(self, response: HttpResponse) -> None:
+        """Sends a whole response and takes the next request."""
+        if self._lost or self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        headers = [*response.headers, ("content-length", str(len(response.body)))]
+        head = self._http.send(self._response_head(response.status, headers))
+        body = self._http.send(h11.Data(data=response.body)) if response.body else b""
+        end = self._http.send(h11.EndOfMessage())
+        self._transport.write((head or b"") + (body or b"") + (end or b""))
+        self._finish()
+
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Sends the head of a response whose body follows piece by piece."""
+        if not self._lost:
+            self._transport.write(self._http.send(self._response_head(status, headers)) or b"")
+
+    def send_piece(self, data: bytes) -> None:
+        """Sends a piece of the body, or drops a caller that reads too slowly to be waited for."""
+        if self._lost:
+            return
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            self.abort()
+            return
+        self._transport.write(self._http.send(h11.Data(data=data)) or b"")
+
+    def end_stream(self) -> None:
+        """Ends a response that has been sent piece by piece and takes the next request."""
+        if self._lost:
+            return
+        self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
+        self._finish()
+
+    def abort(self) -> None:
+        """Breaks the connection off."""
+        self._lost = True
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is on it."""
+        if not self.busy:
+            self._transport.close()
+
+    def _advance(self) -> None:
+        if self._lost:
+            return
+        while self._phase in {_Phase.IDLE, _Phase.HEAD, _Phase.BODY} and self._stall is None:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse_protocol(error)
+                return
+            if event is h11.NEED_DATA:
+                self._await_data()
+                return
+            self._take(event)
+
+    def _await_data(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            self._transport.write(self._http.send(go_on) or b"")
+        if self._phase is _Phase.IDLE and self._http.trailing_data[0]:
+            self._enter(_Phase.HEAD, HEAD_LIMIT_S)
+
+    def _take(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
+        if isinstance(event, h11.Request):
+            self._take_head(event)
+        elif isinstance(event, h11.Data):
+            self._take_data(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._take_end()
+        else:
+            self._transport.close()
+            self._phase = _Phase.DISCARD
+
+    def _take_head(self, head: h11.Request) -> None:
+        self._head = head
+        self._enter(_Phase.BODY, BODY_LIMIT_S)
+        length = dict(head.headers).get(b"content-length", b"0")
+        if int(length) > self._owner.max_body_bytes:
+            self._refuse_size()
+
+    def _take_data(self, data: bytes) -> None:
+        if self._body_bytes + len(data) > self._owner.max_body_bytes:
+            self._refuse_size()
+            return
+        if not self._owner.reserve(len(data)):
+            self._owner.overloaded(self)
+            return
+        self._body.append(data)
+        self._body_bytes += len(data)
+
+    def _take_end(self) -> None:
+        head = cast("h11.Request", self._head)
+        request = HttpRequest(
+            method=head.method.decode("latin-1"),
+            target=head.target.decode("latin-1"),
+            headers=tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers),
+            body=b"".join(self._body),
+        )
+        self._drop_body()
+        self._unread_bytes = len(self._http.trailing_data[0])
+        self._enter(_Phase.ANSWER, None)
+        self._owner.handle(self, request)
+
+    def _finish(self) -> None:
+        """After a response: the next request, or the end of the connection."""
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._unread_bytes = 0
+            self._transport.resume_reading()
+            self._enter(_Phase.IDLE, IDLE_LIMIT_S)
+            self._loop.call_soon(self._advance)
+            return
+        self._drop_body()
+        if self._http.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}:
+            self._transport.close()
+            return
+        self._linger()
+
+    def _linger(self) -> None:
+        """Reads on for a while after a refusal.
+
+        Closing with bytes unread resets the connection; the caller would see the reset in place of
+        the answer that says what was wrong. Reading until the caller closes prevents it.
+        """
+        self._enter(_Phase.DISCARD, LINGER_LIMIT_S)
+        self._unread_bytes = 0
+        if self._transport.can_write_eof():
+            self._transport.write_eof()
+
+    def _enter(self, phase: _Phase, limit_s: float | None) -> None:
+        self._phase = phase
+        if self._limit is not None:
+            self._limit.cancel()
+            self._limit = None
+        if limit_s is not None:
+            self._limit = self._loop.call_later(limit_s, self._out_of_time)
+
+    def _out_of_time(self) -> None:
+        if self._phase is _Phase.BODY or self._http.trailing_data[0]:
+            message = "the request did not arrive whole in time"
+            self._owner.refuse(self, RequestError(status=408, message=message))
+            return
+        self.abort()
+
+    def _refuse_protocol(self, error: h11.RemoteProtocolError) -> None:
+        status = error.error_status_hint
+        self._owner.refuse(
+            self, RequestError(status=status, message=f"unreadable as HTTP/1.1: {error}")
+        )
+
+    def _refuse_size(self) -> None:
+        message = f"the body is larger than {self._owner.max_body_bytes} bytes"
+        self._owner.refuse(self, RequestError(status=413, message=message))
+
+    def _drop_body(self) -> None:
+        self._owner.release(self._body_bytes)
+        self._body.clear()
+        self._body_bytes = 0
+
+    def _response_head(self, status: int, headers: Sequence[tuple[str, str]]) -> h11.Response:
+        request_unread = self._http.their_state is not h11.DONE
+        if self._owner.draining or request_unread:
+            headers = [*headers, ("connection", "close")]
+        return h11.Response(status_code=status, headers=list(headers))
--- /dev/null
+++ b/src/quincespool/policy/prefix_affinity.py
@@ -0,0 +1,54 @@
+"""Prefix affinity: each call by itself, first come first served, where its prefix is cached.
+
+The rule is that of the common cache-aware routers: follow the cache while the load is balanced,
+else take the shortest queue.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.core.placement import stable_hash
+from quincespool.policy.queue_bound import admit_by_queue
+
+if TYPE_CHECKING:
+    from quincespool.policy.protocol import Admission
+    from quincespool.policy.protocol import BackendView
+    from quincespool.policy.protocol import CallView
+
+MIN_MATCH = 0.3
+"""Share of the prompt that must be cached for the cache to count."""
+
+IMBALANCE = 0.75
+"""How much more of its slots than the least busy one's a cache holder may have taken."""
+
+
+class PrefixAffinity:
+    """Sees exact queues and cached prefixes, but of the program nothing but the one call."""
+
+    def __init__(self, *, seed: int) -> None:
+        self._seed = seed
+
+    def choose(self, call: CallView, backends: list[BackendView], *, now_ms: int) -> str:
+        """Returns the holder of the longest prefix unless it is much busier than the others."""
+        shortest = min(backends, key=lambda b: (_load(b), self._tie(call, b)))
+        holder = max(backends, key=lambda b: (b.cached_tokens, -_load(b)))
+        matched = holder.cached_tokens >= MIN_MATCH * max(call.prompt_tokens, 1)
+        if matched and _load(holder) <= max(1.0, _load(shortest)) + IMBALANCE:
+            return holder.name
+        return shortest.name
+
+    def rank(self, call: CallView, *, now_ms: int = 0, backend: BackendView | None = None) -> int:
+        """Returns the same for all: order of arrival."""
+        return 0
+
+    def admit(self, call: CallView, backends: list[BackendView]) -> Admission:
+        """Refuses when all queues are full."""
+        return admit_by_queue(call, backends)
+
+    def _tie(self, call: CallView, backend: BackendView) -> int:
+        return stable_hash(f"{self._seed}|{call.program_id}|{backend.name}")
+
+
+def _load(backend: BackendView) -> float:
+    return (backend.running + backend.waiting) / max(backend.slots, 1)
--- /dev/null
+++ b/src/quincespool/policy/queue_bound.py
@@ -0,0 +1,23 @@
+"""Admission of the policies that look at single calls: a bound on the queues."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.core.placement import stable_hash
+from quincespool.policy.protocol import Admission
+
+if TYPE_CHECKING:
+    from quincespool.policy.protocol import BackendView
+    from quincespool.policy.protocol import CallView
+
+MAX_WAITING_PER_SLOT = 4
+RETRY_AFTER_MS = 1000
+
+
+def admit_by_queue(call: CallView, backends: list[BackendView]) -> Admission:
+    """Refuses a call only if each queue holds `MAX_WAITING_PER_SLOT` calls a slot."""
+    if any(b.waiting < MAX_WAITING_PER_SLOT * b.slots for b in backends):
+        return Admission(admitted=True)
+    jitter_ms = stable_hash(f"{call.program_id}|{call.call_number}") % RETRY_AFTER_MS
+    return Admission(admitted=False, retry_after_ms=RETRY_AFTER_MS + jitter_ms)
--- /dev/null
+++ b/src/quincespool/policy/registry.py
@@ -0,0 +1,65 @@
+"""The policies by the names that a class entry of the catalogue may give."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from quincespool.policy.least_loaded import LeastLoaded
+from quincespool.policy.prefix_affinity import PrefixAffinity
+from quincespool.policy.program_aware import ProgramAware
+from quincespool.policy.round_robin import RoundRobin
+
+if TYPE_CHECKING:
+    from quincespool.policy.protocol import Policy
+
+POLICY_NAMES = ("round_robin", "least_loaded", "prefix_affinity", "program_aware")
+DEFAULT_POLICY = "program_aware"
+
+
+class UnknownPolicyError(ValueError):
+    """A class entry names a policy that does not exist; the text lists those that do."""
+
+
+class PolicyWeights(NamedTuple):
+    """What a deployment cares for; only the ratio of the two counts."""
+
+    latency_weight: float
+    cache_weight: float
+
+
+LATENCY_FIRST = PolicyWeights(latency_weight=1.0, cache_weight=0.5)
+"""For deployments such as Abay's, where a late answer is the greater harm."""
+
+CACHE_FIRST = PolicyWeights(latency_weight=0.5, cache_weight=1.0)
+"""For deployments such as Harwick's, where few engines serve long sessions."""
+
+
+def make_policy(
+    name: str,
+    *,
+    latency_weight: float = LATENCY_FIRST.latency_weight,
+    cache_weight: float = LATENCY_FIRST.cache_weight,
+    seed: int = 0,
+) -> Policy:
+    """Makes the policy called `name`, with a state of its own.
+
+    The weights matter to `program_aware` alone; `seed` sets where round robin starts and how ties
+    are broken, so that daemons with different seeds do not all favour the same backend server.
+
+    Raises:
+      UnknownPolicyError: if there is no such policy.
+      ValueError: if a weight is negative or both are zero.
+    """
+    if latency_weight < 0 or cache_weight < 0 or latency_weight + cache_weight == 0:
+        raise ValueError(f"weights {latency_weight}, {cache_weight}: need >= 0, one of them > 0")
+    match name:
+        case "round_robin":
+            return RoundRobin(seed=seed)
+        case "least_loaded":
+            return LeastLoaded(seed=seed)
+        case "prefix_affinity":
+            return PrefixAffinity(seed=seed)
+        case "program_aware":
+            return ProgramAware(latency_weight=latency_weight, cache_weight=cache_weight, seed=seed)
+    raise UnknownPolicyError(f"no policy {name!r}; there are {', '.join(POLICY_NAMES)}")
--- /dev/null
+++ b/src/quincespool/policy/round_robin.py
@@ -0,0 +1,32 @@
+"""Round robin: each backend server in turn, each call in order of arrival."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.policy.queue_bound import admit_by_queue
+
+if TYPE_CHECKING:
+    from quincespool.policy.protocol import Admission
+    from quincespool.policy.protocol import BackendView
+    from quincespool.policy.protocol import CallView
+
+
+class RoundRobin:
+    """Goes through the backend servers by name, starting at a place given by the seed."""
+
+    def __init__(self, *, seed: int) -> None:
+        self._turn = seed
+
+    def choose(self, call: CallView, backends: list[BackendView], *, now_ms: int) -> str:
+        """Returns the next one; a list that shrinks or grows only shifts the turn."""
+        self._turn += 1
+        return backends[self._turn % len(backends)].name
+
+    def rank(self, call: CallView, *, now_ms: int = 0, backend: BackendView | None = None) -> int:
+        """Returns the same for all: order of arrival."""
+        return 0
+
+    def admit(self, call: CallView, backends: list[BackendView]) -> Admission:
+        """Refuses when all queues are full."""
+        return admit_by_queue(call, backends)
--- /dev/null
+++ b/src/quincespool/schema/__init__.py
@@ -0,0 +1,3 @@
+"""The schema of the protocol between daemons."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/core/test_reducer.py
@@ -0,0 +1,44 @@
+"""The whole reducer, driven by events alone: no clock, socket or randomness of its own."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from quincespool.verdict import Verdict
+from tests.core.world import World
+from tests.core.world import abay_catalogue
+from tests.core.world import model_call
+from tests.core.world import reorder_call
+
+
+@pytest.fixture
+def world() -> World:
+    settled = World(members=3, seed=1, catalogue=abay_catalogue())
+    settled.run(6_000)
+    return settled
+
+
+def test_a_whole_program_runs_in_order(world: World) -> None:
+    first = world.answer(world.call("d0", model_call("p1", 1)))
+    assert first is not None
+    assert first.status == 200, first
+    assert json.loads(first.body)["choices"][0]["message"]["content"] == "p1#1 done"
+    child = world.answer(world.call("d1", model_call("p1/sub", 1)))
+    assert child is not None
+    assert child.status == 200, child
+    second = world.answer(world.call("d2", reorder_call("p1", 2)))
+    assert second is not None
+    assert (second.status, second.verdict) == (200, Verdict.RAN)
+    ended = world.answer(world.end("d0", "p1"))
+    assert ended is not None
+    assert ended.status == 200
+    assert [(e.program_id, e.call_number) for e in world.effects] == [("p1", 2)]
+
+
+def test_every_daemon_holds_its_share(world: World) -> None:
+    held = [set(d.state.ledger.held()) for d in world.daemons.values()]
+    union = set.union(*held)
+    assert len(union) == sum(len(part) for part in held) == 4 + 4
+    assert all(d.state.ready for d in world.daemons.values())
--- /dev/null
+++ b/tests/core/world.py
@@ -0,0 +1,479 @@
+"""Several real reducers, one log and a few backend servers, all as data in virtual time.
+
+No clock, socket or thread: a heap of things to happen. Tests and the fuzzer steer the faults.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import random
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from quincespool.core import effects as fx
+from quincespool.core import events as ev
+from quincespool.core import reducer
+from quincespool.core.call import Call
+from quincespool.core.call import CallKind
+from quincespool.settings import Settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.core.call import Answer
+
+START_MS = 1_700_000_000_000
+POLL_MS = 400
+
+
+class Effect(NamedTuple):
+    """One effect at a plain service: which call, and when."""
+
+    program_id: str
+    call_number: int
+    at_ms: int
+
+
+class Told(NamedTuple):
+    """What a caller was told."""
+
+    request_id: int
+    answer: Answer
+    at_ms: int
+
+
+class LogService:
+    """Streams with offsets; can be out, and can lose answers after the write."""
+
+    def __init__(self) -> None:
+        self.streams: dict[str, list[bytes]] = {}
+        self.first_kept: dict[str, int] = {}
+        self.out = False
+        self.lose_answers = 0
+        self.appends = 0
+
+    def append(self, stream: str, body: bytes) -> int:
+        """Appends a record; returns its offset."""
+        records = self.streams.setdefault(stream, [])
+        records.append(body)
+        self.appends += 1
+        return len(records) - 1
+
+    def expire(self, stream: str, before: int) -> None:
+        """Expires the records before an offset."""
+        self.first_kept[stream] = before
+
+
+class Daemon:
+    """One reducer with what its shell would keep."""
+
+    def __init__(self, state: Any, port: int) -> None:
+        self.state = state
+        self.port = port
+        self.alive = True
+        self.frozen = False
+        self.cut = False
+        self.stopped = False
+        self.follows: dict[str, int] = {}
+        self.generation: dict[str, int] = {}
+        self.held_back: list[ev.Event] = []
+        self.links = 0
+
+
+class World:
+    """The deployment."""
+
+    def __init__(self, *, members: int, seed: int, catalogue: dict[str, Any]) -> None:
+        self.now_ms = START_MS
+        self.random = random.Random(seed)
+        self.log = LogService()
+        self.daemons: dict[str, Daemon] = {}
+        self.effects: list[Effect] = []
+        self.told: list[Told] = []
+        self.texts: dict[int, str] = {}
+        self.service_delay_ms = 20
+        self.engine_hangs: set[str] = set()
+        self.crash_on = b""
+        self.crashes: list[str] = []
+        self.held_cache: dict[str, set[str]] = {}
+        self.logs: list[tuple[str, fx.Log]] = []
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._stopped_exchanges: set[tuple[str, int, int]] = set()
+        self._request_ids = itertools.count(1)
+        self._member_count = members
+        changes = [
+            {"name": name, "base_version": -1, "entry": entry} for name, entry in catalogue.items()
+        ]
+        edit = {"kind": "edit", "edit_id": "first", "editor": "test", "changes": changes}
+        self.log.append("catalogue", json.dumps(edit).encode())
+        for number in range(members):
+            self.start(f"d{number}")
+
+    # -- steering ---------------------------------------------------------------------------
+
+    def start(self, member_id: str) -> None:
+        """Starts a daemon, or starts one anew with nothing."""
+        number = int(member_id[1:])
+        settings = Settings(
+            member_id=member_id,
+            zone=f"zone-{number % 2}",
+            host="127.0.0.1",
+            http_port=1000 + number,
+            peer_port=2000 + number,
+            log_address="127.0.0.1:3000",
+            seeds=tuple(f"127.0.0.1:{2000 + n}" for n in range(self._member_count) if n != number),
+            stream_count=2,
+            partition_count=4,
+        )
+        state = reducer.make_daemon(settings, now_ms=self.now_ms, seed=self.random.getrandbits(32))
+        self.daemons[member_id] = Daemon(state, settings.peer_port)
+        self.give(member_id, ev.Started())
+        self._arm(member_id, self.daemons[member_id])
+
+    def kill(self, member_id: str) -> None:
+        """Kills a daemon; its links break."""
+        self.daemons[member_id].alive = False
+        self._break_links(member_id)
+
+    def freeze(self, member_id: str) -> None:
+        """Stops a daemon as SIGSTOP does."""
+        self.daemons[member_id].frozen = True
+
+    def thaw(self, member_id: str) -> None:
+        """Lets a frozen daemon go on; what waited in its buffers comes in."""
+        daemon = self.daemons[member_id]
+        daemon.frozen = False
+        waiting, daemon.held_back = daemon.held_back, []
+        links = daemon.links
+        for event in waiting:
+            if isinstance(event, ev.MessageReceived) and daemon.links != links:
+                continue
+            self.give(member_id, event)
+
+    def call(self, door: str, call: Call) -> int:
+        """Sends a call to a daemon; returns the request id."""
+        request_id = next(self._request_ids)
+        self.give(door, ev.CallReceived(request_id, call))
+        return request_id
+
+    def end(self, door: str, program_id: str) -> int:
+        """Ends a program; returns the request id."""
+        request_id = next(self._request_ids)
+        self.give(door, ev.EndReceived(request_id, program_id))
+        return request_id
+
+    def run(self, for_ms: int) -> None:
+        """Lets virtual time pass."""
+        until_ms = self.now_ms + for_ms
+        while self._heap and self._heap[0][0] <= until_ms:
+            at_ms, _, action = heapq.heappop(self._heap)
+            self.now_ms = max(self.now_ms, at_ms)
+            action()
+        self.now_ms = until_ms
+
+    def answer(self, request_id: int, *, within_ms: int = 30_000) -> Answer | None:
+        """Lets time pass until a request is answered."""
+        until_ms = self.now_ms + within_ms
+        while self.now_ms < until_ms:
+            for told in self.told:
+                if told.request_id == request_id:
+                    return told.answer
+            self.run(50)
+        return None
+
+    # -- what happens -----------------------------------------------------------------------
+
+    def give(self, member_id: str, event: ev.Event) -> None:
+        """Hands an event to a daemon now, or when it thaws."""
+        daemon = self.daemons[member_id]
+        if not daemon.alive or daemon.stopped:
+            return
+        if daemon.frozen:
+            daemon.held_back.append(event)
+            return
+        self._carry_out(member_id, daemon, reducer.step(daemon.state, self.now_ms, event))
+
+    def _later(self, after_ms: int, action: Callable[[], None]) -> None:
+        heapq.heappush(self._heap, (self.now_ms + after_ms, next(self._order), action))
+
+    def _arm(self, member_id: str, daemon: Daemon) -> None:
+        def tick() -> None:
+            if self.daemons[member_id] is not daemon or not daemon.alive or daemon.stopped:
+                return
+            if not daemon.frozen:
+                self._carry_out(member_id, daemon, reducer.tick(daemon.state, self.now_ms))
+            due_ms = daemon.state.timers.next_due_ms()
+            wait_ms = max(1, (due_ms or 0) - self.now_ms) if not daemon.frozen else 50
+            self._later(min(wait_ms, 50), tick)
+
+        self._later(1, tick)
+
+    def _carry_out(self, member_id: str, daemon: Daemon, effects: fx.Effects) -> None:
+        for effect in effects:
+            self._carry_out_one(member_id, daemon, effect)
+
+    def _carry_out_one(self, member_id: str, daemon: Daemon, effect: fx.Effect) -> None:
+        match effect:
+            case fx.Respond(request_id, answer):
+                self.told.append(Told(request_id, answer, self.now_ms))
+            case fx.RespondText(request_id, text):
+                self.texts[request_id] = self.texts.get(request_id, "") + text
+            case fx.SendMessage(target, message):
+                self._send(member_id, target, ev.MessageReceived(member_id, message))
+            case fx.SendDatagram(_, port, datagram):
+                self._send_datagram(daemon, port, datagram)
+            case fx.CloseLinks():
+                self._break_links(member_id)
+            case fx.FollowStream(stream, offset):
+                daemon.generation[stream] = daemon.generation.get(stream, 0) + 1
+                daemon.follows[stream] = offset
+                self._poll(member_id, daemon, stream, daemon.generation[stream])
+            case fx.UnfollowStream(stream):
+                daemon.generation[stream] = daemon.generation.get(stream, 0) + 1
+                daemon.follows.pop(stream, None)
+            case fx.AppendRecord(stream, append_id, body):
+                self._append(member_id, daemon, ev.AppendDone(stream, append_id, 0), body)
+            case fx.StartExchange():
+                self._start_exchange(member_id, daemon, effect)
+            case fx.StopExchange(exchange_id):
+                self._stopped_exchanges.add((member_id, daemon.state.incarnation, exchange_id))
+            case fx.Log():
+                self.logs.append((member_id, effect))
+            case fx.Stop():
+                daemon.stopped = True
+                self._break_links(member_id)
+            case _:
+                pass
+
+    def _send(self, sender: str, target: str, event: ev.Event) -> None:
+        source, destination = self.daemons[sender], self.daemons.get(target)
+        if destination is None or not destination.alive or destination.stopped or source.cut:
+            self._later(1, lambda: self.give(sender, ev.LinkDown(target)))
+            return
+        links = (source.links, destination.links)
+
+        def deliver() -> None:
+            if self.daemons.get(target) is destination and not destination.cut and not source.cut:
+                if (source.links, destination.links) == links:
+                    self.give(target, event)
+
+        self._later(self.random.randint(1, 3), deliver)
+
+    def _send_datagram(self, daemon: Daemon, port: int, datagram: Any) -> None:
+        if daemon.cut or self.random.random() < 0.02:
+            return
+        for target, other in self.daemons.items():
+            if other.port == port and not other.cut:
+                event = ev.DatagramReceived("127.0.0.1", daemon.port, datagram)
+                self._later(self.random.randint(1, 3), lambda t=target, e=event: self.give(t, e))
+
+    def _break_links(self, member_id: str) -> None:
+        self.daemons[member_id].links += 1
+        for other in self.daemons:
+            if other != member_id:
+                self._later(2, lambda o=other: self.give(o, ev.LinkDown(member_id)))
+                self._later(2, lambda o=other: self.give(member_id, ev.LinkDown(o)))
+
+    def _poll(self, member_id: str, daemon: Daemon, stream: str, generation: int) -> None:
+        def arrive(event: ev.Event, next_offset: int | None, again_ms: int) -> None:
+            if self.daemons[member_id] is not daemon or daemon.generation[stream] != generation:
+                return
+            if daemon.frozen:
+                self._later(50, lambda: arrive(event, next_offset, again_ms))
+                return
+            if next_offset is not None:
+                daemon.follows[stream] = next_offset
+            self.give(member_id, event)
+            if not isinstance(event, ev.StreamExpired):
+                self._later(again_ms, read)
+
+        def read() -> None:
+            if self.daemons[member_id] is not daemon or not daemon.alive or daemon.stopped:
+                return
+            if daemon.generation[stream] != generation:
+                return
+            if daemon.frozen or self.log.out or daemon.cut:
+                self._later(50, read)
+                return
+            event, next_offset = self._read(daemon, stream)
+            again_ms = 1 if isinstance(event, ev.RecordsRead) and event.records else 20
+            self._later(self.random.randint(1, 3), lambda: arrive(event, next_offset, again_ms))
+
+        self._later(1, read)
+
+    def _read(self, daemon: Daemon, stream: str) -> tuple[ev.Event, int | None]:
+        offset = daemon.follows[stream]
+        earliest = self.log.first_kept.get(stream, 0)
+        if offset < earliest:
+            return ev.StreamExpired(stream, earliest), None
+        records = self.log.streams.get(stream, [])
+        taken = tuple(ev.LogRecord(offset + i, b) for i, b in enumerate(records[offset:][:500]))
+        next_offset = offset + len(taken)
+        return ev.RecordsRead(stream, taken, next_offset, len(records)), next_offset
+
+    def _append(self, member_id: str, daemon: Daemon, done: ev.AppendDone, body: bytes) -> None:
+        def reply(event: ev.Event) -> None:
+            if self.daemons[member_id] is daemon:
+                self.give(member_id, event)
+
+        def write() -> None:
+            if self.log.out or daemon.cut:
+                failed = ev.AppendFailed(done.stream, done.append_id, False, 0, "out")
+                self._later(1, lambda: reply(failed))
+                return
+            offset = self.log.append(done.stream, body)
+            if self.log.lose_answers > 0:
+                self.log.lose_answers -= 1
+                failed = ev.AppendFailed(done.stream, done.append_id, True, 0, "lost")
+                self._later(5, lambda: reply(failed))
+                return
+            self._later(1, lambda: reply(done._replace(offset=offset)))
+
+        self._later(self.random.randint(1, 4), write)
+
+    def _start_exchange(self, member_id: str, daemon: Daemon, effect: fx.StartExchange) -> None:
+        headers = dict(effect.headers)
+        key = (member_id, daemon.state.incarnation, effect.exchange_id)
+
+        def reply(event: ev.Event) -> None:
+            if self.daemons[member_id] is daemon and key not in self._stopped_exchanges:
+                self.give(member_id, event)
+
+        def arrive() -> None:
+            if self.crash_on and self.crash_on in effect.body:
+                self.crashes.append(effect.address)
+                cut = ev.ExchangeFailed(effect.exchange_id, True, True, "crashed")
+                self._later(2, lambda: reply(cut))
+                return
+            if effect.address in self.engine_hangs:
+                return
+            if key in self._stopped_exchanges:
+                return
+            for event, after_ms in self._serve(effect, headers):
+                self._later(after_ms, lambda e=event: reply(e))
+
+        self._later(self.random.randint(1, 3), arrive)
+        failed = ev.ExchangeFailed(effect.exchange_id, True, False, "time limit")
+        self._later(effect.time_limit_ms, lambda: reply(failed))
+
+    def _serve(
+        self, effect: fx.StartExchange, headers: dict[str, str]
+    ) -> list[tuple[ev.Event, int]]:
+        number = effect.exchange_id
+        program_id = headers.get("x-program-id", "")
+        held = self.held_cache.setdefault(effect.address, set())
+        if effect.path == "/v1/chat/completions":
+            held.add(program_id)
+            return _completion(number, program_id, headers, self.service_delay_ms)
+        if effect.path == "/v1/cache":
+            body = {"programs": [{"program_id": p, "tokens": 1} for p in sorted(held)]}
+            return _whole(number, json.dumps(body).encode(), 1)
+        if effect.path == "/v1/cache/release":
+            held.discard(json.loads(effect.body)["program_id"])
+            return _whole(number, b'{"released_tokens": 1}', 1)
+        call_number = int(headers["x-call-number"])
+        self.effects.append(Effect(program_id, call_number, self.now_ms))
+        body = {"program": program_id, "call": call_number}
+        return _whole(number, json.dumps(body).encode(), self.service_delay_ms)
+
+
+def _whole(number: int, body: bytes, delay_ms: int) -> list[tuple[ev.Event, int]]:
+    head = ev.ExchangeHead(number, 200, {"content-type": "application/json"})
+    return [
+        (head, delay_ms),
+        (ev.ExchangeData(number, body), delay_ms),
+        (ev.ExchangeEnd(number), delay_ms),
+    ]
+
+
+def _completion(
+    number: int, program_id: str, headers: dict[str, str], delay_ms: int
+) -> list[tuple[ev.Event, int]]:
+    words = [f"{program_id}", "#", headers["x-call-number"], " done"]
+    chunks = [{"choices": [{"index": 0, "delta": {"content": word}}]} for word in words]
+    chunks.append({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]})
+    usage = {"prompt_tokens": 10, "completion_tokens": len(words)}
+    chunks.append({"choices": [], "usage": usage})
+    text = "".join(f"data: {json.dumps(chunk)}\n\n" for chunk in chunks) + "data: [DONE]\n\n"
+    replies = _whole(number, text.encode(), delay_ms)
+    head = ev.ExchangeHead(number, 200, {"content-type": "text/event-stream"})
+    return [(head, delay_ms), *replies[1:]]
+
+
+def abay_catalogue() -> dict[str, Any]:
+    """A small deployment: one class, two engines, one service on two backend servers."""
+    entries: dict[str, Any] = {
+        "class/stock": {
+            "kind": "class",
+            "owner": "buyers",
+            "budget_tokens": 10_000,
+            "turn_limit": 50,
+            "program_deadline_ms": 600_000,
+            "call_limit_ms": 20_000,
+            "idle_limit_ms": 120_000,
+            "models": ["stock"],
+            "services": ["inventory"],
+            "accounts": ["abay"],
+            "policy": "least_loaded",
+        },
+        "service/inventory": {
+            "kind": "service",
+            "owner": "warehouse",
+            "non_idempotent": ["/reorder"],
+            "time_limit_ms": 5_000,
+        },
+        "account/abay": {
+            "kind": "account",
+            "owner": "finance",
+            "concurrent_calls": 100,
+            "tokens_per_minute": 1_000_000,
+        },
+    }
+    for number in range(2):
+        for kind, serves in (("model", "stock"), ("service", "inventory")):
+            entries[f"backend/{kind}-{number}"] = {
+                "kind": "backend",
+                "owner": "platform",
+                "address": f"127.0.0.1:{(4000 if kind == 'model' else 5000) + number}",
+                "zone": f"zone-{number}",
+                "backend_kind": kind,
+                "serves": [serves],
+                "slots": 8,
+            }
+    return entries
+
+
+def model_call(program_id: str, number: int, *, text: str = "stock?", **changes: Any) -> Call:
+    """A call to a model."""
+    body = {"model": "stock", "messages": [{"role": "user", "content": text}], "max_tokens": 50}
+    call = Call(
+        program_id=program_id,
+        call_number=number,
+        class_name="stock",
+        account="abay",
+        kind=CallKind.MODEL,
+        target="stock",
+        path="/v1/chat/completions",
+        body=json.dumps(body).encode(),
+        max_tokens=50,
+    )
+    return call._replace(**changes)
+
+
+def reorder_call(program_id: str, number: int, *, text: str = "", **changes: Any) -> Call:
+    """A non-idempotent call to a plain service."""
+    call = Call(
+        program_id=program_id,
+        call_number=number,
+        class_name="stock",
+        account="abay",
+        kind=CallKind.SERVICE,
+        target="inventory",
+        path="/reorder",
+        body=json.dumps({"item": text or f"{program_id}#{number}"}).encode(),
+    )
+    return call._replace(**changes)
