--- a/src/quincespool/cli/output.py
+++ b/src/quincespool/cli/output.py
@@ -29,18 +29,23 @@
 
 
 def _lines(value: object, *, indent: str) -> Iterator[str]:
-    items: list[tuple[str, object]] = []
-    if isinstance(value, dict):
-        items = [(f"{key}:", item) for key, item in value.items()]
-    elif isinstance(value, list):
-        items = [("-", item) for item in value]
-    for label, item in items:
-        if isinstance(item, dict | list) and item:
-            yield f"{indent}{label}"
-            yield from _lines(item, indent=indent + "  ")
-        else:
-            yield f"{indent}{label} {_text(item)}"
+    if isinstance(value, dict) and value:
+        for key, item in value.items():
+            if isinstance(item, dict | list) and item:
+                yield f"{indent}{key}:"
+                yield from _lines(item, indent=indent + "  ")
+            else:
+                yield f"{indent}{key}: {_text(item)}"
+    elif isinstance(value, list) and value:
+        for item in value:
+            first, *others = _lines(item, indent=indent + "  ")
+            yield f"{indent}- {first.lstrip()}"
+            yield from others
+    else:
+        yield f"{indent}{_text(value)}"
 
 
 def _text(value: object) -> str:
-    return value if isinstance(value, str) else msgspec.json.encode(value).decode()
+    if isinstance(value, str) and value.isprintable():
+        return value
+    return msgspec.json.encode(value).decode()
--- a/src/quincespool/cli/serve.py
+++ b/src/quincespool/cli/serve.py
@@ -22,6 +22,6 @@
     loaded = read_settings(settings)
     configure_logging(loaded.log_level, loaded.member_id, loaded.zone)
     # Imported here, so that the commands that only ask a daemon don't load the whole of it.
-    from quincespool.net import daemon  # noqa: PLC0415
+    from quincespool.net.daemon import serve as serve_daemon  # noqa: PLC0415
 
-    return daemon.serve(loaded)
+    return serve_daemon(loaded)
--- a/src/quincespool/core/chat_stream.py
+++ b/src/quincespool/core/chat_stream.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import msgspec
-from expression import Error
-from expression import Ok
-from expression import Result
 
 from quincespool.core.call import Usage
 
 END_MARK = b"[DONE]"
 
 
+class MalformedReplyError(Exception):
+    """A backend server's response cannot be understood, or is too long.
+
+    An exception, not a `Result`: this is passed by every token, where a `Result` took more time
+    than the parsing itself.
+    """
+
+
 class _FunctionDelta(msgspec.Struct):
     name: str | None = None
     arguments: str | None = None
@@ -87,20 +92,18 @@
         """Whether the answer is complete: the engine gave a finish reason or `[DONE]`."""
         return self.ended or bool(self.finish_reason)
 
-    def feed(self, data: bytes) -> Result[str, str]:
-        """Takes a piece of the body; returns the text that it completes, or what is wrong."""
+    def feed(self, data: bytes) -> str:
+        """Takes a piece of the body and returns the text that it completes.
+
+        Raises:
+          MalformedReplyError: if this is no chat completion.
+        """
         # Engines end lines either way; a CR whose LF is still to come stays in the buffer.
         buffer = (self._buffer + data).replace(b"\r\n", b"\n")
         *events, self._buffer = buffer.split(b"\n\n")
         if len(self._buffer) > self._event_limit_bytes:
-            return Error("event without end")
-        texts = []
-        for event in events:
-            result = self._take_event(event)
-            if result.is_error():
-                return result
-            texts.append(result.ok)
-        return Ok("".join(texts))
+            raise MalformedReplyError("event without end")
+        return "".join(self._take_event(event) for event in events)
 
     def tool_calls(self) -> bytes:
         """Returns `{"tool_calls": [...]}` as JSON, empty if the model asked for no tool."""
@@ -109,20 +112,20 @@
         calls = [self._tool_calls[index] for index in sorted(self._tool_calls)]
         return msgspec.json.encode({"tool_calls": calls})
 
-    def _take_event(self, event: bytes) -> Result[str, str]:
+    def _take_event(self, event: bytes) -> str:
         data = _event_data(event)
         if not data:
-            return Ok("")
+            return ""
         if data == END_MARK:
             self.ended = True
-            return Ok("")
+            return ""
         try:
             chunk = _CHUNK_DECODER.decode(data)
         except msgspec.DecodeError as error:
-            return Error(f"chunk: {error}")
+            raise MalformedReplyError(f"chunk: {error}") from error
         if chunk.usage is not None:
             self.usage = _usage(chunk.usage)
-        return Ok("".join(self._take_choice(choice) for choice in chunk.choices))
+        return "".join(self._take_choice(choice) for choice in chunk.choices)
 
     def _take_choice(self, choice: _Choice) -> str:
         if choice.index != 0:
--- a/src/quincespool/core/keeper.py
+++ b/src/quincespool/core/keeper.py
@@ -242,11 +242,11 @@
     take effect after a later call of its program.
     """
     effects: Effects = []
+    for queue in list(state.queues.values()):
+        effects += keeper_run.refuse_waiting(state, context, queue, Reason.NO_BACKEND)
     for owner in sorted({one.owner for one in state.attempts.values()}):
         if owner != context.members.self_id:
             effects += _lose_owner(state, context, owner)
-    for queue in list(state.queues.values()):
-        effects += keeper_run.refuse_waiting(state, context, queue, Reason.NO_BACKEND)
     return effects
 
 
--- a/src/quincespool/core/keeper_exchange.py
+++ b/src/quincespool/core/keeper_exchange.py
@@ -11,6 +11,7 @@
 
 from quincespool.core.call import CallKind
 from quincespool.core.chat_stream import ChatStream
+from quincespool.core.chat_stream import MalformedReplyError
 
 if TYPE_CHECKING:
     from quincespool.core.events import ExchangeHead
@@ -52,14 +53,18 @@
         if self._call_kind == CallKind.MODEL and 200 <= head.status < 300:
             self.chat = ChatStream(event_limit_bytes=self._limit_bytes)
 
-    def take_data(self, data: bytes) -> Result[str, str]:
-        """Takes a piece of the body; returns generated text to pass on, or what is wrong."""
+    def take_data(self, data: bytes) -> str:
+        """Takes a piece of the body and returns generated text to pass on.
+
+        Raises:
+          MalformedReplyError: if it cannot be understood or is too long.
+        """
         if self.chat is not None:
             return self.chat.feed(data)
         self._body += data
         if len(self._body) > self._limit_bytes:
-            return Error(f"body over {self._limit_bytes} bytes")
-        return Ok("")
+            raise MalformedReplyError(f"body over {self._limit_bytes} bytes")
+        return ""
 
 
 def request_headers(dispatch: Dispatch, *, epoch: int) -> tuple[tuple[str, str], ...]:
--- a/src/quincespool/core/keeper_run.py
+++ b/src/quincespool/core/keeper_run.py
@@ -7,6 +7,7 @@
 from quincespool.core import keeper_answers
 from quincespool.core import keeper_summary
 from quincespool.core import keeper_timers
+from quincespool.core.chat_stream import MalformedReplyError
 from quincespool.core.effects import Count
 from quincespool.core.effects import Log
 from quincespool.core.effects import Observe
@@ -227,17 +228,15 @@
 def _take_data(
     state: KeeperState, context: Context, attempt: Attempt, reply: Reply, data: bytes
 ) -> Effects:
-    result = reply.take_data(data)
-    if result.is_error():
-        log = Log(
-            "error",
-            "response of a backend server not understood",
-            {"attempt_id": attempt.attempt_id, "detail": result.error},
-        )
+    try:
+        text = reply.take_data(data)
+    except MalformedReplyError as error:
+        detail: dict[str, object] = {"attempt_id": attempt.attempt_id, "detail": str(error)}
+        log = Log("error", "response of a backend server not understood", detail)
         return [log, *stop(state, context, attempt, Reason.BACKEND_FAILED)]
-    if not result.ok:
+    if not text:
         return []
-    return [SendMessage(attempt.owner, DispatchText(attempt.attempt_id, result.ok))]
+    return [SendMessage(attempt.owner, DispatchText(attempt.attempt_id, text))]
 
 
 def _take_end(state: KeeperState, context: Context, attempt: Attempt, reply: Reply) -> Effects:
--- a/src/quincespool/core/membership.py
+++ b/src/quincespool/core/membership.py
@@ -41,6 +41,8 @@
 LATE_MS = 400
 SETTLE_MS = 3_000
 SYNC_PERIOD_MS = 300_000
+SYNC_AGAIN_MS = 2_000
+BULK_UPDATES = 10
 UPKEEP_PERIOD_MS = 10_000
 SUSPECT_CHECKS = 4
 GOODBYES = 5
@@ -166,7 +168,8 @@
 def _on_datagram(state: MembershipState, context: Context, event: ev.DatagramReceived) -> Effects:
     datagram = event.datagram
     known = state.find(datagram.sender_id) is not None
-    send.take_all(state, context, datagram.updates, datagram.sender_id)
+    fresh = send.take_all(state, context, datagram.updates, datagram.sender_id)
+    send.spread(state, context, *fresh)
     if isinstance(datagram, Ping):
         reply = Ack(
             datagram.sequence,
@@ -209,12 +212,21 @@
 
 
 def _on_told(state: MembershipState, context: Context, sender: str, told: MembersTold) -> Effects:
-    """Takes in a table. One that begins with the sender's own update asks for the difference."""
+    """Takes in a table. One that begins with the sender's own update asks for the difference.
+
+    One that tells much comes to a newcomer, after a common start or when a cut has healed. So much
+    is not gossiped, since it would fill the datagrams for minutes. While an exchange of tables
+    brings news, another one with another member follows soon, which spreads it there.
+    """
     if sender == state.self_id:
         return []
-    send.take_all(state, context, told.updates, sender)
-    asked = bool(told.updates) and told.updates[0].member_id == sender
-    if not asked:
+    fresh = send.take_all(state, context, told.updates, sender)
+    if len(fresh) <= BULK_UPDATES:
+        send.spread(state, context, *fresh)
+    if any(update.member_id != sender for update in fresh):
+        again_ms = state.rng.randint(SYNC_AGAIN_MS // 2, SYNC_AGAIN_MS)
+        send.subscribe(state, context, "sync", context.now_ms + again_ms)
+    if not told.updates or told.updates[0].member_id != sender:
         state.settled = True
         return []
     newer = state.table.newer_than(told.updates, context.now_ms)
@@ -253,7 +265,7 @@
             send.subscribe_suspicion(state, context)
     out = _start_probe(state, context)
     for record in state.table.suspects()[:SUSPECT_CHECKS]:
-        out.append(send.ping(state, record.update))
+        out.append(send.knock(state, record.update))
     out += send.contact_dead(state) + send.contact_someone(state)
     if not state.settled:
         out += send.sync(state, context)
--- a/src/quincespool/core/membership_gossip.py
+++ b/src/quincespool/core/membership_gossip.py
@@ -34,6 +34,12 @@
         self._added += 1
         self._pieces[update.member_id] = _Piece(0, -self._added, update)
 
+    def heard(self, update: MemberUpdate) -> None:
+        """Notes that another member spreads the same update, so that it needs fewer sends here."""
+        piece = self._pieces.get(update.member_id)
+        if piece is not None and piece.update == update:
+            self._pieces[update.member_id] = piece._replace(sent=piece.sent + 1)
+
     def clear(self) -> None:
         """Drops everything."""
         self._pieces.clear()
--- a/src/quincespool/core/membership_send.py
+++ b/src/quincespool/core/membership_send.py
@@ -34,6 +34,14 @@
     return fx.SendDatagram(target.host, target.peer_port, message)
 
 
+def knock(state: MembershipState, target: MemberUpdate) -> fx.SendDatagram:
+    """Returns a ping to one who may not be there: no gossip is spent on it."""
+    against = held(state, target.member_id)
+    updates = (state.table.own, against) if against else (state.table.own,)
+    message = Ping(state.next_sequence(), state.self_id, updates)
+    return fx.SendDatagram(target.host, target.peer_port, message)
+
+
 def news(state: MembershipState, subject: MemberUpdate | None) -> tuple[MemberUpdate, ...]:
     """Returns the own update, the one that a datagram's receiver must hear, and gossip."""
     first = (state.table.own, subject) if subject else (state.table.own,)
@@ -86,7 +94,7 @@
     chance = CONTACTS_PER_DEAD_S * len(dead) / len(state.alive())
     if not dead or state.rng.random() >= chance:
         return []
-    return [ping(state, state.rng.choice(dead).update)]
+    return [knock(state, state.rng.choice(dead).update)]
 
 
 def contact_someone(state: MembershipState) -> Effects:
@@ -114,21 +122,26 @@
 
 def take_all(
     state: MembershipState, context: Context, updates: tuple[MemberUpdate, ...], sender_id: str
-) -> None:
-    """Takes in news and queues what was new for others."""
+) -> list[MemberUpdate]:
+    """Takes in news and returns what of it was new."""
+    fresh = []
     for update in updates:
         was_alive = state.find(update.member_id) is not None
         accepted = state.table.take(update, sender_id=sender_id, now_ms=context.now_ms)
-        if accepted is not None:
-            spread(state, context, accepted)
+        if accepted is None:
+            state.gossip.heard(update)
+        else:
+            fresh.append(accepted)
         if not was_alive and state.find(update.member_id) is not None:
             state.order.add(update.member_id)
     subscribe_suspicion(state, context)
+    return fresh
 
 
-def spread(state: MembershipState, context: Context, update: MemberUpdate) -> None:
-    """Queues an update for gossip."""
-    state.gossip.add(update)
+def spread(state: MembershipState, context: Context, *updates: MemberUpdate) -> None:
+    """Queues updates for gossip."""
+    for update in updates:
+        state.gossip.add(update)
     subscribe_gossip(state, context)
 
 
--- a/src/quincespool/core/membership_table.py
+++ b/src/quincespool/core/membership_table.py
@@ -234,12 +234,19 @@
         if update.state == MemberState.SUSPECT or newer or not held.due_ms:
             # Also a death: a member held alive here gets its time for a refutation from everyone,
             # so one daemon's mistake doesn't remove it everywhere at once.
-            return self._accept(update._replace(state=MemberState.SUSPECT), now_ms)
-        earliest_ms = held.since_ms + self.suspicion_ms() // 2
-        due_ms = min(held.due_ms, max(now_ms, earliest_ms))
-        self._records[update.member_id] = held._replace(due_ms=due_ms)
+            suspected = self._accept(update._replace(state=MemberState.SUSPECT), now_ms)
+            if update.state == MemberState.DEAD:
+                self._hasten(update.member_id, now_ms)
+            return suspected
+        self._hasten(update.member_id, now_ms)
         return None
 
+    def _hasten(self, member_id: str, now_ms: int) -> None:
+        """Leaves a suspect that others have declared dead half the time for its refutation."""
+        held = self._records[member_id]
+        due_ms = _on_grid(max(now_ms, held.since_ms + self.suspicion_ms() // 2))
+        self._records[member_id] = held._replace(due_ms=min(held.due_ms, due_ms))
+
     def _accept(self, update: MemberUpdate, now_ms: int) -> MemberUpdate:
         member_id = update.member_id
         held = self._records.get(member_id)
@@ -259,8 +266,7 @@
         return update
 
     def _due_ms(self, now_ms: int) -> int:
-        due_ms = now_ms + self.suspicion_ms()
-        return -(-due_ms // SUSPICION_GRID_MS) * SUSPICION_GRID_MS
+        return _on_grid(now_ms + self.suspicion_ms())
 
     def _trusts(self, sender_id: str, now_ms: int) -> bool:
         record = self._records.get(sender_id)
@@ -290,6 +296,11 @@
     return f"{update.host}:{update.peer_port}"
 
 
+def _on_grid(at_ms: int) -> int:
+    """Rounds up, so that many suspects fall due together and make one change of the members."""
+    return -(-at_ms // SUSPICION_GRID_MS) * SUSPICION_GRID_MS
+
+
 def _order(update: MemberUpdate) -> tuple[int, int, int]:
     """Returns what decides which of two updates on a member is the newer one."""
     return update.incarnation, update.refutation, _RANK[MemberState(update.state)]
--- a/src/quincespool/core/outcomes.py
+++ b/src/quincespool/core/outcomes.py
@@ -99,22 +99,30 @@
 
 
 def completion_body(
-    *, outcome_id: str, call: Call, text: str, usage: Usage, finish_reason: str, at_ms: int
+    *,
+    outcome_id: str,
+    call: Call,
+    text: str,
+    usage: Usage,
+    finish_reason: str,
+    tool_calls: bytes,
+    at_ms: int,
 ) -> bytes:
-    """Returns a chat completion as agent clients expect it."""
+    """Returns a chat completion as agent clients expect it.
+
+    `tool_calls` is JSON `{"tool_calls": [...]}`, or empty if the model asked for no tool.
+    """
+    message: dict[str, object] = {"role": "assistant", "content": text}
+    if tool_calls:
+        message.update(msgspec.json.decode(tool_calls))
+    choice = {"index": 0, "message": message, "finish_reason": finish_reason or "stop"}
     return msgspec.json.encode(
         {
             "id": outcome_id,
             "object": "chat.completion",
             "created": at_ms // 1000,
             "model": call.target,
-            "choices": [
-                {
-                    "index": 0,
-                    "message": {"role": "assistant", "content": text},
-                    "finish_reason": finish_reason or "stop",
-                }
-            ],
+            "choices": [choice],
             "usage": {
                 "prompt_tokens": usage.prompt_tokens,
                 "completion_tokens": usage.completion_tokens,
--- a/src/quincespool/core/owner.py
+++ b/src/quincespool/core/owner.py
@@ -85,6 +85,7 @@
 
 def _on_message(env: OwnerEnv, event: MessageReceived) -> Effects:
     sender = event.sender
+    env.state.unreachable.discard(sender)
     match event.message:
         case ForwardCall() as message:
             return _accept(env, sender, message)
--- a/src/quincespool/core/owner_dispatch.py
+++ b/src/quincespool/core/owner_dispatch.py
@@ -65,10 +65,18 @@
         return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
     view = _call_view(env, run)
     policy = _policy(env, run.call.class_name)
-    run.backend = policy.choose(view, backends, now_ms=env.context.now_ms)
+    run.backend = _choose(env, run, policy, view, backends)
     run.keeper = keeper_of(env, run.backend)
     if not run.keeper:
         return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
+    if run.licensed and run.keeper in env.state.unreachable:
+        # A licence is used once. Sent into a broken link it would be spent on nothing: until the
+        # dead keeper is replaced, every order would be answered "may have run" without having been
+        # sent. Any answer to this harmless question shows that the link stands again.
+        return [
+            SendMessage(run.keeper, SummaryAsked(backend=run.backend)),
+            *retry_later(env, run),
+        ]
     return [
         *_ask_summary(env, run.backend, run.keeper),
         SendMessage(run.keeper, _attempt(env, run, rank=policy.rank(view))),
@@ -94,6 +102,7 @@
 def on_link_down(env: OwnerEnv, member_id: str) -> Effects:
     """Attempts at a daemon that can't be reached any more may or may not have run."""
     effects: Effects = []
+    env.state.unreachable.add(member_id)
     lost = [run for run in env.state.runs.attempts.values() if run.keeper == member_id]
     for run in lost:
         effects += owner_finish.attempt_lost(env, run, Reason.BACKEND_FAILED)
@@ -128,6 +137,20 @@
     return env.state.retries.take()
 
 
+def _choose(
+    env: OwnerEnv, run: CallRun, policy: Policy, view: CallView, backends: list[BackendView]
+) -> str:
+    """Chooses a backend server.
+
+    A request that has crashed one goes where all owners send it: were copies of it spread over
+    keepers that don't know of one another's, each could crash a backend server of its own.
+    """
+    if env.quarantine.suspect(run.call.fingerprint):
+        names = [backend.name for backend in backends]
+        return env.quarantine.trial_backend(run.call.fingerprint, names)
+    return policy.choose(view, backends, now_ms=env.context.now_ms)
+
+
 def _superseded(env: OwnerEnv, run: CallRun) -> Effects:
     """Sends nothing under an epoch that may no longer be in force.
 
--- a/src/quincespool/core/owner_env.py
+++ b/src/quincespool/core/owner_env.py
@@ -54,6 +54,8 @@
         self.summary_asked_ms: dict[str, int] = {}
         self.outstanding: dict[str, int] = {}
         self.keeper_hints: dict[str, str] = {}
+        self.unreachable: set[str] = set()
+        """Daemons to which the link broke and from which nothing has been heard since."""
         self.attempt_count = 0
         self.known_epochs: dict[str, int] = {}
 
--- a/src/quincespool/core/owner_finish.py
+++ b/src/quincespool/core/owner_finish.py
@@ -184,6 +184,7 @@
             text="".join(run.text),
             usage=usage,
             finish_reason=message.finish_reason,
+            tool_calls=message.body,
             at_ms=env.context.now_ms,
         )
     answer = Answer(
@@ -196,6 +197,12 @@
     tokens = usage.prompt_tokens + usage.completion_tokens
     return [
         *_record(env, run, answer, tokens=tokens),
+        *env.quarantine.note_completed(
+            env.context,
+            fingerprint=call.fingerprint,
+            program_id=call.program_id,
+            call_number=call.call_number,
+        ),
         Count("tokens_total", usage.completion_tokens),
         Count("prompt_tokens_total", usage.prompt_tokens),
         Count("cached_tokens_total", usage.cached_tokens),
--- a/src/quincespool/core/quarantine_log.py
+++ b/src/quincespool/core/quarantine_log.py
@@ -175,16 +175,22 @@
             self.suspects.pop(record.fingerprint, None)
 
     def _take_checkpoint(self, record: CheckpointRecord) -> None:
+        known = self.blocked
+        if self._unsettled is not None:
+            self._start_from(record, self._unsettled)
         # Blocked is for good, whoever knows it; this also mends a state that started too late.
-        for fingerprint, crashes in record.state.blocked.items():
+        for fingerprint, crashes in (*record.state.blocked.items(), *known.items()):
             self.blocked.setdefault(fingerprint, crashes)
             self.suspects.pop(fingerprint, None)
-        if self._unsettled is None:
-            return
+
+    def _start_from(
+        self, record: CheckpointRecord, unsettled: list[tuple[int, QuarantineRecord]]
+    ) -> None:
         self.suspects = dict(record.state.suspects)
-        for offset, earlier in self._unsettled:
+        self.blocked = dict(record.state.blocked)
+        for offset, later in unsettled:
             if offset >= record.as_of:
-                self._apply(offset, earlier)
+                self._apply(offset, later)
         if record.as_of >= self._start_offset:
             self._unsettled = None
 
--- a/src/quincespool/core/reducer.py
+++ b/src/quincespool/core/reducer.py
@@ -12,6 +12,7 @@
 from quincespool.core import catalogue
 from quincespool.core import claims
 from quincespool.core import commit
+from quincespool.core import event_routes
 from quincespool.core import frontdoor
 from quincespool.core import keeper
 from quincespool.core import ledger
@@ -25,6 +26,7 @@
 from quincespool.core.effects import Raise
 from quincespool.core.effects import SendMessage
 from quincespool.core.effects import Stop
+from quincespool.core.event_routes import parts_for
 from quincespool.core.events import DrainRequested
 from quincespool.core.events import MessageReceived
 from quincespool.core.events import Started
@@ -37,6 +39,8 @@
 from quincespool.core.timers import Timers
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.core.effects import Effect
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
@@ -125,6 +129,7 @@
         "draining": state.drain_since_ms is not None,
         "members": [update._asdict() for update in state.members.known()],
         "catalogue": state.catalogue.dump(now_ms),
+        "quarantine": state.quarantine.dump(),
         "ledger": ledger.dump(state.ledger),
         "holds": sorted(state.ledger.held()),
         "commit": commit.dump(state.commits),
@@ -181,25 +186,19 @@
 
 
 def _reduce_parts(state: DaemonState, context: Context, event: Event) -> Effects:
-    env = OwnerEnv(
-        state=state.owner,
-        context=context,
-        ledger=state.ledger,
-        commits=state.commits,
-        claims=state.claims,
-        quarantine=state.quarantine,
-    )
+    effects: Effects = []
+    for part in parts_for(event):
+        effects += _REDUCERS[part](state, context, event)
+    return effects
+
+
+def _reduce_claims(state: DaemonState, context: Context, event: Event) -> Effects:
+    env = _owner_env(state, context)
     holdings = claims.Holdings(
         busy=lambda resource: _busy(state, env, resource),
         unrecorded_tokens=lambda resource: owner_lifecycle.unrecorded_tokens(env, resource),
     )
-    effects = _reduce_self(state, context, event)
-    effects += membership.reduce(state.members, context, event)
-    effects += catalogue.reduce(state.catalogue, context, event)
-    effects += quarantine.reduce(state.quarantine, context, event)
-    effects += ledger.reduce(state.ledger, context, event)
-    effects += commit.reduce(state.commits, context, event)
-    effects += claims.reduce(
+    return claims.reduce(
         state.claims,
         context,
         event,
@@ -207,10 +206,17 @@
         commits=state.commits,
         holdings=holdings,
     )
-    effects += keeper.reduce(state.keeper, context, event)
-    effects += owner.reduce(env, event)
-    effects += frontdoor.reduce(state.frontdoor, context, event)
-    return effects
+
+
+def _owner_env(state: DaemonState, context: Context) -> OwnerEnv:
+    return OwnerEnv(
+        state=state.owner,
+        context=context,
+        ledger=state.ledger,
+        commits=state.commits,
+        claims=state.claims,
+        quarantine=state.quarantine,
+    )
 
 
 def _busy(state: DaemonState, env: OwnerEnv, resource: str) -> bool:
@@ -256,3 +262,17 @@
 
 def _subscribe(context: Context, name: str, after_ms: int) -> None:
     context.timers.subscribe(TimerKey(PART, name), at_ms=context.now_ms + after_ms)
+
+
+_REDUCERS: dict[str, Callable[[DaemonState, Context, Event], Effects]] = {
+    event_routes.REDUCER: _reduce_self,
+    event_routes.MEMBERSHIP: lambda s, c, e: membership.reduce(s.members, c, e),
+    event_routes.CATALOGUE: lambda s, c, e: catalogue.reduce(s.catalogue, c, e),
+    event_routes.QUARANTINE: lambda s, c, e: quarantine.reduce(s.quarantine, c, e),
+    event_routes.LEDGER: lambda s, c, e: ledger.reduce(s.ledger, c, e),
+    event_routes.COMMIT: lambda s, c, e: commit.reduce(s.commits, c, e),
+    event_routes.CLAIMS: _reduce_claims,
+    event_routes.KEEPER: lambda s, c, e: keeper.reduce(s.keeper, c, e),
+    event_routes.OWNER: lambda s, c, e: owner.reduce(_owner_env(s, c), e),
+    event_routes.FRONTDOOR: lambda s, c, e: frontdoor.reduce(s.frontdoor, c, e),
+}
--- a/src/quincespool/net/error_bodies.py
+++ b/src/quincespool/net/error_bodies.py
@@ -35,7 +35,7 @@
     Reason.CANCELLED: "the caller has gone",
     Reason.MALFORMED: "the request is malformed",
     Reason.UNKNOWN_PROGRAM: "no such program is known here",
-    Reason.ANSWER_NOT_KEPT: "the call has run, but its answer is not kept any more",
+    Reason.ANSWER_NOT_KEPT: "the answer to this call is not kept any more",
     Reason.NOT_READY: "this daemon has not read the log yet",
 }
 
--- a/src/quincespool/net/http_channel.py
+++ b/src/quincespool/net/http_channel.py
@@ -35,11 +35,20 @@
         self.sent = sent
 
 
+class Traffic:
+    """Bytes that some channels have sent and received, without those of TCP and IP."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+
+
 class Channel:
     """One connection, made when it is needed. Never sends a request twice by itself."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, traffic: Traffic | None = None) -> None:
         self._address = address
+        self._traffic = traffic or Traffic()
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self._http = h11.Connection(h11.CLIENT)
@@ -80,11 +89,12 @@
         await self._connect()
         assert self._writer is not None
         headers = [("host", self._address), ("content-length", str(len(body)))]
-        request = self._http.send(h11.Request(method=method, target=target, headers=headers))
+        head = self._http.send(h11.Request(method=method, target=target, headers=headers)) or b""
         data = self._http.send(h11.Data(data=body)) or b""
         self._http.send(h11.EndOfMessage())
         self._sent = True
-        self._writer.write((request or b"") + data)
+        self._traffic.sent_bytes += len(head) + len(data)
+        self._writer.write(head + data)
         answer = await self._read_answer()
         self._used_s = asyncio.get_running_loop().time()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
@@ -118,7 +128,9 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._reader.read(_READ_BYTES))
+                data = await self._reader.read(_READ_BYTES)
+                self._traffic.received_bytes += len(data)
+                self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 status = event.status_code
                 headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
--- a/src/quincespool/net/http_client.py
+++ b/src/quincespool/net/http_client.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -15,6 +13,7 @@
 from quincespool.core.events import ExchangeFailed
 from quincespool.core.events import ExchangeHead
 from quincespool.net.addresses import split_address
+from quincespool.net.socket_options import limit_silence
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -137,7 +136,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast("asyncio.Transport", transport)
-        _watch_for_silence(self._transport.get_extra_info("socket"))
+        limit_silence(self._transport)
         if self._closed:
             self._transport.abort()
 
@@ -248,14 +247,3 @@
         or "transfer-encoding" in headers
         or response.status_code in {204, 304}
     )
-
-
-def _watch_for_silence(sock: socket.socket | None) -> None:
-    """Lets the kernel notice within about 11 s that the backend server's host has vanished."""
-    if sock is None:
-        return
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -54,6 +54,9 @@
     def closed(self, connection: Connection) -> None:
         """Forgets a connection; its request, if there is one, has lost its caller."""
 
+    def dropped(self) -> None:
+        """Counts a caller that reads too slowly."""
+
     def reserve(self, size_bytes: int) -> bool:
         """Takes memory for a part of a request body; false if there is none left."""
 
@@ -121,11 +124,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Takes what the caller sends."""
-        self._unread_bytes += len(data)
         if self._phase is _Phase.DISCARD:
-            if self._unread_bytes > self._owner.max_body_bytes:
-                self.abort()
             return
+        self._unread_bytes += len(data)
         self._http.receive_data(data)
         if self._phase is not _Phase.ANSWER:
             self._advance()
@@ -149,7 +150,7 @@
 
     def pause_writing(self) -> None:
         """Starts the time limit for a caller that does not read."""
-        self._stall = self._loop.call_later(STALL_LIMIT_S, self.abort)
+        self._stall = self._loop.call_later(STALL_LIMIT_S, self._drop)
 
     def resume_writing(self) -> None:
         """Goes on with the next request, which waited for the last answer to be read."""
@@ -179,7 +180,7 @@
         if self._lost:
             return
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
-            self.abort()
+            self._drop()
             return
         self._transport.write(self._http.send(h11.Data(data=data)) or b"")
 
@@ -200,6 +201,10 @@
         if not self.busy:
             self._transport.close()
 
+    def _drop(self) -> None:
+        self._owner.dropped()
+        self.abort()
+
     def _advance(self) -> None:
         if self._lost:
             return
@@ -284,7 +289,6 @@
         the answer that says what was wrong. Reading until the caller closes prevents it.
         """
         self._enter(_Phase.DISCARD, LINGER_LIMIT_S)
-        self._unread_bytes = 0
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
@@ -297,6 +301,9 @@
             self._limit = self._loop.call_later(limit_s, self._out_of_time)
 
     def _out_of_time(self) -> None:
+        if self._phase is _Phase.DISCARD:
+            self.abort()
+            return
         if self._phase is _Phase.BODY or self._http.trailing_data[0]:
             message = "the request did not arrive whole in time"
             self._owner.refuse(self, RequestError(status=408, message=message))
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -170,6 +170,10 @@
             del self._pending[request_id]
             self._post(CallerGone(request_id=request_id))
 
+    def dropped(self) -> None:
+        """Counts a caller that reads too slowly."""
+        self._metrics.count("http_dropped_connections_total")
+
     def reserve(self, size_bytes: int) -> bool:
         """Takes memory for a part of a request body; false if there is none left."""
         if self._bodies_bytes + size_bytes > MAX_BODIES_BYTES:
@@ -191,6 +195,7 @@
         if isinstance(wanted, OperatorRequest):
             self._operate(connection, wanted)
         elif self._stopping:
+            self._metrics.count("http_requests_total", status="503")
             answer = unavailable(Reason.DRAINING, retry_after_ms=OVERLOAD_RETRY_AFTER_MS)
             self._send_answer(connection, answer, wanted)
         else:
@@ -207,6 +212,7 @@
 
     def overloaded(self, connection: Connection) -> None:
         """Answers that there is no room for the connection or the request."""
+        self._metrics.count("http_requests_total", status="503")
         answer = unavailable(Reason.OVERLOAD, retry_after_ms=OVERLOAD_RETRY_AFTER_MS)
         self._send_answer(connection, answer, None)
 
--- a/src/quincespool/net/incoming_link.py
+++ b/src/quincespool/net/incoming_link.py
@@ -15,6 +15,7 @@
 from quincespool.net.codec import decode
 from quincespool.net.framing import FrameError
 from quincespool.net.framing import FrameReader
+from quincespool.net.socket_options import limit_silence
 
 if TYPE_CHECKING:
     from quincespool.core.messages import Message
@@ -63,6 +64,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time limit for the other side to say who it is."""
         self._transport = cast("asyncio.Transport", transport)
+        limit_silence(self._transport)
         self._hello_limit = asyncio.get_running_loop().call_later(HELLO_LIMIT_S, self.abort)
         self._owner.incoming_made(self)
 
--- a/src/quincespool/net/log_client.py
+++ b/src/quincespool/net/log_client.py
@@ -18,6 +18,7 @@
 from quincespool.net.http_channel import Channel
 from quincespool.net.http_channel import ChannelAnswer
 from quincespool.net.http_channel import ChannelError
+from quincespool.net.http_channel import Traffic
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -79,6 +80,9 @@
         self._stale_after_ms = stale_after_ms
         self._followers: dict[str, asyncio.Task[None]] = {}
         self._appenders: dict[str, _Appender] = {}
+        self._traffic = Traffic()
+        metrics.watch("log_bytes_sent_total", lambda: self._traffic.sent_bytes)
+        metrics.watch("log_bytes_received_total", lambda: self._traffic.received_bytes)
 
     def follow(self, effect: FollowStream) -> None:
         """Reads a stream from an offset on, in place of an earlier reading of it."""
@@ -98,7 +102,7 @@
         appender = self._appenders.get(effect.stream)
         if appender is None:
             appender = _Appender(
-                channel=Channel(self._address),
+                channel=Channel(self._address, self._traffic),
                 post=self._post,
                 clock=self._clock,
                 metrics=self._metrics,
@@ -114,7 +118,7 @@
             appender.close()
 
     async def _follow(self, stream: str, offset: int) -> None:
-        channel = Channel(self._address)
+        channel = Channel(self._address, self._traffic)
         failures = 0
         try:
             while True:
--- a/src/quincespool/net/metrics.py
+++ b/src/quincespool/net/metrics.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Literal
-from typing import NamedTuple
 
 from aioprometheus.collectors import Counter
 from aioprometheus.collectors import Gauge
@@ -12,48 +10,17 @@
 from aioprometheus.collectors import Registry
 from aioprometheus.renderer import render
 
+from quincespool.net.metric_table import METRICS
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.net.metric_table import MetricSpec
+
 PREFIX = "quincespool_"
 _LATENCY_BUCKETS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1e3, 2e3, 5e3, 1e4, 3e4, 6e4, float("inf"))
 
 
-class MetricSpec(NamedTuple):
-    """Kind and help text of one metric."""
-
-    kind: Literal["counter", "histogram", "gauge"]
-    help: str
-
-
-_NO_METRIC = MetricSpec("histogram", "")
-
-METRICS: dict[str, MetricSpec] = {
-    "http_requests_total": MetricSpec("counter", "Answered requests by status."),
-    "http_refused_connections_total": MetricSpec("counter", "Connections beyond the bound."),
-    "http_dropped_connections_total": MetricSpec("counter", "Callers that read too slowly."),
-    "http_connections": MetricSpec("gauge", "Open connections of callers and operators."),
-    "http_response_ms": MetricSpec("histogram", "From a whole request to its whole answer."),
-    "exchanges_total": MetricSpec("counter", "Requests to backend servers by how they ended."),
-    "exchanges": MetricSpec("gauge", "Requests to backend servers under way."),
-    "log_appends_total": MetricSpec("counter", "Appends to the log by how they ended."),
-    "log_reads_total": MetricSpec("counter", "Reads of the log by how they ended."),
-    "link_messages_sent_total": MetricSpec("counter", "Messages to other daemons."),
-    "link_messages_received_total": MetricSpec("counter", "Messages from other daemons."),
-    "link_bytes_sent_total": MetricSpec("counter", "Bytes to other daemons over TCP."),
-    "link_bytes_received_total": MetricSpec("counter", "Bytes from other daemons over TCP."),
-    "link_losses_total": MetricSpec("counter", "Links that broke or could not be made."),
-    "datagram_bytes_sent_total": MetricSpec("counter", "Bytes of membership datagrams."),
-    "datagram_bytes_received_total": MetricSpec("counter", "Bytes of membership datagrams."),
-    "undecoded_total": MetricSpec("counter", "Messages and datagrams that were dropped unread."),
-    "event_failures_total": MetricSpec("counter", "Events whose handling raised an exception."),
-    "effect_failures_total": MetricSpec("counter", "Effects that could not be carried out."),
-    "ready": MetricSpec("gauge", "1 when the daemon has read what it needs to serve."),
-    "processor_seconds": MetricSpec("gauge", "Processor time of the process."),
-    "resident_bytes": MetricSpec("gauge", "Memory of the process."),
-}
-
-
 class UnknownMetricError(KeyError):
     """A metric that is not in `METRICS`, or is there with another kind."""
 
@@ -97,7 +64,8 @@
         Raises:
           UnknownMetricError: if there is no such gauge or counter.
         """
-        if METRICS.get(metric, _NO_METRIC).kind == "histogram":
+        spec = METRICS.get(metric)
+        if spec is None or spec.kind == "histogram":
             raise UnknownMetricError(metric)
         self._watched[metric] = read
 
--- a/src/quincespool/net/outgoing_link.py
+++ b/src/quincespool/net/outgoing_link.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import socket
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import cast
@@ -12,6 +10,7 @@
 from quincespool.net.codec import Hello
 from quincespool.net.codec import encode
 from quincespool.net.framing import frame
+from quincespool.net.socket_options import limit_silence
 
 if TYPE_CHECKING:
     from quincespool.core.members import Member
@@ -89,7 +88,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits how long the kernel keeps what is not acknowledged."""
         stream = cast("asyncio.Transport", transport)
-        _limit_silence(stream.get_extra_info("socket"))
+        limit_silence(stream, unacknowledged_ms=SILENCE_LIMIT_MS)
         if self._over:
             stream.abort()
             return
@@ -133,19 +132,3 @@
             return
         self.abort()
         self._owner.outgoing_lost(self)
-
-
-def _limit_silence(sock: socket.socket | None) -> None:
-    """Breaks the link when the other side does not acknowledge in time.
-
-    A host that loses its power or its network says nothing. Without a limit the kernel retries for
-    a quarter of an hour, and every call sent to that daemon hangs for as long.
-    """
-    if sock is None:
-        return
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENCE_LIMIT_MS)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
--- /dev/null
+++ b/src/quincespool/net/socket_options.py
@@ -0,0 +1,35 @@
+"""Socket options that let the kernel notice a host that has vanished."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import asyncio
+
+
+def limit_silence(transport: asyncio.Transport, *, unacknowledged_ms: int = 0) -> None:
+    """Breaks a connection whose other side says nothing more.
+
+    A host that loses its power or its network does not close its connections. Without a limit the
+    kernel waits for ever, or sends again for a quarter of an hour, and every call behind such a
+    connection hangs for as long. Probes find out within about 11 s.
+
+    Args:
+      transport: The connection.
+      unacknowledged_ms: Also break it when what was sent is not acknowledged in this time; 0 leaves
+        that to the kernel.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    # An option that a kernel does not have is no reason not to connect.
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
+        if unacknowledged_ms:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
--- /dev/null
+++ b/tests/processes/conftest.py
@@ -0,0 +1,28 @@
+"""Fixtures of the process tests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.processes.deployment import Deployment
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@pytest.fixture(scope="module")
+def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
+    """A deployment that the tests of one module share."""
+    deployment = Deployment(tmp_path_factory.mktemp("deployment"))
+    with deployment.cluster:
+        deployment.start()
+        yield deployment
+
+
+@pytest.fixture
+def deployment(running: Deployment) -> Iterator[Deployment]:
+    """The module's deployment, whole before and after each test."""
+    yield running
+    running.heal()
--- a/tests/support/test_model_engine.py
+++ b/tests/support/test_model_engine.py
@@ -213,6 +213,26 @@
     asyncio.run(scenario())
 
 
+def test_unreachable_engine_comes_back_with_its_cache() -> None:
+    """The network to an engine fails for a while: calls on it break, its memory stays."""
+
+    async def scenario() -> None:
+        async with make_model_engine(latency_scale=0) as engine:
+            await _complete(engine.address, "p", _PROMPT)
+            engine.knobs.prefill_chunk_tokens = 0  # No prompt is ever computed.
+            call = asyncio.create_task(_complete(engine.address, "q", _PROMPT))
+            while engine.counts()["runs"] != {"p": 1, "q": 1}:
+                await asyncio.sleep(0)
+            control = {"unreachable_ms": 30, "prefill_chunk_tokens": 2048}
+            assert (await _post(engine.address, "/control", control)).status == 200
+            with pytest.raises(ConnectionLostError):
+                await call
+            await _until_back(engine.address)
+            assert _cached(await _complete(engine.address, "p", _PROMPT)) > 0
+
+    asyncio.run(scenario())
+
+
 def test_model_is_loaded_from_the_weight_store() -> None:
     async def scenario() -> None:
         async with (
