--- a/src/quincespool/core/accounts_home.py
+++ b/src/quincespool/core/accounts_home.py
@@ -133,7 +133,8 @@
             return None
         permits = max(0, min(ask.wanted, self._permits_free(key, limits, now_ms)))
         tokens = min(ask.tokens_wanted, self._tokens_free(limits, now_ms))
-        tokens = tokens if tokens >= ask.tokens_needed else 0
+        # Tokens without a permit would go to waste and still count for a minute.
+        tokens = tokens if tokens >= ask.tokens_needed and permits else 0
         if not self._covered(key, permits, tokens):
             self.waiting[key] = ask
             return None
@@ -223,7 +224,7 @@
         return self.permits_short <= extent.permits and self.tokens_short <= extent.tokens
 
     def _retry_after_ms(self, ask: AccountAsked, permits: int, tokens: int, now_ms: int) -> int:
-        if tokens < ask.tokens_needed:
+        if tokens < ask.tokens_needed and permits:
             oldest_ms = self.token_grants[0][0] if self.token_grants else now_ms
             return max(FULL_RETRY_MS, oldest_ms + WINDOW_MS - now_ms)
         return FULL_RETRY_MS if permits < ask.wanted else 0
--- a/src/quincespool/core/event_routes.py
+++ b/src/quincespool/core/event_routes.py
@@ -21,6 +21,7 @@
 LEDGER = "ledger"
 COMMIT = "commit"
 CLAIMS = "claims"
+CHECKPOINTS = "checkpoints"
 KEEPER = "keeper"
 OWNER = "owner"
 FRONTDOOR = "frontdoor"
@@ -33,6 +34,7 @@
     LEDGER,
     COMMIT,
     CLAIMS,
+    CHECKPOINTS,
     KEEPER,
     OWNER,
     FRONTDOOR,
--- a/src/quincespool/core/ledger.py
+++ b/src/quincespool/core/ledger.py
@@ -240,13 +240,27 @@
         except msgspec.MsgspecError:
             continue
         followed.checkpoint = None
+        followed.ledger.checkpoint_as_of = found.as_of
         return [
             Log("info", "ledger taken from a checkpoint", {"stream": event.stream}),
             FollowStream(event.stream, found.as_of),
+            Raise(_everything(state, event.stream, followed.ledger)),
         ]
     return []
 
 
+def _everything(state: LedgerState, stream: str, ledger: StreamLedger) -> LedgerAdvanced:
+    """A jump over expired records: any claim or program may have changed in them."""
+    return LedgerAdvanced(
+        stream=stream,
+        next_offset=ledger.state.next_offset,
+        at_end=False,
+        last_sequence=ledger.last_sequence(state.member_id, state.incarnation),
+        resources=tuple(sorted(ledger.state.claims)),
+        programs=tuple(sorted(ledger.state.programs)),
+    )
+
+
 def _read_again(state: LedgerState) -> Effects:
     """After a standstill, answers already on their way say nothing of the present: ask anew."""
     effects: Effects = []
--- a/src/quincespool/core/membership.py
+++ b/src/quincespool/core/membership.py
@@ -19,7 +19,7 @@
 from quincespool.core.membership_send import PART
 from quincespool.core.membership_send import PROBE_PERIOD_MS
 from quincespool.core.membership_state import MembershipState
-from quincespool.core.membership_table import FORGET_MS
+from quincespool.core.membership_table import TELL_GONE_MS
 from quincespool.core.membership_table import MemberState
 from quincespool.core.membership_table import MemberTable
 from quincespool.core.membership_table import address_of
@@ -129,9 +129,11 @@
     state.relays.clear()
     state.gossip.clear()
     send.subscribe(state, context, "settle", context.now_ms + SETTLE_MS)
-    if gap_ms >= FORGET_MS:
-        # Others have forgotten who died meanwhile. Telling them of these members as alive would
-        # bring them back everywhere until somebody has found them dead once more.
+    state.woken_at_sequence = None
+    if gap_ms >= TELL_GONE_MS // 2:
+        # Others may no longer tell who died meanwhile, and soon forget it. Telling them of these
+        # members as alive would bring them back everywhere until found dead once more.
+        state.woken_at_sequence = state.sequence
         _start_table_again(state, context)
     state.table.restart_suspicions(context.now_ms)
     send.subscribe_suspicion(state, context)
@@ -168,8 +170,9 @@
 def _on_datagram(state: MembershipState, context: Context, event: ev.DatagramReceived) -> Effects:
     datagram = event.datagram
     known = state.find(datagram.sender_id) is not None
-    fresh = send.take_all(state, context, datagram.updates, datagram.sender_id)
-    send.spread(state, context, *fresh)
+    if not state.may_be_old(datagram):
+        fresh = send.take_all(state, context, datagram.updates, datagram.sender_id)
+        send.spread(state, context, *fresh)
     if isinstance(datagram, Ping):
         reply = Ack(
             datagram.sequence,
--- a/src/quincespool/core/membership_send.py
+++ b/src/quincespool/core/membership_send.py
@@ -155,9 +155,9 @@
 
 def subscribe_suspicion(state: MembershipState, context: Context) -> None:
     """Sets the timer for the first suspect that is due."""
-    suspects = state.table.suspects()
-    if suspects and state.due_ms.get("suspicion") != suspects[0].due_ms:
-        subscribe(state, context, "suspicion", suspects[0].due_ms)
+    due_ms = state.table.next_due_ms()
+    if due_ms is not None and state.due_ms.get("suspicion") != due_ms:
+        subscribe(state, context, "suspicion", due_ms)
 
 
 def subscribe(state: MembershipState, context: Context, name: str, at_ms: int) -> None:
--- a/src/quincespool/core/membership_state.py
+++ b/src/quincespool/core/membership_state.py
@@ -9,11 +9,13 @@
 from quincespool.core.membership_gossip import GossipQueue
 from quincespool.core.membership_probe import ProbeOrder
 from quincespool.core.membership_table import MemberTable
+from quincespool.core.messages import Ack
 
 if TYPE_CHECKING:
     from quincespool.core.members import Member
     from quincespool.core.membership_probe import Probe
     from quincespool.core.membership_probe import Relay
+    from quincespool.core.messages import Datagram
     from quincespool.core.messages import MemberUpdate
 
 
@@ -32,6 +34,7 @@
         self.due_ms: dict[str, int] = {}
         self.synced_ms: int | None = None
         self.settled = False
+        self.woken_at_sequence: int | None = None
         self.stepped_down = False
 
     @property
@@ -64,6 +67,17 @@
         others = sorted(record.update for record in self.table.records())
         return (self.table.own, *others)
 
+    def may_be_old(self, datagram: Datagram) -> bool:
+        """Whether a datagram may have waited in the socket of a process that stood still for long.
+
+        Its news may be of members that everyone else has forgotten. Answers to pings sent since
+        then are surely new, and by the time these have led to an exchange of tables, what had
+        waited has been read.
+        """
+        if self.settled or self.woken_at_sequence is None:
+            return False
+        return not isinstance(datagram, Ack) or datagram.sequence <= self.woken_at_sequence
+
     def next_sequence(self) -> int:
         """Returns a new number for a ping."""
         self.sequence += 1
--- a/src/quincespool/core/membership_table.py
+++ b/src/quincespool/core/membership_table.py
@@ -106,6 +106,10 @@
         suspects = [self._records[member_id] for member_id in self._suspects]
         return sorted(suspects, key=lambda record: (record.due_ms, record.update.member_id))
 
+    def next_due_ms(self) -> int | None:
+        """Returns when the first suspect is declared dead, None if there is no suspect."""
+        return min((self._records[member_id].due_ms for member_id in self._suspects), default=None)
+
     def dead(self) -> list[Record]:
         """Returns the dead (not those that left) sorted by id."""
         gone = (self._records[member_id] for member_id in sorted(self._gone))
@@ -217,6 +221,10 @@
             self._records[update.member_id] = Record(update, now_ms, hearsay=True)
             self._gone.add(update.member_id)
             return None
+        if update.state == MemberState.SUSPECT:
+            # It may be one that everyone has forgotten, brought up by a daemon that stood still.
+            # If it lives it refutes, and then it is taken in.
+            return None
         return self._accept(update, now_ms)
 
     def _take_bad_news(
--- a/src/quincespool/core/owner.py
+++ b/src/quincespool/core/owner.py
@@ -133,7 +133,7 @@
 
 def _accept(env: OwnerEnv, sender: str, message: ForwardCall) -> Effects:
     call = call_of(message)
-    caller = Caller(sender, message.ticket)
+    caller = Caller(sender, message.ticket, message.first_send)
     running = env.state.runs.find_call(call.program_id, call.call_number)
     if running is not None:
         return _join(env, running, call, caller)
@@ -190,7 +190,7 @@
     if run.call.fingerprint != call.fingerprint:
         verdict = Verdict.NOT_RUN if call.first_send else Verdict.MAY_HAVE_RUN
         return refuse(env, call, [caller], Reason.CALL_CONFLICT, verdict=verdict)
-    run.callers = [known for known in run.callers if known != caller] + [caller]
+    run.callers = [known for known in run.callers if known[:2] != caller[:2]] + [caller]
     if call.stream and run.text:
         return [SendMessage(caller.member_id, ForwardText(caller.ticket, "".join(run.text)))]
     return []
@@ -225,9 +225,7 @@
     """A caller went away. Its call runs on: the outcome is kept for when it sends it again."""
     for program in env.state.runs.programs.values():
         for run in program.calls.values():
-            if caller in run.callers:
-                run.callers.remove(caller)
-                return
+            run.callers = [known for known in run.callers if known[:2] != caller[:2]]
 
 
 def _on_timer(env: OwnerEnv, event: TimerFired) -> Effects:
--- a/src/quincespool/core/owner_env.py
+++ b/src/quincespool/core/owner_env.py
@@ -91,17 +91,21 @@
     verdict: Verdict | None = None,
     hint: str = "",
 ) -> Effects:
-    """Returns the messages that refuse a call, with a verdict that can be vouched for."""
+    """Returns the messages that refuse a call, each with a verdict that can be vouched for."""
     entry = env.context.catalogue.find(f"class/{call.class_name}")
-    answer = refusal(
-        reason=reason,
-        verdict=verdict or provable_verdict(env, call),
-        call=call,
-        class_version=entry.version if entry else -1,
-        retry_after_ms=retry_after_ms,
-        hint=hint,
-    )
-    return tell(callers, answer)
+    effects: Effects = []
+    for caller in callers:
+        sent = call._replace(first_send=caller.first_send)
+        answer = refusal(
+            reason=reason,
+            verdict=verdict or provable_verdict(env, sent),
+            call=sent,
+            class_version=entry.version if entry else -1,
+            retry_after_ms=retry_after_ms,
+            hint=hint,
+        )
+        effects += tell([caller], answer)
+    return effects
 
 
 def provable_verdict(env: OwnerEnv, call: Call) -> Verdict:
@@ -145,10 +149,7 @@
 
 def finish(env: OwnerEnv, run: CallRun, answer: Answer) -> Effects:
     """Answers a call and forgets it."""
-    env.context.timers.cancel(TimerKey(PART, "deadline", run.key))
-    env.context.timers.cancel(TimerKey(PART, "retry", run.key))
-    free_reserve(env, run)
-    env.state.runs.drop_call(run)
+    _forget(env, run)
     return tell(run.callers, answer)
 
 
@@ -159,19 +160,29 @@
     *,
     retry_after_ms: int = 0,
     verdict: Verdict | None = None,
-    hint: str = "",
 ) -> Effects:
     """Refuses a call under way and forgets it."""
-    entry = env.context.catalogue.find(f"class/{run.call.class_name}")
-    answer = refusal(
-        reason=reason,
-        verdict=verdict or provable_verdict(env, run.call),
-        call=run.call,
-        class_version=entry.version if entry else -1,
-        retry_after_ms=retry_after_ms,
-        hint=hint,
+    _forget(env, run)
+    return refuse(
+        env, run.call, run.callers, reason, retry_after_ms=retry_after_ms, verdict=verdict
     )
-    return finish(env, run, answer)
+
+
+def unused_licence_verdict(env: OwnerEnv, run: CallRun) -> Verdict | None:
+    """Returns `NOT_RUN` while this daemon is surely the one whose licence stands, and unused.
+
+    A daemon that can't read the log may have been superseded, and its successor may have run the
+    call for the same caller: then only what can be proved otherwise may be said (None).
+    """
+    held = env.ledger.epoch_held(env.ledger.partition(run.call.program_id))
+    return Verdict.NOT_RUN if held == run.epoch else None
+
+
+def _forget(env: OwnerEnv, run: CallRun) -> None:
+    env.context.timers.cancel(TimerKey(PART, "deadline", run.key))
+    env.context.timers.cancel(TimerKey(PART, "retry", run.key))
+    free_reserve(env, run)
+    env.state.runs.drop_call(run)
 
 
 def free_reserve(env: OwnerEnv, run: CallRun) -> None:
--- a/src/quincespool/core/owner_finish.py
+++ b/src/quincespool/core/owner_finish.py
@@ -24,6 +24,7 @@
 from quincespool.core.owner_env import finish_refused
 from quincespool.core.owner_env import refuse
 from quincespool.core.owner_env import tell
+from quincespool.core.owner_env import unused_licence_verdict
 from quincespool.core.program_record import next_chain
 from quincespool.core.program_run import Phase
 from quincespool.core.reasons import STATUS
@@ -102,7 +103,7 @@
         run.callers,
         reason,
         retry_after_ms=retry_after_ms,
-        verdict=Verdict.NOT_RUN,
+        verdict=unused_licence_verdict(env, run),
     )
     run.callers = []
     return effects + _withdraw(env, run)
@@ -156,7 +157,7 @@
         run.callers,
         Reason.LOG_OUT,
         retry_after_ms=COME_BACK_MS,
-        verdict=Verdict.NOT_RUN,
+        verdict=unused_licence_verdict(env, run),
     )
     run.callers = []
     # The intent is on its way and may yet count; the withdrawal follows it in sequence.
--- a/src/quincespool/core/program_record.py
+++ b/src/quincespool/core/program_record.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from collections import deque
 from typing import NamedTuple
 
 import msgspec
@@ -81,8 +80,8 @@
     chain: str = ""
     intent: OpenIntent | None = None
     ended: str = ""
-    answers: deque[StoredAnswer] = msgspec.field(default_factory=deque)
-    steps: deque[Step] = msgspec.field(default_factory=deque)
+    answers: list[StoredAnswer] = msgspec.field(default_factory=list)
+    steps: list[Step] = msgspec.field(default_factory=list)
     backends: list[str] = msgspec.field(default_factory=list)
     children: list[str] = msgspec.field(default_factory=list)
 
@@ -102,13 +101,13 @@
         """Adds to the kept tail of the history."""
         self.steps.append(step)
         if len(self.steps) > KEPT_STEPS:
-            self.steps.popleft()
+            self.steps.pop(0)
 
     def note_answer(self, stored: StoredAnswer) -> None:
         """Adds an outcome; the oldest ones stay in the log only."""
         self.answers.append(stored)
         if len(self.answers) > KEPT_ANSWERS:
-            self.answers.popleft()
+            self.answers.pop(0)
         if stored.backend and stored.backend not in self.backends:
             self.backends.append(stored.backend)
 
--- a/src/quincespool/core/program_run.py
+++ b/src/quincespool/core/program_run.py
@@ -26,10 +26,14 @@
 
 
 class Caller(NamedTuple):
-    """Who gets the answer: a ticket of the front door at a daemon."""
+    """Who gets the answer: a ticket of the front door at a daemon.
+
+    `first_send` is what this caller said of its own send (see `Call`).
+    """
 
     member_id: str
     ticket: int
+    first_send: bool = False
 
 
 class CallRun:
--- a/src/quincespool/core/reducer.py
+++ b/src/quincespool/core/reducer.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING
 
 from quincespool.core import catalogue
+from quincespool.core import checkpoints
 from quincespool.core import claims
 from quincespool.core import commit
 from quincespool.core import event_routes
@@ -68,6 +69,7 @@
         self.ledger = ledger.make_ledger(settings, member_id=member_id, incarnation=incarnation)
         self.commits = commit.make_commit(settings, member_id=member_id, incarnation=incarnation)
         self.claims = claims.make_claims(settings, member_id=member_id, incarnation=incarnation)
+        self.checkpoints = checkpoints.make_checkpoints(settings)
         self.keeper = keeper.make_keeper(
             settings, incarnation=incarnation, quarantine=self.quarantine
         )
@@ -192,6 +194,12 @@
     return effects
 
 
+def _reduce_checkpoints(state: DaemonState, context: Context, event: Event) -> Effects:
+    return checkpoints.reduce(
+        state.checkpoints, context, event, ledger=state.ledger, commits=state.commits
+    )
+
+
 def _reduce_claims(state: DaemonState, context: Context, event: Event) -> Effects:
     env = _owner_env(state, context)
     holdings = claims.Holdings(
@@ -272,6 +280,7 @@
     event_routes.LEDGER: lambda s, c, e: ledger.reduce(s.ledger, c, e),
     event_routes.COMMIT: lambda s, c, e: commit.reduce(s.commits, c, e),
     event_routes.CLAIMS: _reduce_claims,
+    event_routes.CHECKPOINTS: _reduce_checkpoints,
     event_routes.KEEPER: lambda s, c, e: keeper.reduce(s.keeper, c, e),
     event_routes.OWNER: lambda s, c, e: owner.reduce(_owner_env(s, c), e),
     event_routes.FRONTDOOR: lambda s, c, e: frontdoor.reduce(s.frontdoor, c, e),
--- a/src/quincespool/core/stream_ledger.py
+++ b/src/quincespool/core/stream_ledger.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+import bisect
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -83,7 +83,7 @@
     claims: dict[str, ClaimState] = msgspec.field(default_factory=dict)
     writers: dict[str, WriterState] = msgspec.field(default_factory=dict)
     programs: dict[str, ProgramRecord] = msgspec.field(default_factory=dict)
-    ended: deque[tuple[int, str]] = msgspec.field(default_factory=deque)
+    ended: list[tuple[int, str]] = msgspec.field(default_factory=list)
 
 
 class StreamLedger:
@@ -91,6 +91,8 @@
 
     def __init__(self, *, partition_count: int) -> None:
         self.state = LedgerState()
+        self.checkpoint_as_of = 0
+        """`as_of` of the newest checkpoint seen whole; not part of the state it states."""
         self._partition_count = partition_count
         self._resources: set[str] = set()
         self._programs: set[str] = set()
@@ -172,8 +174,7 @@
         typed = _convert_entry(entry)
         if typed is None:
             return False
-        handler = _HANDLERS.get(typed["kind"])
-        return handler(self, offset, group, typed) if handler else True
+        return _HANDLERS[typed["kind"]](self, offset, group, typed)
 
     def _claim(self, offset: int, group: _Group, entry: Claim) -> bool:
         resource = entry["resource"]
@@ -327,6 +328,12 @@
             self._note(program_id, Step(offset, "ended", 0, entry["reason"]))
         return True
 
+    def _checkpoint(self, offset: int, group: _Group, entry: Checkpoint) -> bool:
+        del offset, group
+        if entry["part"] == entry["parts"] - 1:
+            self.checkpoint_as_of = max(self.checkpoint_as_of, entry["as_of"])
+        return True
+
     def _live(self, program_id: str, epoch: int, group: _Group) -> ProgramRecord | None:
         """Returns the record of a program that the group may write to."""
         record = self.state.programs.get(program_id)
@@ -360,9 +367,13 @@
 
     def _forget_old(self) -> None:
         limit_ms = self.state.clock_ms - FORGET_ENDED_MS
-        while self.state.ended and self.state.ended[0][0] < limit_ms:
-            _, program_id = self.state.ended.popleft()
+        ended = self.state.ended
+        if not ended or ended[0][0] >= limit_ms:
+            return
+        count = bisect.bisect_left(ended, (limit_ms, ""))
+        for _, program_id in ended[:count]:
             self.state.programs.pop(program_id, None)
+        del ended[:count]
 
 
 _HANDLERS: dict[str, Callable[..., bool]] = {
@@ -373,6 +384,7 @@
     "intent": StreamLedger._intent,
     "outcome": StreamLedger._outcome,
     "ended": StreamLedger._ended,
+    "checkpoint": StreamLedger._checkpoint,
 }
 
 
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -68,6 +68,7 @@
     "catalogue_adopted_total": MetricSpec("counter", "Catalogues taken over from other daemons."),
     "catalogue_checkpoints_total": MetricSpec("counter", "Checkpoints of the catalogue written."),
     "accounts_extents_total": MetricSpec("counter", "Shares of account limits written."),
+    "ledger_checkpoints_total": MetricSpec("counter", "Checkpoints of ledgers written."),
     "claims_written_total": MetricSpec("counter", "Claims and yields written."),
     "commit_appends_total": MetricSpec("counter", "Batches appended to program streams."),
     "commit_groups_total": MetricSpec("counter", "Groups in these batches."),
--- a/src/quincespool/settings.py
+++ b/src/quincespool/settings.py
@@ -25,6 +25,8 @@
     "log_appends_per_s": (1, 100_000),
     "stale_after_ms": (50, 60_000),
     "licence_ms": (50, 600_000),
+    "checkpoint_records": (10, 1_000_000),
+    "checkpoint_every_ms": (1_000, 86_400_000),
     "max_body_bytes": (1_024, 1_000_000_000),
 }
 
@@ -56,6 +58,8 @@
     log_appends_per_s: int = 200
     stale_after_ms: int = 1500
     licence_ms: int = 3000
+    checkpoint_records: int = 2000
+    checkpoint_every_ms: int = 600_000
     max_body_bytes: int = 8_000_000
 
 
--- a/tests/core/test_accounts.py
+++ b/tests/core/test_accounts.py
@@ -318,6 +318,7 @@
     """Symptom: an account passes its tokens per minute. A link doubled the home's answer."""
     world.daemons["d1"].acquire(40)
     world.settle()
+    world.daemons["d1"].release(world.running("d1")[0])
     world.daemons["d1"].handle(MessageReceived("d0", world.delivered["d1"].message))
     world.daemons["d1"].acquire(40)
     assert len(world.calls) == 1
@@ -363,6 +364,8 @@
     assert granted(new, 4, epoch=2, held=0, wanted=0) == 0
     assert granted(("other", 1), 2, epoch=-1, held=0, wanted=3) == 1
     assert granted(new, 5, epoch=3, held=0, wanted=3) == -1
+    home.extent = Extent(2, 1, 0, 100, 60_000)
+    assert granted(("other", 1), 3, epoch=2, held=0, wanted=1) == -2
 
 
 def test_extents_of_a_closed_epoch_are_void() -> None:
--- a/tests/core/test_catalogue.py
+++ b/tests/core/test_catalogue.py
@@ -7,6 +7,7 @@
 
 import json
 from collections import deque
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 from typing import cast
@@ -20,7 +21,6 @@
 
 from quincespool.core import catalogue
 from quincespool.core import catalogue_writer
-from quincespool.core.catalogue import CatalogueState
 from quincespool.core.catalogue_checkpoint import CheckpointWrite
 from quincespool.core.context import ClaimsView
 from quincespool.core.context import Context
@@ -45,6 +45,9 @@
 from quincespool.core.timers import Timers
 from quincespool.settings import Settings
 
+if TYPE_CHECKING:
+    from quincespool.core.catalogue import CatalogueState
+
 NAMES = ["account/a", "account/b"]
 READ_LIMIT = 3
 
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -91,6 +91,24 @@
     assert network.false_deaths == 7
 
 
+def test_a_long_frozen_member_brings_nobody_back(network: Network) -> None:
+    """A member that died long ago is alive again everywhere for some seconds.
+
+    Events: m3 freezes, m5 dies and is forgotten, m3 goes on and reads what its socket has kept.
+    Cause: to those who have forgotten m5, old news of it looks like news of a newcomer.
+    """
+    network.freeze("m3")
+    network.run(3_000)
+    network.nodes.pop("m5")
+    network.run(1_200_000)
+    assert len(network.nodes["m1"].state.known()) == 6
+    network.thaw("m3")
+    for _ in range(40):
+        network.run(250)
+        assert network.nodes["m1"].state.find("m5") is None
+    assert network.agreed()
+
+
 def test_a_superseded_process_drains(network: Network) -> None:
     """Two processes of one member id both act.
 
--- a/tests/core/test_membership_network.py
+++ b/tests/core/test_membership_network.py
@@ -92,6 +92,7 @@
         node.frozen_ms = 0
         if gap_ms > STALE_AFTER_MS:
             self.handle(node, ev.Woken(gap_ms))
+            node.buffer = [e for e in node.buffer if isinstance(e, ev.DatagramReceived)]
         self.fire_timers(node)
         for event in node.buffer:
             self.handle(node, event)
