The keeper keeps each program's calls in order

Cause: specs/order.py, holes 1 and 2: an owner whose link breaks records 'may have run' and goes on to its next call while the first still waits at the keeper, all in one epoch; and a dispatch could reach the process after the one it was meant for. Ruled out: the owner's epoch as the guard (one epoch suffices for the fault); a wait by the owner (it has no bound that the keeper's queue keeps). Change: the keeper refuses a call below one it has taken in, holds a call while an earlier non-idempotent one of its program is open, and a dispatch names the process it is for.

--- a/src/quincespool/bench/cluster_slopes.py
+++ b/src/quincespool/bench/cluster_slopes.py
@@ -37,7 +37,7 @@
 
 
 def _measure_one(count: int) -> dict[str, object]:
-    with clusters.running(count) as cluster:
+    with clusters.running(count) as (cluster, unclaimed):
         time.sleep(SETTLE_S)
         load_before = load_average()
         before = [read_usage(address) for address in cluster.daemon_addresses]
@@ -51,6 +51,7 @@
             "log_bytes_per_s": _rates(before, after, lambda usage: usage.log_bytes),
             "control_bytes_per_s": _rates(before, after, lambda usage: usage.control_bytes),
             "log_reads_per_s": _rates(before, after, lambda usage: usage.log_reads),
+            "unclaimed_resources": unclaimed,
             "load_average": [load_before, load_average()],
         }
         figures["edit_in_force_ms"] = asyncio.run(_edits_in_force(cluster))
--- a/src/quincespool/bench/clusters.py
+++ b/src/quincespool/bench/clusters.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import NamedTuple
 
 from quincespool.bench.size import Size
 
@@ -17,6 +18,7 @@
     from tests.support.cluster import Cluster
 
 START_LIMIT_S = 90
+SETTLE_LIMIT_S = 25
 CLASS = "bench"
 ACCOUNT = "bench"
 SERVICE = "inventory"
@@ -24,6 +26,13 @@
 ZONES = 3
 
 
+class Running(NamedTuple):
+    """A cluster, and how many resources no daemon of it knows to hold."""
+
+    cluster: Cluster
+    unclaimed: int
+
+
 def daemon_names(count: int) -> list[str]:
     """Returns the names of a cluster's daemons."""
     return [f"entry-{number:03}" for number in range(count)]
@@ -32,7 +41,7 @@
 @contextlib.contextmanager
 def running(
     daemons: int, *, services: int = 0, engines: int = 0, **settings: object
-) -> Iterator[Cluster]:
+) -> Iterator[Running]:
     """Runs a cluster whose daemons all know one another.
 
     Args:
@@ -68,8 +77,8 @@
         names = daemon_names(daemons)
         cluster.start_daemons({name: f"zone-{at % ZONES}" for at, name in enumerate(names)})
         cluster.wait_ready(limit_s=START_LIMIT_S)
-        _wait_settled(cluster, names, claimed=size.partitions + services + engines)
-        yield cluster
+        claimed = size.partitions + services + engines
+        yield Running(cluster, _wait_settled(cluster, names, claimed=claimed))
 
 
 def account_entry(concurrent_calls: int) -> dict[str, Any]:
@@ -88,9 +97,16 @@
     return found
 
 
-def _wait_settled(cluster: Cluster, names: list[str], *, claimed: int) -> None:
-    """Waits until all daemons hold all others alive, and every resource is claimed."""
-    end_s = time.monotonic() + START_LIMIT_S
+def _wait_settled(cluster: Cluster, names: list[str], *, claimed: int) -> int:
+    """Waits until all daemons hold all others alive, and every resource is held by one that knows.
+
+    Returns:
+      How many resources nobody knows to hold although the time is over.
+
+    Raises:
+      RuntimeError: if some daemons have not heard of one another by then.
+    """
+    end_s = time.monotonic() + SETTLE_LIMIT_S
     while True:
         dumps = [dump(cluster, name) for name in names]
         known = all(
@@ -99,9 +115,11 @@
         )
         held = sum(len(one["holds"]) for one in dumps)
         if known and held == claimed:
-            return
+            return 0
+        if time.monotonic() > end_s and not known:
+            raise RuntimeError("some daemons have not heard of all others")
         if time.monotonic() > end_s:
-            raise RuntimeError(f"not settled: {held} of {claimed} resources claimed")
+            return claimed - held
         time.sleep(0.5)
 
 
--- a/src/quincespool/bench/load_slopes.py
+++ b/src/quincespool/bench/load_slopes.py
@@ -94,7 +94,7 @@
         engines=1,
         stream_count=STREAMS,
         log_appends_per_s=APPENDS_PER_S,
-    ) as cluster:
+    ) as (cluster, _):
         time.sleep(WARM_UP_S)
         before = _sums(cluster)
         load = _Load(cluster.daemon_addresses, rate_per_s=rate_per_s, tokens=tokens)
--- a/src/quincespool/bench/path_slopes.py
+++ b/src/quincespool/bench/path_slopes.py
@@ -55,7 +55,7 @@
     rate = 1_000 * STREAMS // interval_ms
     with clusters.running(
         DAEMONS, services=1, engines=1, stream_count=STREAMS, log_appends_per_s=rate
-    ) as cluster:
+    ) as (cluster, _):
         engine = cluster[f"{clusters.MODEL}-0"].address
         service = cluster[f"{clusters.SERVICE}-0"].address
         daemons = cluster.daemon_addresses
@@ -87,12 +87,7 @@
     return {
         "direct": _figures(direct_taken),
         "through": _figures(taken),
-        "added": _figures(
-            [
-                Taken(*(after - before for before, after in zip(*pair, strict=True)))
-                for pair in zip(direct_taken, taken, strict=True)
-            ]
-        ),
+        "added": _figures([_added(*pair) for pair in zip(direct_taken, taken, strict=True)]),
     }
 
 
@@ -104,6 +99,15 @@
     }
 
 
+def _added(direct: Taken, through: Taken) -> Taken:
+    return Taken(
+        first_ms=through.first_ms - direct.first_ms,
+        whole_ms=through.whole_ms - direct.whole_ms,
+        pause_ms=through.pause_ms - direct.pause_ms,
+        pieces=through.pieces - direct.pieces,
+    )
+
+
 def _kinds() -> list[_Kind]:
     chat = chat_body(STREAM_TOKENS)
     return [
--- a/src/quincespool/bench/processes.py
+++ b/src/quincespool/bench/processes.py
@@ -45,7 +45,7 @@
     answer = client.request(address, "GET", "/metrics")
     if answer.is_error():
         raise RuntimeError(f"{address} does not answer: {answer.error}")
-    values = _metrics(answer.ok.body.decode())
+    values = sum_metrics(answer.ok.body.decode())
     return Usage(
         at_s=time.monotonic(),
         processor_s=values["processor_seconds"],
@@ -59,7 +59,7 @@
     )
 
 
-def _metrics(text: str) -> dict[str, float]:
+def sum_metrics(text: str) -> dict[str, float]:
     """Returns the sum over the labels of each metric."""
     values: dict[str, float] = {}
     for line in text.splitlines():
--- a/src/quincespool/bench/reducer_slopes.py
+++ b/src/quincespool/bench/reducer_slopes.py
@@ -309,6 +309,7 @@
         prompt_tokens=300,
         attained_ms=0,
         fingerprint=call.fingerprint,
+        keeper_incarnation=0,
     )
 
 
--- a/src/quincespool/bench/takeover_slopes.py
+++ b/src/quincespool/bench/takeover_slopes.py
@@ -87,13 +87,14 @@
 
 
 def _measure_one(count: int) -> dict[str, object]:
-    with clusters.running(count, services=SERVICES) as cluster:
+    with clusters.running(count, services=SERVICES) as (cluster, unclaimed):
         load_before = load_average()
         gaps, unanswered, refusals = asyncio.run(_kill_owners(cluster))
     owned = [1_000 * gap.gap_s for gap in gaps if gap.owned]
     others = [1_000 * gap.gap_s for gap in gaps if not gap.owned]
     return {
         "kills": KILLS,
+        "unclaimed_resources": unclaimed,
         "owned_gap_ms": spread(owned),
         "other_gap_ms": spread(others),
         "unanswered_programs": unanswered,
--- a/src/quincespool/core/keeper_intake.py
+++ b/src/quincespool/core/keeper_intake.py
@@ -28,6 +28,11 @@
     """Queues an attempt and starts it if there is room."""
     if state.seen(dispatch.attempt_id):
         return [Count("keeper_duplicates_total")]
+    if dispatch.keeper_incarnation not in (0, state.incarnation):
+        # Meant for the process before this one, whose attempts and order we know nothing of. A link
+        # delivers once, so that one has not got it.
+        elsewhere = KeeperElsewhere(dispatch.attempt_id, dispatch.backend, "")
+        return [SendMessage(owner, elsewhere)]
     resource = backend_resource(dispatch.backend)
     holder = context.claims.holder(resource) or ""
     held = context.claims.epoch_held(resource) is not None
@@ -44,7 +49,9 @@
         return [refused, SendMessage(owner, done)]
     partition = partition_of(dispatch.program_id, state.settings.partition_count)
     state.owner_epochs[partition] = dispatch.epoch
-    return _enqueue(state, context, _attempt(state, context, owner, dispatch))
+    return _refuse_overtaken(state, context, dispatch) + _enqueue(
+        state, context, _attempt(state, context, owner, dispatch)
+    )
 
 
 def _refusal(state: KeeperState, context: Context, dispatch: Dispatch) -> Reason | None:
@@ -52,6 +59,8 @@
         return Reason.DRAINING
     if keeper_run.superseded(state, dispatch.program_id, dispatch.epoch):
         return Reason.NO_OWNER
+    if state.order.overtaken(dispatch.program_id, dispatch.call_number):
+        return Reason.NO_OWNER
     if state.quarantine.blocked(dispatch.fingerprint):
         return Reason.QUARANTINED
     entry = context.catalogue.backends().get(dispatch.backend)
@@ -60,6 +69,20 @@
     return None
 
 
+def _refuse_overtaken(state: KeeperState, context: Context, dispatch: Dispatch) -> Effects:
+    """Notes the call and refuses what still waits of earlier ones of its program."""
+    until_ms = context.now_ms + state.keep_ms(dispatch.time_limit_ms)
+    state.order.note(dispatch.program_id, dispatch.call_number, until_ms=until_ms)
+    effects: Effects = []
+    for attempt in list(state.attempts.values()):
+        earlier = attempt.dispatch
+        if attempt.running or earlier.program_id != dispatch.program_id:
+            continue
+        if earlier.call_number < dispatch.call_number:
+            effects += keeper_run.stop(state, context, attempt, Reason.NO_OWNER)
+    return effects
+
+
 def _attempt(state: KeeperState, context: Context, owner: str, dispatch: Dispatch) -> Attempt:
     # After `licence_ms` a new owner may answer "may have run" and let the program go on. A licensed
     # attempt that starts later would take effect after the program's next call.
--- a/src/quincespool/core/keeper_run.py
+++ b/src/quincespool/core/keeper_run.py
@@ -123,6 +123,8 @@
     state.queue(attempt.dispatch.backend).remove(attempt, now_ms=context.now_ms)
     del state.attempts[attempt.attempt_id]
     state.running.pop(attempt.exchange_id, None)
+    if attempt.running and attempt.dispatch.non_idempotent:
+        state.order.closed(attempt.dispatch.program_id, attempt.dispatch.call_number)
     context.timers.cancel(keeper_timers.timer_key(keeper_timers.LIMIT, attempt.attempt_id))
     keeper_summary.changed(state, context, attempt.dispatch.backend)
 
@@ -140,7 +142,10 @@
 
 
 def _may_start(state: KeeperState, context: Context, queue: BackendQueue, attempt: Attempt) -> bool:
-    fingerprint = attempt.dispatch.fingerprint
+    dispatch = attempt.dispatch
+    if state.order.must_wait(dispatch.program_id, dispatch.call_number):
+        return False
+    fingerprint = dispatch.fingerprint
     quarantine = state.quarantine
     if not quarantine.suspect(fingerprint):
         return True
@@ -174,6 +179,8 @@
     attempt.reply = Reply(call_kind=dispatch.call_kind, limit_bytes=state.settings.max_body_bytes)
     queue.start(attempt)
     state.running[attempt.exchange_id] = attempt
+    if dispatch.non_idempotent:
+        state.order.opened(dispatch.program_id, dispatch.call_number)
     context.timers.subscribe(
         keeper_timers.timer_key(keeper_timers.LIMIT, attempt.attempt_id), at_ms=attempt.end_by_ms
     )
@@ -199,6 +206,8 @@
         return keeper_answers.not_run(attempt.attempt_id, Reason.QUARANTINED)
     if superseded(state, attempt.dispatch.program_id, dispatch.epoch):
         return keeper_answers.not_run(attempt.attempt_id, Reason.NO_OWNER)
+    if state.order.overtaken(dispatch.program_id, dispatch.call_number):
+        return keeper_answers.not_run(attempt.attempt_id, Reason.NO_OWNER)
     if now_ms >= attempt.start_by_ms:
         return overload(state, attempt)
     return None
--- a/src/quincespool/core/keeper_state.py
+++ b/src/quincespool/core/keeper_state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quincespool.core.cache_audit import AuditState
+from quincespool.core.keeper_order import ProgramOrder
 from quincespool.core.keeper_queue import BackendQueue
 from quincespool.core.keeper_summary import SummaryState
 
@@ -33,6 +34,7 @@
       kept_results: Last outcomes of non-idempotent attempts, for owners whose link broke.
       audit: Cache audits.
       summaries: Who is told how busy a backend server is.
+      order: Keeps each program's calls in order.
       draining: Whether a planned stop has begun.
     """
 
@@ -48,6 +50,7 @@
         self.kept_results: dict[str, DispatchDone] = {}
         self.audit = AuditState()
         self.summaries = SummaryState()
+        self.order = ProgramOrder()
         self.draining = False
         self._seen_until_ms: dict[str, int] = {}
         self._exchange_id = 0
@@ -92,14 +95,18 @@
 
     def remember(self, attempt_id: str, *, now_ms: int, time_limit_ms: int) -> None:
         """Makes `seen` true for longer than any owner can still send the attempt."""
-        keep_ms = time_limit_ms + self.settings.licence_ms + REMEMBER_MS
-        self._seen_until_ms[attempt_id] = now_ms + keep_ms
+        self._seen_until_ms[attempt_id] = now_ms + self.keep_ms(time_limit_ms)
+
+    def keep_ms(self, time_limit_ms: int) -> int:
+        """Returns how long an attempt with this time limit, or a copy of it, may still come."""
+        return time_limit_ms + self.settings.licence_ms + REMEMBER_MS
 
     def forget_old(self, now_ms: int) -> None:
         """Drops attempt ids that cannot come again."""
         old = [key for key, until_ms in self._seen_until_ms.items() if until_ms <= now_ms]
         for attempt_id in old:
             del self._seen_until_ms[attempt_id]
+        self.order.forget_old(now_ms)
 
     def keep_result(self, done: DispatchDone) -> None:
         """Keeps an outcome for an owner that may ask once more."""
--- a/src/quincespool/core/messages.py
+++ b/src/quincespool/core/messages.py
@@ -83,6 +83,7 @@
       non_idempotent: A licensed call: sent once, never again by anybody.
       prompt_tokens: Estimate, for the policy.
       attained_ms: Service that the whole program has had so far.
+      keeper_incarnation: The process this is for; a later one must not send it. 0 for any.
     """
 
     attempt_id: str
@@ -101,6 +102,7 @@
     prompt_tokens: int
     attained_ms: int
     fingerprint: str
+    keeper_incarnation: int
 
 
 class DispatchText(NamedTuple):
@@ -234,6 +236,61 @@
     epoch: int
 
 
+class AccountAsked(NamedTuple):
+    """Holder to home: what I keep of an account's permits, and what I want.
+
+    The numbers are absolute, so that a repeat or a loss changes nothing. From sending this on, the
+    holder uses no more than `held` permits and takes no answer to an earlier sequence number.
+
+    Attributes:
+      account: Name without `account/`.
+      incarnation: The holder's.
+      sequence: Grows with each message of the holder's process.
+      epoch: Newest epoch of this account's home that the holder has accepted an answer of, or -1.
+      held: Permits it keeps, calls under way included.
+      wanted: Permits it would like to have in all.
+      tokens_needed: Tokens without which its next call cannot start.
+      tokens_wanted: Tokens it would like to have in addition to those it has.
+      hold_ms: The longest that one of its calls may run.
+    """
+
+    account: str
+    incarnation: int
+    sequence: int
+    epoch: int
+    held: int
+    wanted: int
+    tokens_needed: int
+    tokens_wanted: int
+    hold_ms: int
+
+
+class AccountGranted(NamedTuple):
+    """Home to holder: the answer to `sequence`.
+
+    `permits` (in all) end `term_ms` after the holder asked, `tokens` (in addition)
+    `accounts_home.SLICE_MS` after it did. `retry_after_ms` is 0 if everything wanted was granted.
+    """
+
+    account: str
+    incarnation: int
+    sequence: int
+    epoch: int
+    permits: int
+    tokens: int
+    term_ms: int
+    retry_after_ms: int
+
+
+class AccountElsewhere(NamedTuple):
+    """Not home to holder: ask `holder`, if not empty."""
+
+    account: str
+    incarnation: int
+    sequence: int
+    holder: str
+
+
 class MemberUpdate(NamedTuple):
     """What is known of one daemon.
 
@@ -320,4 +377,7 @@
     | CatalogueAsked
     | CatalogueTold
     | PartitionAsked
+    | AccountAsked
+    | AccountGranted
+    | AccountElsewhere
 )
--- a/src/quincespool/core/owner_dispatch.py
+++ b/src/quincespool/core/owner_dispatch.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from quincespool.core import owner_finish
+from quincespool.core import owner_permit
 from quincespool.core.call import CallKind
 from quincespool.core.effects import Count
 from quincespool.core.effects import SendMessage
@@ -88,7 +89,7 @@
     """The daemon asked is not the keeper and has sent nothing on: asks another one."""
     run = owner_finish.take_attempt(env, message.attempt_id)
     if run is None:
-        return []
+        return owner_permit.attempt_over(env, message.attempt_id)
     if message.holder:
         env.state.keeper_hints[message.backend] = message.holder
     else:
@@ -172,6 +173,7 @@
     state.runs.attempts[run.attempt_id] = run
     state.outstanding[run.backend] = state.outstanding.get(run.backend, 0) + 1
     program = state.runs.program(call.program_id)
+    keeper = env.context.members.find(run.keeper)
     return Dispatch(
         attempt_id=run.attempt_id,
         backend=run.backend,
@@ -189,6 +191,7 @@
         prompt_tokens=len(call.body) // BYTES_PER_TOKEN,
         attained_ms=program.attained_ms,
         fingerprint=call.fingerprint,
+        keeper_incarnation=keeper.incarnation if keeper else 0,
     )
 
 
--- a/src/quincespool/schema/peer.capnp
+++ b/src/quincespool/schema/peer.capnp
@@ -35,6 +35,9 @@
     ping @26 :Ping;
     ack @27 :Ack;
     pingRequest @28 :PingRequest;
+    accountAsked @29 :AccountAsked;
+    accountGranted @30 :AccountGranted;
+    accountElsewhere @31 :AccountElsewhere;
   }
 }
 
@@ -127,6 +130,7 @@
   promptTokens @13 :Int64;
   attainedMs @14 :Int64;
   fingerprint @15 :Text;
+  keeperIncarnation @16 :Int64;
 }
 
 struct DispatchText {
@@ -243,3 +247,33 @@
   targetPort @4 :Int64;
   updates @5 :List(MemberUpdate);
 }
+
+struct AccountAsked {
+  account @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :Int64;
+  epoch @3 :Int64;
+  held @4 :Int64;
+  wanted @5 :Int64;
+  tokensNeeded @6 :Int64;
+  tokensWanted @7 :Int64;
+  holdMs @8 :Int64;
+}
+
+struct AccountGranted {
+  account @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :Int64;
+  epoch @3 :Int64;
+  permits @4 :Int64;
+  tokens @5 :Int64;
+  termMs @6 :Int64;
+  retryAfterMs @7 :Int64;
+}
+
+struct AccountElsewhere {
+  account @0 :Text;
+  incarnation @1 :Int64;
+  sequence @2 :Int64;
+  holder @3 :Text;
+}
--- a/tests/core/keeper_bench.py
+++ b/tests/core/keeper_bench.py
@@ -163,6 +163,7 @@
         prompt_tokens=3,
         attained_ms=0,
         fingerprint=f"f-{attempt_id}",
+        keeper_incarnation=0,
     )
     return base._replace(**changes)
 
