--- a/src/quincespool/core/owner_audit.py
+++ b/src/quincespool/core/owner_audit.py
@@ -37,6 +37,7 @@
     body = {
         "outcome": text,
         "reason": outcome.reason,
+        "recorded": _recorded(record, outcome, text),
         "entry": _entry(env, outcome),
         "program": _program(record),
         "steps": _steps(env, record, outcome),
@@ -44,6 +45,19 @@
     return tell([caller], Answer(status=200, body=msgspec.json.encode(body), outcome_id=text))
 
 
+def _recorded(record: ProgramRecord | None, outcome: OutcomeId, text: str) -> bool:
+    """Whether the log holds this very outcome. Refusals are not recorded: their id says it all.
+
+    Without this an id that somebody made up would look as good as one the system gave.
+    """
+    if record is None:
+        return False
+    stored = record.answer(outcome.call_number)
+    if stored is not None:
+        return stored.outcome_id == text
+    return outcome.call_number == 0 and bool(record.ended)
+
+
 def _entry(env: OwnerEnv, outcome: OutcomeId) -> dict[str, object]:
     name = f"class/{outcome.class_name}"
     described = env.context.catalogue.describe(name, outcome.class_version)
--- a/src/quincespool/core/stream_ledger.py
+++ b/src/quincespool/core/stream_ledger.py
@@ -267,7 +267,8 @@
             incarnation=group.incarnation,
             epoch=entry["epoch"],
         )
-        self._note(record.program_id, Step(offset, "intent", entry["call_number"], ""))
+        licensee = f"{group.writer} {group.incarnation}"
+        self._note(record.program_id, Step(offset, "intent", entry["call_number"], licensee))
         return True
 
     def _outcome(self, offset: int, group: _Group, entry: Outcome) -> bool:
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -97,6 +97,7 @@
     Events: m3 freezes, m5 dies and is forgotten, m3 goes on and reads what its socket has kept.
     Cause: to those who have forgotten m5, old news of it looks like news of a newcomer.
     """
+    suspect = update_of(network, "m5")._replace(state="suspect")
     network.freeze("m3")
     network.run(3_000)
     network.nodes.pop("m5")
@@ -107,6 +108,7 @@
         network.run(250)
         assert network.nodes["m1"].state.find("m5") is None
     assert network.agreed()
+    assert hear(network, "m1", "m2", suspect).find("m5") is None
 
 
 def test_a_superseded_process_drains(network: Network) -> None:
--- a/tests/core/test_reducer.py
+++ b/tests/core/test_reducer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from typing import Any
 
 import pytest
 
@@ -42,3 +43,33 @@
     union = set.union(*held)
     assert len(union) == sum(len(part) for part in held) == 4 + 4
     assert all(d.state.ready for d in world.daemons.values())
+
+
+def test_audit_tells_recorded_outcomes_from_made_up_ones(world: World) -> None:
+    told = world.answer(world.call("d0", reorder_call("p1", 1)))
+    assert told is not None
+    found = _audit(world, told.outcome_id)
+    assert found["recorded"] is True
+    assert found["entry"] == {
+        "name": "class/stock",
+        "version": 0,
+        "owner": "buyers",
+        "editor": "test",
+    }
+    assert [step["step"] for step in found["steps"]] == ["opened", "intent", "outcome"]
+    made_up = _audit(world, told.outcome_id.replace("~1~", "~9~"))
+    assert made_up["recorded"] is False
+
+
+def test_refusals_lead_to_their_entry_too(world: World) -> None:
+    refused = world.answer(world.call("d1", model_call("p2", 1, target="other-model")))
+    assert refused is not None
+    assert (refused.reason, refused.verdict) == ("not_allowed", Verdict.NOT_RUN)
+    assert _audit(world, refused.outcome_id)["entry"]["owner"] == "buyers"
+
+
+def _audit(world: World, outcome_id: str) -> dict[str, Any]:
+    answer = world.answer(world.audit("d2", outcome_id))
+    assert answer is not None
+    found: dict[str, Any] = json.loads(answer.body)
+    return found
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -107,6 +107,9 @@
         self.engine_hangs: set[str] = set()
         self.crash_on = b""
         self.crashes: list[str] = []
+        self.in_progress: set[tuple[str, int, int]] = set()
+        self.most_in_progress = 0
+        """Attempts at backend servers at once, those of dead and frozen daemons included."""
         self.held_cache: dict[str, set[str]] = {}
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._order = itertools.count()
@@ -184,6 +187,12 @@
         self.give(door, ev.EndReceived(request_id, program_id))
         return request_id
 
+    def audit(self, door: str, outcome_id: str) -> int:
+        """Asks for what stands behind an outcome; returns the request id."""
+        request_id = next(self._request_ids)
+        self.give(door, ev.AuditReceived(request_id, outcome_id))
+        return request_id
+
     def run(self, for_ms: int) -> None:
         """Lets virtual time pass."""
         until_ms = self.now_ms + for_ms
@@ -258,7 +267,9 @@
             case fx.StartExchange():
                 self._start_exchange(member_id, daemon, effect)
             case fx.StopExchange(exchange_id):
-                self._stopped_exchanges.add((member_id, daemon.state.incarnation, exchange_id))
+                key = (member_id, daemon.state.incarnation, exchange_id)
+                self._stopped_exchanges.add(key)
+                self.in_progress.discard(key)
             case fx.Stop():
                 daemon.stopped = True
                 self._break_links(member_id)
@@ -368,12 +379,17 @@
                 cut = ev.ExchangeFailed(effect.exchange_id, True, True, "crashed")
                 self.later(2, lambda: reply(cut))
                 return
-            if effect.address in self.engine_hangs:
-                return
             if key in self._stopped_exchanges:
                 return
+            if "x-call-number" in headers:
+                self.in_progress.add(key)
+                self.most_in_progress = max(self.most_in_progress, len(self.in_progress))
+                self.later(effect.time_limit_ms, lambda: self.in_progress.discard(key))
+            if effect.address in self.engine_hangs:
+                return
             for event, after_ms in self._serve(effect, headers):
                 self.later(after_ms, partial(reply, event))
+            self.later(after_ms, lambda: self.in_progress.discard(key))
 
         self.later(self.random.randint(1, 3), arrive)
         failed = ev.ExchangeFailed(effect.exchange_id, True, False, "time limit")
