--- a/src/quincespool/bench/fixtures.py
+++ b/src/quincespool/bench/fixtures.py
@@ -11,8 +11,13 @@
 from quincespool.core.call import Call
 from quincespool.core.call import CallKind
 from quincespool.core.members import Member
+from quincespool.core.messages import AccountAsked
+from quincespool.core.messages import AccountGranted
 from quincespool.core.messages import MemberUpdate
+from quincespool.core.placement import BACKEND_PREFIX
+from quincespool.core.placement import PARTITION_PREFIX
 from quincespool.core.placement import STREAM_PREFIX
+from quincespool.core.placement import desired_holder
 from quincespool.core.placement import partition_of
 from quincespool.core.placement import stream_members
 from quincespool.core.program_record import next_chain
@@ -25,6 +30,7 @@
 
 START_MS = 1_700_000_000_000
 FIRST_PEER_PORT = 20_000
+GRANT_MS = 30_000
 PROMPT_BYTES = 1_200
 ANSWER_BYTES = 1_200
 """290 tokens of four bytes, the mean of 11 million tokens over 38,000 requests a second."""
@@ -66,9 +72,9 @@
     )
 
 
-def members(size: Size) -> list[Member]:
+def members(size: Size) -> tuple[Member, ...]:
     """Returns all daemons as placement sees them."""
-    return [
+    return tuple(
         Member(
             member_id=one.member_id,
             incarnation=one.incarnation,
@@ -78,19 +84,33 @@
             peer_port=one.peer_port,
         )
         for one in map(update, range(size.daemons))
-    ]
+    )
 
 
 def streams_shared(size: Size) -> dict[int, int]:
     """Returns in how many streams each daemon shares."""
     shared = dict.fromkeys(range(size.daemons), 0)
-    daemons = members(size)
+    daemons = tuple(members(size))
     for stream in range(size.streams):
         for member in stream_members(f"{STREAM_PREFIX}{stream}", daemons, size.streams):
             shared[member.peer_port - FIRST_PEER_PORT] += 1
     return shared
 
 
+def resources_placed(size: Size) -> dict[int, int]:
+    """Returns how many partitions and backend servers each daemon should hold."""
+    placed = dict.fromkeys(range(size.daemons), 0)
+    daemons = members(size)
+    numbers = {member.member_id: number for number, member in enumerate(daemons)}
+    resources = [f"{PARTITION_PREFIX}{number}" for number in range(size.partitions)]
+    resources += [f"{BACKEND_PREFIX}engine-{number:05}" for number in range(size.backends)]
+    for resource in resources:
+        holder = desired_holder(resource, daemons, size.streams)
+        assert holder is not None
+        placed[numbers[holder]] += 1
+    return placed
+
+
 def typical_daemon(size: Size) -> int:
     """Returns the first daemon that shares in as many streams as the mean one."""
     shared = streams_shared(size)
@@ -137,6 +157,20 @@
     }
 
 
+def granted(ask: AccountAsked) -> AccountGranted:
+    """Returns the answer of an account's home that lends all it is asked for."""
+    return AccountGranted(
+        account=ask.account,
+        incarnation=ask.incarnation,
+        sequence=ask.sequence,
+        epoch=1,
+        permits=ask.wanted,
+        tokens=ask.tokens_wanted,
+        term_ms=ask.hold_ms + GRANT_MS,
+        retry_after_ms=0,
+    )
+
+
 def backend_entry(number: int, size: Size) -> dict[str, Any]:
     """Returns the entry of an engine."""
     return {
--- a/src/quincespool/bench/message_sizes.py
+++ b/src/quincespool/bench/message_sizes.py
@@ -9,6 +9,8 @@
 from quincespool.bench import fixtures
 from quincespool.bench.figures import load_average
 from quincespool.bench.figures import spread
+from quincespool.core.messages import AccountAsked
+from quincespool.core.messages import AccountGranted
 from quincespool.core.messages import Ack
 from quincespool.core.messages import BackendSummary
 from quincespool.core.messages import CommitGroups
@@ -82,6 +84,10 @@
         "PartitionAsked": PartitionAsked("partition/123", 7),
         "ProgramsAsked, 50 programs": ProgramsAsked(1, "engine-00001", ids),
         "ProgramsOver, none over": ProgramsOver(1, "engine-00001", (), ()),
+        "AccountAsked": AccountAsked(
+            "account-123", fixtures.START_MS, 9, 1, 2, 3, 400, 500, 60_000
+        ),
+        "AccountGranted": AccountGranted("account-123", fixtures.START_MS, 9, 1, 3, 500, 90_000, 0),
         "CommitGroups, one outcome": CommitGroups(1, "programs-1", group),
         "CommitGroups, one outcome without its body": CommitGroups(1, "programs-1", bare_group),
         "DispatchText": DispatchText(ATTEMPT_ID, "word"),
--- a/src/quincespool/bench/one_daemon.py
+++ b/src/quincespool/bench/one_daemon.py
@@ -1,7 +1,8 @@
 """One daemon's reducer with all that surrounds it as data, and the processor time of each event.
 
 No clock and no socket: time passes when told to, the log is a list, and the other daemons answer
-their pings and do nothing else. So a deployment of any size can surround the one that is measured.
+their pings, grant what an account's home is asked for and do nothing else. So a deployment of any
+size can surround the one that is measured.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core import reducer
+from quincespool.core.messages import AccountAsked
 from quincespool.core.messages import Ack
 from quincespool.core.messages import CommitGroups
 from quincespool.core.messages import MembersTold
@@ -150,6 +152,8 @@
             case fx.SendMessage(_, CommitGroups() as message):
                 self.streams[message.stream].append(b'{"groups":[' + message.group + b"]}")
                 self._read(message.stream)
+            case fx.SendMessage(home, AccountAsked() as ask):
+                self._pending.append(ev.MessageReceived(home, fixtures.granted(ask)))
             case fx.SendMessage(member_id, message):
                 self.messages.append((member_id, message))
             case fx.SendDatagram(host, port, Ping() as ping):
--- a/src/quincespool/core/accounts.py
+++ b/src/quincespool/core/accounts.py
@@ -9,7 +9,6 @@
 
 from typing import TYPE_CHECKING
 from typing import NamedTuple
-from typing import cast
 
 from quincespool.core.accounts_extents import home_resource
 from quincespool.core.accounts_holder import PENDING_MS
@@ -18,11 +17,9 @@
 from quincespool.core.accounts_holder import Need
 from quincespool.core.accounts_home import MAX_HOLD_MS
 from quincespool.core.accounts_lending import answer_holder
+from quincespool.core.accounts_lending import note_claims
 from quincespool.core.accounts_lending import read_extents
 from quincespool.core.accounts_lending import tend_home
-from quincespool.core.accounts_messages import AccountAsked
-from quincespool.core.accounts_messages import AccountElsewhere
-from quincespool.core.accounts_messages import AccountGranted
 from quincespool.core.accounts_state import PART
 from quincespool.core.accounts_state import AccountsState
 from quincespool.core.accounts_state import find_limits
@@ -30,19 +27,22 @@
 from quincespool.core.effects import Log
 from quincespool.core.effects import Raise
 from quincespool.core.effects import SendMessage
+from quincespool.core.events import LedgerAdvanced
 from quincespool.core.events import MessageReceived
 from quincespool.core.events import RecordsRead
 from quincespool.core.events import StreamExpired
 from quincespool.core.events import TimerFired
 from quincespool.core.events import Woken
+from quincespool.core.messages import AccountAsked
+from quincespool.core.messages import AccountElsewhere
+from quincespool.core.messages import AccountGranted
 from quincespool.core.placement import desired_holder
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_messages import AccountDecided
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
+    from quincespool.core.events import AccountDecided
     from quincespool.core.events import Event
-    from quincespool.core.messages import Message
     from quincespool.settings import Settings
 
 
@@ -119,11 +119,37 @@
     return _decided(holding.serve(context.now_ms))
 
 
+def leave(state: AccountsState, *, account: str, ticket: str, attempt_id: str) -> None:
+    """The call of this ticket is not waited for any more, but may still run.
+
+    Its permit stays busy until `release_left` or the end of the call's time.
+
+    Args:
+      state: The part's state.
+      account: Name without `account/`.
+      ticket: As it was granted.
+      attempt_id: Of the attempt that may run; a ticket of its own from now on.
+    """
+    holding = state.holdings.get(account)
+    if holding is not None:
+        holding.leave(ticket, attempt_id)
+
+
+def release_left(state: AccountsState, context: Context, *, attempt_id: str) -> Effects:
+    """An attempt that may have been left is over after all."""
+    for account, holding in state.holdings.items():
+        if attempt_id in holding.left:
+            return release(state, context, account=account, ticket=attempt_id)
+    return []
+
+
 def reduce(state: AccountsState, context: Context, event: Event) -> Effects:
     """Handles one event."""
     match event:
         case TimerFired(part=part) if part == PART:
             return _tick(state, context)
+        case LedgerAdvanced(resources=resources):
+            note_claims(state, context, resources)
         case Woken():
             return _woken(state, context)
         case RecordsRead(stream=stream) if stream in state.extents:
@@ -185,7 +211,7 @@
         epoch=state.epochs.get(account, -1),
         now_ms=context.now_ms,
     )
-    return [SendMessage(home, cast("Message", message))]
+    return [SendMessage(home, message)]
 
 
 def _tick(state: AccountsState, context: Context) -> Effects:
@@ -221,9 +247,10 @@
     for home in state.homes.values():
         home.distrust_clock(context.now_ms)
         home.waiting.clear()
+    state.claimed.clear()
     state.reset_tick(context)
     return []
 
 
 def _decided(decisions: list[AccountDecided]) -> Effects:
-    return [Raise(cast("Event", decision)) for decision in decisions]
+    return [Raise(decision) for decision in decisions]
--- a/src/quincespool/core/accounts_holder.py
+++ b/src/quincespool/core/accounts_holder.py
@@ -8,11 +8,11 @@
 from quincespool.core.accounts_home import MAX_HOLD_MS
 from quincespool.core.accounts_home import REUSE_MS
 from quincespool.core.accounts_home import SLICE_MS
-from quincespool.core.accounts_messages import AccountAsked
-from quincespool.core.accounts_messages import AccountDecided
+from quincespool.core.events import AccountDecided
+from quincespool.core.messages import AccountAsked
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_messages import AccountGranted
+    from quincespool.core.messages import AccountGranted
 
 PENDING_MS = 2_000
 ANSWER_WAIT_MS = 500
@@ -50,6 +50,7 @@
         self.until_ms = 0
         self.slices: list[Slice] = []
         self.busy: dict[str, int] = {}
+        self.left: set[str] = set()
         self.pending: dict[str, Need] = {}
         self.asked: AccountAsked | None = None
         self.asked_at_ms = 0
@@ -86,6 +87,15 @@
         """A call is over, or a waiting one is not wanted any more."""
         self.busy.pop(ticket, None)
         self.pending.pop(ticket, None)
+        self.left.discard(ticket)
+
+    def leave(self, ticket: str, attempt_id: str) -> None:
+        """Nobody waits for this call any more, but it may run on until its end."""
+        must_end_by_ms = self.busy.pop(ticket, None)
+        if must_end_by_ms is None:
+            return
+        self.busy[attempt_id] = must_end_by_ms
+        self.left.add(attempt_id)
 
     def ask(self, *, incarnation: int, sequence: int, epoch: int, now_ms: int) -> AccountAsked:
         """Makes the next message to the home, and keeps to what it says from now on."""
@@ -161,11 +171,12 @@
         return now_ms >= self.asked_at_ms + RENEW_MS
 
     def forget_overdue(self, now_ms: int) -> int:
-        """Drops calls that nobody has ended although their time is over; returns how many."""
+        """Drops calls whose time is over; returns how many of them nobody has ended or left."""
         overdue = [at for at, end_ms in self.busy.items() if end_ms + OVERDUE_MS < now_ms]
+        unreleased = sum(ticket not in self.left for ticket in overdue)
         for ticket in overdue:
-            del self.busy[ticket]
-        return len(overdue)
+            self.end(ticket)
+        return unreleased
 
     def distrust_clock(self) -> None:
         """The process stood still or its clock jumped: nothing may start under what it held."""
--- a/src/quincespool/core/accounts_home.py
+++ b/src/quincespool/core/accounts_home.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.accounts_messages import AccountGranted
+from quincespool.core.messages import AccountGranted
 
 if TYPE_CHECKING:
     from quincespool.core.accounts_extents import Extent
-    from quincespool.core.accounts_messages import AccountAsked
+    from quincespool.core.messages import AccountAsked
 
 # How long a holder may start calls under a grant without renewing it.
 REUSE_MS = 10_000
@@ -82,15 +82,22 @@
         self.tokens_short = 0
         self.hold_ms = 0
 
-    def open(self, extent: Extent, former: list[Extent], *, now_ms: int) -> None:
-        """The first extent of this epoch has been read back: earlier homes can raise no more."""
+    def open(self, extent: Extent, former: list[Extent], *, since_ms: int) -> None:
+        """The first extent of this epoch has been read back: earlier homes can raise no more.
+
+        Args:
+          extent: Just read back.
+          former: What earlier homes may have out.
+          since_ms: When this home's claim had been read back, or any later time. Earlier homes
+            lend nothing under a claim that has been superseded for `FRESH_MS`.
+        """
         self.extent = extent
         term_ms = max((earlier.term_ms for earlier in former), default=0)
         self.former = Former(
             permits=sum(earlier.permits for earlier in former),
             tokens=sum(earlier.tokens for earlier in former),
-            permits_until_ms=now_ms + FRESH_MS + MARGIN_MS + term_ms,
-            tokens_until_ms=now_ms + FRESH_MS + MARGIN_MS + WINDOW_MS,
+            permits_until_ms=since_ms + FRESH_MS + MARGIN_MS + term_ms,
+            tokens_until_ms=since_ms + FRESH_MS + MARGIN_MS + WINDOW_MS,
             term_ms=term_ms,
         )
 
--- a/src/quincespool/core/accounts_lending.py
+++ b/src/quincespool/core/accounts_lending.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import cast
 
 import msgspec
 
@@ -12,7 +11,7 @@
 from quincespool.core.accounts_home import MIN_PERMITS
 from quincespool.core.accounts_home import REUSE_MS
 from quincespool.core.accounts_home import Home
-from quincespool.core.accounts_messages import AccountElsewhere
+from quincespool.core.accounts_state import Claimed
 from quincespool.core.accounts_state import PendingExtent
 from quincespool.core.accounts_state import extents_stream_of
 from quincespool.core.accounts_state import find_limits
@@ -20,17 +19,17 @@
 from quincespool.core.effects import Count
 from quincespool.core.effects import FollowStream
 from quincespool.core.effects import SendMessage
+from quincespool.core.messages import AccountElsewhere
 
 if TYPE_CHECKING:
     from quincespool.core.accounts_home import HolderKey
     from quincespool.core.accounts_home import Limits
-    from quincespool.core.accounts_messages import AccountAsked
-    from quincespool.core.accounts_messages import ExtentRecord
+    from quincespool.core.accounts_records import ExtentRecord
     from quincespool.core.accounts_state import AccountsState
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import RecordsRead
-    from quincespool.core.messages import Message
+    from quincespool.core.messages import AccountAsked
 
 APPEND_RETRY_MS = 2_000
 EXTENT_REFRESH_MS = 20 * 60_000
@@ -53,7 +52,7 @@
         holder = context.claims.holder(resource) or ""
         other = "" if holder == context.members.self_id else holder
         answer = AccountElsewhere(ask.account, ask.incarnation, ask.sequence, other)
-        return [SendMessage(sender, cast("Message", answer))]
+        return [SendMessage(sender, answer)]
     home = state.homes.get(ask.account)
     # The home of an epoch is kept for as long as the epoch lasts, also when nothing is lent: one
     # made anew would start its serial numbers again, and its extents would be void.
@@ -67,6 +66,16 @@
     return _answer(state, context, home, key, ask=ask, limits=limits)
 
 
+def note_claims(state: AccountsState, context: Context, resources: tuple[str, ...]) -> None:
+    """Notes since when claims are held, so that an account's first call need not wait anew."""
+    for resource in resources:
+        epoch = context.claims.epoch_held(resource)
+        if epoch is None:
+            state.claimed.pop(resource, None)
+        elif resource not in state.claimed or state.claimed[resource].epoch != epoch:
+            state.claimed[resource] = Claimed(epoch, context.now_ms)
+
+
 def read_extents(state: AccountsState, context: Context, event: RecordsRead) -> Effects:
     """Takes in records of a stream of extents."""
     fold = state.extents[event.stream]
@@ -117,7 +126,7 @@
         return []
     grant = home.answer(key, ask, limits, now_ms=context.now_ms)
     if grant is not None:
-        return [SendMessage(key[0], cast("Message", grant))]
+        return [SendMessage(key[0], grant)]
     return _write_extent(state, context, home, limits) if home.waiting else []
 
 
@@ -176,7 +185,10 @@
         return []
     del state.pending_extents[home.account]
     if home.extent is None:
-        home.open(extent, fold.before(home.account, home.epoch), now_ms=context.now_ms)
+        resource = home_resource(home.account, state.settings.partition_count)
+        claimed = state.claimed.get(resource)
+        since_ms = claimed.at_ms if claimed and claimed.epoch == home.epoch else context.now_ms
+        home.open(extent, fold.before(home.account, home.epoch), since_ms=since_ms)
     home.extent = extent
     home.extent_at_ms = pending.appended_at_ms
     return _answer_waiting(state, context, home)
--- a/src/quincespool/core/accounts_state.py
+++ b/src/quincespool/core/accounts_state.py
@@ -14,7 +14,7 @@
     from quincespool.core.accounts_extents import ExtentFold
     from quincespool.core.accounts_holder import Holding
     from quincespool.core.accounts_home import Home
-    from quincespool.core.accounts_messages import ExtentRecord
+    from quincespool.core.accounts_records import ExtentRecord
     from quincespool.core.context import Context
     from quincespool.settings import Settings
 
@@ -30,6 +30,13 @@
     tried_at_ms: int
 
 
+class Claimed(NamedTuple):
+    """The epoch of a claim and when it was first seen to be held."""
+
+    epoch: int
+    at_ms: int
+
+
 class AccountsState:
     """Slice of the daemon's state."""
 
@@ -42,6 +49,7 @@
         self.homes: dict[str, Home] = {}
         self.extents: dict[str, ExtentFold] = {}
         self.pending_extents: dict[str, PendingExtent] = {}
+        self.claimed: dict[str, Claimed] = {}
         # Kept for good, one number an account: whoever forgot it could heed a former home again.
         self.epochs: dict[str, int] = {}
         self._tick_at_ms = 0
@@ -62,7 +70,12 @@
         """Returns the state for operators."""
         return {
             "holdings": {
-                name: {"permits": h.permits, "busy": len(h.busy), "pending": len(h.pending)}
+                name: {
+                    "permits": h.permits,
+                    "busy": len(h.busy),
+                    "left": len(h.left),
+                    "pending": len(h.pending),
+                }
                 for name, h in self.holdings.items()
             },
             "homes": {
--- a/src/quincespool/core/checkpoints.py
+++ b/src/quincespool/core/checkpoints.py
@@ -17,6 +17,7 @@
 from quincespool.core.events import Started
 from quincespool.core.events import TimerFired
 from quincespool.core.placement import stream_members
+from quincespool.core.records import Checkpoint
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
@@ -69,13 +70,20 @@
             return None
         for group in groups:
             for entry in group.entries:
-                if entry.get("kind") == "checkpoint":
-                    found = self._take_part(entry)
-                    if found is not None:
-                        return found
+                found = self._take_entry(entry)
+                if found is not None:
+                    return found
         return None
 
-    def _take_part(self, entry: dict[str, Any]) -> FoundCheckpoint | None:
+    def _take_entry(self, entry: dict[str, Any]) -> FoundCheckpoint | None:
+        if entry.get("kind") != "checkpoint":
+            return None
+        try:
+            return self._take_part(msgspec.convert(entry, Checkpoint))
+        except msgspec.ValidationError:
+            return None
+
+    def _take_part(self, entry: Checkpoint) -> FoundCheckpoint | None:
         # A checkpoint from before the earliest record kept leaves a gap that nothing fills.
         if entry["as_of"] < self._earliest_offset:
             return None
--- a/src/quincespool/core/commit.py
+++ b/src/quincespool/core/commit.py
@@ -79,6 +79,10 @@
         """Returns how many groups of this daemon have not been read back yet."""
         return sum(len(stream.unapplied) for stream in self.streams.values())
 
+    def streams_in_use(self) -> frozenset[str]:
+        """Returns the streams with groups of this daemon that have not been read back."""
+        return frozenset(name for name, stream in self.streams.items() if stream.unapplied)
+
     def stream(self, name: str) -> _StreamCommit:
         """Returns the commit state of a stream."""
         return self.streams.setdefault(name, _StreamCommit())
--- a/src/quincespool/core/context.py
+++ b/src/quincespool/core/context.py
@@ -78,6 +78,10 @@
     def incarnation(self) -> int:
         """This daemon's incarnation."""
 
+    @property
+    def settled(self) -> bool:
+        """Whether absence from `alive()` means anything yet (just started, just woken)."""
+
     def alive(self) -> tuple[Member, ...]:
         """Returns the members believed alive, sorted by id, this one included."""
 
--- a/src/quincespool/core/event_routes.py
+++ b/src/quincespool/core/event_routes.py
@@ -22,6 +22,7 @@
 COMMIT = "commit"
 CLAIMS = "claims"
 CHECKPOINTS = "checkpoints"
+ACCOUNTS = "accounts"
 KEEPER = "keeper"
 OWNER = "owner"
 FRONTDOOR = "frontdoor"
@@ -35,6 +36,7 @@
     COMMIT,
     CLAIMS,
     CHECKPOINTS,
+    ACCOUNTS,
     KEEPER,
     OWNER,
     FRONTDOOR,
@@ -51,7 +53,8 @@
     ev.ExchangeData: (KEEPER,),
     ev.ExchangeEnd: (KEEPER,),
     ev.ExchangeFailed: (KEEPER,),
-    ev.LedgerAdvanced: (COMMIT, CLAIMS, KEEPER, OWNER),
+    ev.LedgerAdvanced: (COMMIT, CLAIMS, ACCOUNTS, KEEPER, OWNER),
+    ev.AccountDecided: (OWNER,),
 }
 
 _BY_MESSAGE: dict[type, tuple[str, ...]] = {
@@ -72,6 +75,9 @@
     msg.SummaryAsked: (KEEPER,),
     msg.ProgramsAsked: (OWNER,),
     msg.ProgramsOver: (KEEPER,),
+    msg.AccountAsked: (ACCOUNTS,),
+    msg.AccountGranted: (ACCOUNTS,),
+    msg.AccountElsewhere: (ACCOUNTS,),
 }
 
 
--- a/src/quincespool/core/events.py
+++ b/src/quincespool/core/events.py
@@ -212,6 +212,20 @@
     programs: tuple[str, ...]
 
 
+class AccountDecided(NamedTuple):
+    """Raised by the accounts part: the decision on a ticket that was pending.
+
+    If granted, the call must be over by `must_end_by_ms`; else it may be tried again after
+    `retry_after_ms`.
+    """
+
+    account: str
+    ticket: str
+    granted: bool
+    must_end_by_ms: int
+    retry_after_ms: int
+
+
 Event = (
     CallReceived
     | EndReceived
@@ -238,4 +252,5 @@
     | MembersChanged
     | CatalogueChanged
     | LedgerAdvanced
+    | AccountDecided
 )
--- a/src/quincespool/core/frontdoor.py
+++ b/src/quincespool/core/frontdoor.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 import msgspec
 
@@ -56,6 +55,8 @@
 """How long a request looks for an owner that takes it: longer than a takeover."""
 ASK_AGAIN_MS = 150
 COME_BACK_MS = 1_000
+TICKETS_A_PROCESS = 1_000_000
+"""Incarnations are milliseconds: no process takes a million requests in each of its own."""
 GOOD_FOR_MS = 5_000
 """How long a caller may keep an address."""
 _ELSEWHERE = frozenset({Reason.NO_OWNER, Reason.DRAINING, Reason.NOT_READY})
@@ -89,23 +90,31 @@
         return outcome.program_id if outcome else ""
 
 
-class FrontdoorState(NamedTuple):
+class FrontdoorState:
     """Open requests, by ticket and by the shell's request id."""
 
-    settings: Settings
-    member_id: str
-    tickets: dict[int, _Ticket]
-    by_request: dict[int, int]
-    counter: list[int]
+    def __init__(self, *, settings: Settings, member_id: str, first_ticket: int) -> None:
+        self.settings = settings
+        self.member_id = member_id
+        self.tickets: dict[int, _Ticket] = {}
+        self.by_request: dict[int, int] = {}
+        self.last_ticket = first_ticket
 
     def open_requests(self) -> int:
         """Returns how many requests wait for their answer."""
         return len(self.tickets)
 
 
-def make_frontdoor(settings: Settings, *, member_id: str) -> FrontdoorState:
-    """Returns the part's first state."""
-    return FrontdoorState(settings, member_id, {}, {}, [0])
+def make_frontdoor(settings: Settings, *, member_id: str, incarnation: int) -> FrontdoorState:
+    """Returns the part's first state.
+
+    Tickets of one process are never those of the one before it. What goes wrong otherwise: an owner
+    answers a ticket of the process that died, the new one takes it for its own, and a caller gets
+    another program's answer.
+    """
+    return FrontdoorState(
+        settings=settings, member_id=member_id, first_ticket=incarnation * TICKETS_A_PROCESS
+    )
 
 
 def reduce(state: FrontdoorState, context: Context, event: Event) -> Effects:
@@ -121,8 +130,8 @@
             return [Respond(request_id, _where(state, context, program_id))]
         case CallerGone(request_id):
             return _on_gone(state, request_id)
-        case MessageReceived(_, ForwardText() as message):
-            return _on_text(state, message)
+        case MessageReceived(sender, ForwardText() as message):
+            return _on_text(state, sender, message)
         case MessageReceived(sender, ForwardAnswer() as message):
             return _on_answer(state, context, sender, message)
         case LinkDown(member_id):
@@ -143,8 +152,8 @@
     *,
     is_audit: bool = False,
 ) -> Effects:
-    state.counter[0] += 1
-    number = state.counter[0]
+    state.last_ticket += 1
+    number = state.last_ticket
     state.tickets[number] = _Ticket(
         request_id=request_id, subject=subject, is_audit=is_audit, received_ms=context.now_ms
     )
@@ -229,9 +238,9 @@
     return _answer(state, context, message.ticket, ticket, answer)
 
 
-def _on_text(state: FrontdoorState, message: ForwardText) -> Effects:
+def _on_text(state: FrontdoorState, sender: str, message: ForwardText) -> Effects:
     ticket = state.tickets.get(message.ticket)
-    if ticket is None:
+    if ticket is None or ticket.owner != sender:
         return []
     ticket.told_text = True
     return [RespondText(ticket.request_id, message.text)]
--- a/src/quincespool/core/ledger.py
+++ b/src/quincespool/core/ledger.py
@@ -18,16 +18,14 @@
 from quincespool.core.effects import Raise
 from quincespool.core.effects import Stop
 from quincespool.core.effects import UnfollowStream
-from quincespool.core.events import CatalogueChanged
 from quincespool.core.events import LedgerAdvanced
 from quincespool.core.events import MembersChanged
 from quincespool.core.events import RecordsRead
 from quincespool.core.events import Started
 from quincespool.core.events import StreamExpired
 from quincespool.core.events import Woken
-from quincespool.core.placement import STREAM_PREFIX
 from quincespool.core.placement import partition_of
-from quincespool.core.placement import stream_members
+from quincespool.core.placement import shared_streams
 from quincespool.core.placement import stream_of
 from quincespool.core.stream_ledger import StreamLedger
 
@@ -135,15 +133,20 @@
     return LedgerState(settings=settings, member_id=member_id, incarnation=incarnation)
 
 
-def reduce(state: LedgerState, context: Context, event: Event) -> Effects:
-    """Follows streams, folds what is read."""
+def reduce(
+    state: LedgerState, context: Context, event: Event, *, in_use: frozenset[str]
+) -> Effects:
+    """Follows streams, folds what is read.
+
+    `in_use` names the streams that this daemon waits to read groups of its own back from.
+    """
     match event:
         case RecordsRead(stream=stream) if stream in state.streams:
             return _on_records(state, context, event)
         case StreamExpired(stream=stream) if stream in state.streams:
             return _on_expired(state, event)
-        case Started() | MembersChanged() | CatalogueChanged():
-            return _choose_streams(state, context)
+        case Started() | MembersChanged():
+            return _choose_streams(state, context, in_use)
         case Woken():
             return _read_again(state)
         case _:
@@ -164,14 +167,11 @@
     }
 
 
-def _choose_streams(state: LedgerState, context: Context) -> Effects:
+def _choose_streams(state: LedgerState, context: Context, in_use: frozenset[str]) -> Effects:
     members = context.members.alive()
-    wanted = {state.stream_of(resource) for resource in state.held()}
-    for number in range(state.settings.stream_count):
-        stream = f"{STREAM_PREFIX}{number}"
-        shared = stream_members(stream, members, state.settings.stream_count)
-        if any(member.member_id == state.member_id for member in shared):
-            wanted.add(stream)
+    wanted = set(shared_streams(state.member_id, members, state.settings.stream_count))
+    wanted |= {state.stream_of(resource) for resource in state.held()}
+    wanted |= in_use
     effects: Effects = []
     for stream in sorted(wanted - state.streams.keys()):
         state.streams[stream] = _Followed(partition_count=state.settings.partition_count)
--- a/src/quincespool/core/owner.py
+++ b/src/quincespool/core/owner.py
@@ -18,6 +18,7 @@
 from quincespool.core.call import CallKind
 from quincespool.core.claims import yielding
 from quincespool.core.effects import SendMessage
+from quincespool.core.events import AccountDecided
 from quincespool.core.events import CatalogueChanged
 from quincespool.core.events import LedgerAdvanced
 from quincespool.core.events import LinkDown
@@ -69,6 +70,8 @@
             return owner_lifecycle.on_advance(env, event)
         case TimerFired(part=part) if part == PART:
             return _on_timer(env, event)
+        case AccountDecided():
+            return owner_start.on_decided(env, event)
         case LinkDown():
             return owner_dispatch.on_link_down(env, event.member_id)
         case MembersChanged():
@@ -155,7 +158,7 @@
     env: OwnerEnv, call: Call, caller: Caller, epoch: int, record: ProgramRecord | None
 ) -> Effects:
     program = env.state.runs.program(call.program_id)
-    if program.ending:
+    if _is_ending(env, call):
         return refuse(env, call, [caller], Reason.PROGRAM_ENDED)
     if len(program.calls) >= MAX_WAITING_CALLS:
         return refuse(env, call, [caller], Reason.OVERLOAD, retry_after_ms=COME_BACK_MS)
@@ -177,6 +180,15 @@
     return owner_start.start(env, run)
 
 
+def _is_ending(env: OwnerEnv, call: Call) -> bool:
+    """Whether the program's end, or its root's, is on its way to the log.
+
+    A call dispatched now would be run and then be refused, since its outcome no longer counts.
+    """
+    runs = (env.state.runs.programs.get(one) for one in (call.program_id, call.root_id))
+    return any(run is not None and run.end_reason for run in runs)
+
+
 def _not_held(env: OwnerEnv, call: Call, caller: Caller, partition: str) -> Effects:
     """Refuses what this daemon cannot decide; the front door asks whom the hint names."""
     if env.ledger.epoch_believed(partition) is not None:
--- a/src/quincespool/core/owner_dispatch.py
+++ b/src/quincespool/core/owner_dispatch.py
@@ -47,9 +47,9 @@
     if backends:
         admission = policy.admit(_call_view(env, run), backends)
         if not admission.admitted:
-            return owner_finish.give_up(
-                env, run, Reason.OVERLOAD, retry_after_ms=admission.retry_after_ms
-            )
+            # With no time to come back, coming back is of no use: it can't finish in time at all.
+            reason = Reason.OVERLOAD if admission.retry_after_ms else Reason.DEADLINE
+            return owner_finish.give_up(env, run, reason, retry_after_ms=admission.retry_after_ms)
     return dispatch(env, run)
 
 
@@ -80,7 +80,9 @@
         ]
     return [
         *_ask_summary(env, run.backend, run.keeper),
-        SendMessage(run.keeper, _attempt(env, run, rank=policy.rank(view))),
+        SendMessage(
+            run.keeper, _attempt(env, run, rank=policy.rank(view, now_ms=env.context.now_ms))
+        ),
         Count("owner_attempts_total"),
     ]
 
--- a/src/quincespool/core/owner_env.py
+++ b/src/quincespool/core/owner_env.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.core import owner_permit
 from quincespool.core.effects import SendMessage
 from quincespool.core.outcomes import forward
 from quincespool.core.outcomes import refusal
@@ -14,6 +15,7 @@
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
+    from quincespool.core.accounts_state import AccountsState
     from quincespool.core.call import Answer
     from quincespool.core.call import Call
     from quincespool.core.claims import ClaimsState
@@ -57,6 +59,7 @@
         self.unreachable: set[str] = set()
         """Daemons to which the link broke and from which nothing has been heard since."""
         self.attempt_count = 0
+        self.ticket_count = 0
         self.known_epochs: dict[str, int] = {}
 
 
@@ -69,6 +72,7 @@
     commits: CommitState
     claims: ClaimsState
     quarantine: QuarantineState
+    accounts: AccountsState
 
 
 def make_owner(settings: Settings, *, member_id: str, incarnation: int) -> OwnerState:
@@ -135,7 +139,8 @@
         return Verdict.NOT_RUN
     if call.call_number <= record.last_call:
         return Verdict.MAY_HAVE_RUN
-    if record.intent is not None:
+    if record.intent is not None or record.ended:
+        # Of an ended program it is no longer known here which call's attempts failed.
         return Verdict.MAY_HAVE_RUN
     # An earlier owner could dispatch this call only once it had read the outcome before it (or the
     # opening); if that was written in this epoch, no earlier owner ever had a licence or a turn.
@@ -149,8 +154,7 @@
 
 def finish(env: OwnerEnv, run: CallRun, answer: Answer) -> Effects:
     """Answers a call and forgets it."""
-    _forget(env, run)
-    return tell(run.callers, answer)
+    return [*_forget(env, run), *tell(run.callers, answer)]
 
 
 def finish_refused(
@@ -162,8 +166,8 @@
     verdict: Verdict | None = None,
 ) -> Effects:
     """Refuses a call under way and forgets it."""
-    _forget(env, run)
-    return refuse(
+    effects = _forget(env, run)
+    return effects + refuse(
         env, run.call, run.callers, reason, retry_after_ms=retry_after_ms, verdict=verdict
     )
 
@@ -178,11 +182,13 @@
     return Verdict.NOT_RUN if held == run.epoch else None
 
 
-def _forget(env: OwnerEnv, run: CallRun) -> None:
+def _forget(env: OwnerEnv, run: CallRun) -> Effects:
     env.context.timers.cancel(TimerKey(PART, "deadline", run.key))
     env.context.timers.cancel(TimerKey(PART, "retry", run.key))
     free_reserve(env, run)
+    owner_permit.leave(env, run)
     env.state.runs.drop_call(run)
+    return owner_permit.release(env, run)
 
 
 def free_reserve(env: OwnerEnv, run: CallRun) -> None:
--- a/src/quincespool/core/owner_finish.py
+++ b/src/quincespool/core/owner_finish.py
@@ -7,6 +7,7 @@
 
 from quincespool.core import commit
 from quincespool.core import owner_dispatch
+from quincespool.core import owner_permit
 from quincespool.core.call import Answer
 from quincespool.core.call import CallKind
 from quincespool.core.call import Usage
@@ -44,9 +45,14 @@
 
 def on_done(env: OwnerEnv, message: DispatchDone) -> Effects:
     """Handles the end of an attempt. One that was given up belongs to nobody any more."""
+    # A keeper that started anew says so: what its earlier process sent may still run.
+    is_over = (message.verdict, message.reason) != (Verdict.MAY_HAVE_RUN, Reason.NO_OWNER)
+    known = env.state.runs.attempts.get(message.attempt_id)
+    if known is not None and not is_over:
+        owner_permit.leave(env, known)
     run = take_attempt(env, message.attempt_id)
     if run is None:
-        return []
+        return owner_permit.attempt_over(env, message.attempt_id) if is_over else []
     run.tries += 1
     effects: Effects = []
     if message.crashed:
@@ -84,6 +90,7 @@
 
 def attempt_lost(env: OwnerEnv, run: CallRun, reason: Reason) -> Effects:
     """The keeper can't be asked any more what became of the attempt."""
+    owner_permit.leave(env, run)
     take_attempt(env, run.attempt_id)
     run.tries += 1
     return _may_have_run(env, run, reason)
@@ -114,6 +121,8 @@
     match run.phase:
         case Phase.WAITING:
             return finish_refused(env, run, Reason.CALL_GAP, retry_after_ms=COME_BACK_MS)
+        case Phase.PERMIT:
+            return finish_refused(env, run, Reason.RATE, retry_after_ms=COME_BACK_MS)
         case Phase.OPENING:
             return _abandon_opening(env, run)
         case Phase.BACKOFF:
@@ -130,6 +139,7 @@
             run.callers = []
             return effects
     cancel = SendMessage(run.keeper, DispatchCancel(run.attempt_id))
+    owner_permit.leave(env, run)
     take_attempt(env, run.attempt_id)
     run.tries = owner_dispatch.MAX_TRIES
     return [cancel, *_may_have_run(env, run, Reason.DEADLINE)]
@@ -222,18 +232,19 @@
 def _may_have_run(env: OwnerEnv, run: CallRun, reason: Reason) -> Effects:
     if run.licensed:
         return _record_unresolved(env, run, reason)
+    # The next attempt costs tokens anew, so it needs a permit of its own.
+    effects = owner_permit.release(env, run)
     program = env.state.runs.program(run.call.program_id)
     program.tainted_call = run.call.call_number
-    run.may_have_run = True
     run.avoid.add(run.backend)
     _count_as_spent(env, run)
     if env.quarantine.blocked(run.call.fingerprint):
-        return finish_refused(env, run, Reason.QUARANTINED, verdict=Verdict.MAY_HAVE_RUN)
+        return effects + finish_refused(env, run, Reason.QUARANTINED, verdict=Verdict.MAY_HAVE_RUN)
     if run.told_text or not owner_dispatch.may_retry(env, run):
-        return finish_refused(
+        return effects + finish_refused(
             env, run, reason, retry_after_ms=COME_BACK_MS, verdict=Verdict.MAY_HAVE_RUN
         )
-    return owner_dispatch.retry_later(env, run)
+    return effects + owner_dispatch.retry_later(env, run)
 
 
 def _count_as_spent(env: OwnerEnv, run: CallRun) -> None:
@@ -316,7 +327,8 @@
     waiting = env.state.runs.committing.setdefault(stream, [])
     if run not in waiting:
         waiting.append(run)
-    return effects
+    # Nothing of the call runs any more; the permit needn't wait for the log.
+    return effects + owner_permit.release(env, run)
 
 
 def _outcome_id(env: OwnerEnv, run: CallRun, reason: str) -> OutcomeId:
--- a/src/quincespool/core/owner_lifecycle.py
+++ b/src/quincespool/core/owner_lifecycle.py
@@ -8,6 +8,7 @@
 
 from quincespool.core import commit
 from quincespool.core import owner_finish
+from quincespool.core import owner_permit
 from quincespool.core import owner_start
 from quincespool.core.call import Answer
 from quincespool.core.effects import Count
@@ -83,7 +84,7 @@
 def review(env: OwnerEnv) -> Effects:
     """Ends programs that have been idle too long or have passed their deadline."""
     subscribe_review(env.context)
-    effects: Effects = []
+    effects = _refuse_unread(env)
     for followed in env.ledger.streams.values():
         for record in list(followed.ledger.state.programs.values()):
             if not record.ended and "/" not in record.program_id:
@@ -91,6 +92,18 @@
     return effects
 
 
+def _refuse_unread(env: OwnerEnv) -> Effects:
+    """Answers the calls whose entries can't be read back now, the log being out."""
+    effects: Effects = []
+    for stream, waiting in env.state.runs.committing.items():
+        if env.ledger.fresh(stream):
+            continue
+        for run in list(waiting):
+            if run.phase == Phase.OPENING and run.callers:
+                effects += owner_finish.on_deadline(env, run)
+    return effects
+
+
 def on_programs_asked(env: OwnerEnv, sender: str, message: ProgramsAsked) -> Effects:
     """A keeper found cache of these programs on its engine."""
     over, unknown = [], []
@@ -150,7 +163,7 @@
         for run in list(program.calls.values()):
             effects += _drop_run(env, run)
         effects += tell(program.ending, _end_refusal(program_id, Reason.NO_OWNER, COME_BACK_MS))
-        del env.state.runs.programs[program_id]
+        env.state.runs.programs.pop(program_id, None)
         env.state.runs.spending.pop(program_id, None)
     return effects
 
@@ -160,6 +173,7 @@
     if run.phase == Phase.DISPATCHED:
         if not run.licensed:
             effects.append(SendMessage(run.keeper, DispatchCancel(run.attempt_id)))
+        owner_permit.leave(env, run)
         owner_finish.take_attempt(env, run.attempt_id)
     for waiting in env.state.runs.committing.values():
         if run in waiting:
--- a/src/quincespool/core/owner_start.py
+++ b/src/quincespool/core/owner_start.py
@@ -4,20 +4,26 @@
 
 from typing import TYPE_CHECKING
 
+from quincespool.core import accounts
 from quincespool.core import commit
 from quincespool.core import owner_dispatch
+from quincespool.core import owner_finish
+from quincespool.core import owner_permit
 from quincespool.core.budget import Spending
 from quincespool.core.budget import missing_tokens
 from quincespool.core.budget import most_tokens
 from quincespool.core.budget import next_slice
+from quincespool.core.effects import Count
 from quincespool.core.owner_checks import check_call
 from quincespool.core.owner_checks import is_idempotent
 from quincespool.core.owner_env import finish_refused
+from quincespool.core.owner_env import set_deadline
 from quincespool.core.program_run import Phase
 from quincespool.core.reasons import Reason
 
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
+    from quincespool.core.events import AccountDecided
     from quincespool.core.owner_env import OwnerEnv
     from quincespool.core.program_record import ProgramRecord
     from quincespool.core.program_run import CallRun
@@ -41,12 +47,51 @@
         return finish_refused(env, run, fault.reason, retry_after_ms=fault.retry_after_ms)
     if env.quarantine.blocked(call.fingerprint):
         return finish_refused(env, run, Reason.QUARANTINED)
-    entries = _entries(env, run, record, root)
-    if entries is None:
+    slices = _reserve(env, run, root)
+    if slices is None:
         return finish_refused(env, run, Reason.BUDGET)
+    if run.ticket:
+        return _write_entries(env, run, record, slices)
+    # Before anything is written for the call: a refusal then costs no append and no licence.
+    acquired = owner_permit.acquire(env, run)
+    match acquired.decision:
+        case accounts.Refused(retry_after_ms):
+            return acquired.effects + _refuse_permit(env, run, retry_after_ms)
+        case accounts.Pending():
+            return [*acquired.effects, Count("owner_permits_total", labels=(("how", "waited"),))]
+        case accounts.Granted():
+            set_deadline(env, run)
+    granted = Count("owner_permits_total", labels=(("how", "at_once"),))
+    return [*acquired.effects, granted, *_write_entries(env, run, record, slices)]
+
+
+def on_decided(env: OwnerEnv, event: AccountDecided) -> Effects:
+    """A call that waited for its account's permit goes on or is refused for good."""
+    run = env.state.runs.permits.pop(event.ticket, None)
+    if run is None:
+        return []
+    if not event.granted:
+        run.ticket = ""
+        return _refuse_permit(env, run, event.retry_after_ms)
+    owner_permit.keep_within(run, event.must_end_by_ms)
+    set_deadline(env, run)
+    return start(env, run)
+
+
+def _refuse_permit(env: OwnerEnv, run: CallRun, retry_after_ms: int) -> Effects:
+    refused = Count("owner_permits_total", labels=(("how", "refused"),))
+    known = env.context.catalogue.account_entry(run.call.account) is not None
+    reason = Reason.RATE if known else Reason.NOT_ALLOWED
+    return [refused, *finish_refused(env, run, reason, retry_after_ms=retry_after_ms)]
+
+
+def _write_entries(
+    env: OwnerEnv, run: CallRun, record: ProgramRecord | None, slices: list[LedgerEntry]
+) -> Effects:
+    entries = _entries(env, run, record, slices)
     if not entries:
         return owner_dispatch.first_dispatch(env, run)
-    stream = env.ledger.stream_of(env.ledger.partition(call.program_id))
+    stream = env.ledger.stream_of(env.ledger.partition(run.call.program_id))
     run.phase = Phase.OPENING
     run.sequence, effects = commit.submit(env.commits, env.context, stream=stream, entries=entries)
     env.state.runs.committing.setdefault(stream, []).append(run)
@@ -65,6 +110,9 @@
     call = run.call
     record = env.ledger.program(call.program_id)
     if env.ledger.epoch_held(env.ledger.partition(call.program_id)) != run.epoch or record is None:
+        if run.licensed:
+            # Read back too late to be used: unless given back it would stand in the way for good.
+            return owner_finish.give_up(env, run, Reason.LOG_OUT, retry_after_ms=COME_BACK_MS)
         return finish_refused(env, run, Reason.NO_OWNER, retry_after_ms=COME_BACK_MS)
     if not run.licensed:
         return start(env, run)
@@ -76,15 +124,12 @@
 
 
 def _entries(
-    env: OwnerEnv, run: CallRun, record: ProgramRecord | None, root: ProgramRecord | None
-) -> list[LedgerEntry] | None:
-    """Returns what must stand in the log before the call may run, None if the budget is used up."""
+    env: OwnerEnv, run: CallRun, record: ProgramRecord | None, slices: list[LedgerEntry]
+) -> list[LedgerEntry]:
+    """Returns what must stand in the log before the call may run."""
     entries: list[LedgerEntry] = []
     if record is None:
         entries.append(_opened(env, run))
-    slices = _reserve(env, run, root)
-    if slices is None:
-        return None
     entries += slices
     if not is_idempotent(env.context.catalogue, run.call):
         run.licensed = True
--- a/src/quincespool/core/program_run.py
+++ b/src/quincespool/core/program_run.py
@@ -16,6 +16,8 @@
 
     WAITING = "waiting"
     """For an earlier call of its program."""
+    PERMIT = "permit"
+    """For its account to allow it."""
     OPENING = "opening"
     """For its entries (program, slice, intent) to be read back."""
     DISPATCHED = "dispatched"
@@ -51,12 +53,12 @@
         self.licensed = False
         self.sequence = 0
         self.reserved_tokens = 0
+        self.ticket = ""
+        """For a permit of its account, asked for or granted."""
         self.attempt_id = ""
         self.backend = ""
         self.keeper = ""
         self.tries = 0
-        self.may_have_run = False
-        self.last_reason = ""
         self.retry_after_ms = 0
         self.licence_at_ms = 0
         self.dispatched_ms = 0
@@ -93,6 +95,8 @@
         self.spending: dict[str, Spending] = {}
         self.attempts: dict[str, CallRun] = {}
         self.committing: dict[str, list[CallRun]] = {}
+        self.permits: dict[str, CallRun] = {}
+        """Calls that wait for a permit, by ticket."""
 
     def program(self, program_id: str) -> ProgramRun:
         """Returns the run of a program, made if need be."""
@@ -103,10 +107,17 @@
         program = self.programs.get(program_id)
         return program.calls.get(call_number) if program else None
 
+    def _forget_idle(self, program_id: str, program: ProgramRun) -> None:
+        """A program none of whose calls ever ran leaves nothing behind."""
+        if not program.attained_ms and not program.cached_tokens:
+            del self.programs[program_id]
+
     def drop_call(self, run: CallRun) -> None:
         """Forgets a call that has been answered or handed over."""
         program = self.programs.get(run.call.program_id)
         if program is not None and program.calls.get(run.call.call_number) is run:
             del program.calls[run.call.call_number]
+            if not (program.calls or program.end_reason or program.tainted_call):
+                self._forget_idle(run.call.program_id, program)
         if run.attempt_id:
             self.attempts.pop(run.attempt_id, None)
--- a/src/quincespool/core/reducer.py
+++ b/src/quincespool/core/reducer.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
+from quincespool.core import accounts
 from quincespool.core import catalogue
 from quincespool.core import checkpoints
 from quincespool.core import claims
@@ -70,11 +71,14 @@
         self.commits = commit.make_commit(settings, member_id=member_id, incarnation=incarnation)
         self.claims = claims.make_claims(settings, member_id=member_id, incarnation=incarnation)
         self.checkpoints = checkpoints.make_checkpoints(settings)
+        self.accounts = accounts.make_accounts(settings, incarnation=incarnation)
         self.keeper = keeper.make_keeper(
             settings, incarnation=incarnation, quarantine=self.quarantine
         )
         self.owner = make_owner(settings, member_id=member_id, incarnation=incarnation)
-        self.frontdoor = frontdoor.make_frontdoor(settings, member_id=member_id)
+        self.frontdoor = frontdoor.make_frontdoor(
+            settings, member_id=member_id, incarnation=incarnation
+        )
         self.last_event_ms = 0
         self.drain_since_ms: int | None = None
         self.stopped = False
@@ -135,6 +139,7 @@
         "ledger": ledger.dump(state.ledger),
         "holds": sorted(state.ledger.held()),
         "commit": commit.dump(state.commits),
+        "accounts": state.accounts.dump(),
         "keeper": state.keeper.dump(),
         "owner": _dump_owner(state),
         "frontdoor": {"open_requests": state.frontdoor.open_requests()},
@@ -224,6 +229,7 @@
         commits=state.commits,
         claims=state.claims,
         quarantine=state.quarantine,
+        accounts=state.accounts,
     )
 
 
@@ -263,7 +269,8 @@
     )
     if done and not state.stopped:
         state.stopped = True
-        return [Log("info", "planned stop complete", {"waited_ms": waited_ms}), Stop()]
+        left = membership.say_left(state.members)
+        return [*left, Log("info", "planned stop complete", {"waited_ms": waited_ms}), Stop()]
     _subscribe(context, "drain", DRAIN_CHECK_MS)
     return []
 
@@ -277,10 +284,13 @@
     event_routes.MEMBERSHIP: lambda s, c, e: membership.reduce(s.members, c, e),
     event_routes.CATALOGUE: lambda s, c, e: catalogue.reduce(s.catalogue, c, e),
     event_routes.QUARANTINE: lambda s, c, e: quarantine.reduce(s.quarantine, c, e),
-    event_routes.LEDGER: lambda s, c, e: ledger.reduce(s.ledger, c, e),
+    event_routes.LEDGER: lambda s, c, e: ledger.reduce(
+        s.ledger, c, e, in_use=s.commits.streams_in_use()
+    ),
     event_routes.COMMIT: lambda s, c, e: commit.reduce(s.commits, c, e),
     event_routes.CLAIMS: _reduce_claims,
     event_routes.CHECKPOINTS: _reduce_checkpoints,
+    event_routes.ACCOUNTS: lambda s, c, e: accounts.reduce(s.accounts, c, e),
     event_routes.KEEPER: lambda s, c, e: keeper.reduce(s.keeper, c, e),
     event_routes.OWNER: lambda s, c, e: owner.reduce(_owner_env(s, c), e),
     event_routes.FRONTDOOR: lambda s, c, e: frontdoor.reduce(s.frontdoor, c, e),
--- a/src/quincespool/net/http_client.py
+++ b/src/quincespool/net/http_client.py
@@ -57,7 +57,9 @@
         """Connects and sends the request."""
         exchange = _Exchange(effect=effect, owner=self)
         self._exchanges[effect.exchange_id] = exchange
-        task = asyncio.get_running_loop().create_task(self._connect(exchange))
+        task = asyncio.get_running_loop().create_task(
+            self._connect(exchange, asked_ms=self._clock.now_ms())
+        )
         self._connecting[effect.exchange_id] = task
         task.add_done_callback(lambda _: self._connecting.pop(effect.exchange_id, None))
 
@@ -89,9 +91,9 @@
         self._close(exchange)
         self._post(event)
 
-    async def _connect(self, exchange: _Exchange) -> None:
+    async def _connect(self, exchange: _Exchange, *, asked_ms: int) -> None:
+        # From when it was asked for: the process may stand still before this first runs.
         effect = exchange.effect
-        started_ms = self._clock.now_ms()
         limit_ms = min(CONNECT_LIMIT_MS, effect.time_limit_ms)
         try:
             host, port = split_address(effect.address)
@@ -100,7 +102,7 @@
         except (OSError, ValueError) as error:
             self._fail_unsent(exchange, f"cannot connect to {effect.address}: {error!r}")
             return
-        waited_ms = self._clock.now_ms() - started_ms
+        waited_ms = self._clock.now_ms() - asked_ms
         if waited_ms > self._stale_after_ms:
             # The process may have stood still while it was connecting, and its licence and lease be
             # taken over meanwhile; the request would then run although it was given up elsewhere.
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -45,6 +45,7 @@
     "owner_outcomes_total": MetricSpec("counter", "Outcomes read back from the log."),
     "owner_call_ms": MetricSpec("histogram", "From a call at its owner to its outcome."),
     "owner_unresolved_total": MetricSpec("counter", "Calls found with an intent but no outcome."),
+    "owner_permits_total": MetricSpec("counter", "Permits of accounts: at once, waited, refused."),
     "tokens_total": MetricSpec("counter", "Generated tokens."),
     "prompt_tokens_total": MetricSpec("counter", "Prompt tokens."),
     "cached_tokens_total": MetricSpec("counter", "Prompt tokens that a cache held already."),
--- a/src/quincespool/net/outgoing_link.py
+++ b/src/quincespool/net/outgoing_link.py
@@ -59,7 +59,9 @@
         """Starts to connect and to say who we are."""
         hello = Hello(incarnation=incarnation, target_id=self.member.member_id)
         first = frame(encode(member_id, hello))
-        self._connecting = asyncio.get_running_loop().create_task(self._connect(first))
+        self._connecting = asyncio.get_running_loop().create_task(
+            self._connect(first, asked_ms=self._clock.now_ms())
+        )
 
     def send(self, framed: bytes) -> None:
         """Sends a frame, once the link is there."""
@@ -103,9 +105,8 @@
         """Tells the owner."""
         self._lose()
 
-    async def _connect(self, first: bytes) -> None:
+    async def _connect(self, first: bytes, *, asked_ms: int) -> None:
         loop = asyncio.get_running_loop()
-        started_ms = self._clock.now_ms()
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 await loop.create_connection(lambda: self, self.member.host, self.member.peer_port)
@@ -114,7 +115,7 @@
             self._lose()
             return
         self._connecting = None
-        if self._clock.now_ms() - started_ms > self._stale_ms:
+        if self._clock.now_ms() - asked_ms > self._stale_ms:
             # The process stood still while it was connecting. What waits was decided before, by a
             # holder that may have been replaced meanwhile, and must not be sent.
             self._lose()
--- a/src/quincespool/policy/cache_plan.py
+++ b/src/quincespool/policy/cache_plan.py
@@ -1,4 +1,4 @@
-"""What to do with the KV cache of a program that pauses: keep, export or release it."""
+"""What to do with the KV cache of a program that pauses: keep it or export it."""
 
 from __future__ import annotations
 
@@ -22,20 +22,21 @@
 def plan_cache(
     pause: PauseView, *, expected_pause_ms: float, prefill_ms_per_token: float
 ) -> CacheAction:
-    """Returns the cheapest of the three.
+    """Returns what costs the engine least.
 
-    Room to spare: keep. Else the cache of a short pause is worth keeping and that of a long one is
-    in the way of others: exported if that is cheaper than computing it again, else released, so
-    that the engine does not push out the prefix of a program that is about to go on.
+    With room to spare, or for a short pause, the cache stays. In a crowded engine it would be
+    pushed out during a long pause and computed again afterwards, so it is exported first. Engines
+    that don't export keep it: releasing it early was tried and only added to what is computed
+    again (docs/measurements.md).
     """
     backend = pause.backend
+    if not pause.can_export or prefill_ms_per_token <= EXPORT_MS_PER_TOKEN:
+        return CacheAction.KEEP
     if backend.capacity_tokens <= 0 or backend.live_tokens < CROWDED * backend.capacity_tokens:
         return CacheAction.KEEP
     if expected_pause_ms < _survival_ms(pause):
         return CacheAction.KEEP
-    if pause.can_export and prefill_ms_per_token > EXPORT_MS_PER_TOKEN:
-        return CacheAction.EXPORT
-    return CacheAction.RELEASE
+    return CacheAction.EXPORT
 
 
 def _survival_ms(pause: PauseView) -> float:
--- a/src/quincespool/policy/experiment/measures.py
+++ b/src/quincespool/policy/experiment/measures.py
@@ -16,7 +16,10 @@
 
 
 class Measures(NamedTuple):
-    """One run. Latencies are of whole programs; one not finished counts with its deadline.
+    """One run. Latencies are of whole programs.
+
+    A program that did not finish counts with the longest deadline of all, so that it is slower
+    than any that did and no policy gains by giving programs up.
 
     Attributes:
       p50_ms: Median.
@@ -55,7 +58,8 @@
         self.computed_tokens = 0
         self.held_token_ms = 0
         self.finished_ms: list[int] = []
-        self.lost_ms: list[int] = []
+        self.lost = 0
+        self._longest_ms = 0
         self._slots_used = 0
         self._slots_seen = 0
         self._held: dict[tuple[str, str], tuple[int, int]] = {}
@@ -68,12 +72,13 @@
 
     def note_ended(self, program: Program, now_ms: int, *, finished: bool) -> None:
         """A root program is over; one that came before the engines were warm doesn't count."""
+        self._longest_ms = max(self._longest_ms, program.deadline_ms)
         if program.arrival_ms < WARM_UP_MS:
             return
         if finished:
             self.finished_ms.append(now_ms - program.arrival_ms)
         else:
-            self.lost_ms.append(program.deadline_ms)
+            self.lost += 1
 
     def note_over(self, program_id: str, engines: Iterable[Engine], now_ms: int) -> None:
         """A program id has ended; what engines hold of it counts from now."""
@@ -100,7 +105,7 @@
 
     def measures(self) -> Measures:
         """Returns the figures of the run."""
-        everyone = sorted(self.finished_ms + self.lost_ms)
+        everyone = sorted(self.finished_ms) + [self._longest_ms] * self.lost
         return Measures(
             p50_ms=percentile(everyone, 50),
             p95_ms=percentile(everyone, 95),
--- a/src/quincespool/policy/experiment/views.py
+++ b/src/quincespool/policy/experiment/views.py
@@ -12,7 +12,7 @@
 
 SUMMARY_MS = 200
 GAP_IN = 10
-"""One in so many cache events never arrives; the wrong belief lasts until the program's next call."""
+"""One in so many cache events is lost; the belief stays wrong until the program's next call."""
 
 
 class Watcher:
--- a/src/quincespool/policy/experiment/workload.py
+++ b/src/quincespool/policy/experiment/workload.py
@@ -176,6 +176,20 @@
     return max(limits) / sample / mix.engine_count
 
 
+def shortest_ms(engine: EngineShape, turns: tuple[Turn, ...]) -> float:
+    """Returns how long a program takes alone on an engine, pauses included: no policy is faster."""
+    token_ms = engine.decode_base_ms + engine.decode_per_running_ms
+    whole_ms = 0.0
+    for turn in turns:
+        whole_ms += turn.new_tokens * engine.prefill_ms_per_token
+        whole_ms += turn.completion_tokens * token_ms
+        if turn.sub_agents:
+            whole_ms += max(shortest_ms(engine, sub_agent) for sub_agent in turn.sub_agents)
+        else:
+            whole_ms += turn.pause_ms
+    return whole_ms
+
+
 class Demand(NamedTuple):
     """What a program asks of the engines at the least."""
 
--- a/src/quincespool/policy/prefix_affinity.py
+++ b/src/quincespool/policy/prefix_affinity.py
@@ -19,7 +19,7 @@
 MIN_MATCH = 0.3
 """Share of the prompt that must be cached for the cache to count."""
 
-IMBALANCE = 0.75
+IMBALANCE = 1.5
 """How much more of its slots than the least busy one's a cache holder may have taken."""
 
 
--- a/src/quincespool/policy/protocol.py
+++ b/src/quincespool/policy/protocol.py
@@ -53,7 +53,6 @@
       deadline_left_ms: Until the root program's deadline.
       priority: Of the class entry, 0 (first) to 9.
       sub_agent: Whether a parent waits for it.
-      siblings_open: Sub-agents that the same parent still waits for, this one included; 0 if unknown.
       exported_tokens: Tokens of its prefix that lie exported and can be imported by any engine.
     """
 
@@ -66,7 +65,6 @@
     deadline_left_ms: int
     priority: int
     sub_agent: bool
-    siblings_open: int = 0
     exported_tokens: int = 0
 
 
@@ -82,7 +80,6 @@
 
     KEEP = "keep"
     EXPORT = "export"
-    RELEASE = "release"
 
 
 class PauseView(NamedTuple):
--- a/src/quincespool/policy/queue_bound.py
+++ b/src/quincespool/policy/queue_bound.py
@@ -11,7 +11,7 @@
     from quincespool.policy.protocol import BackendView
     from quincespool.policy.protocol import CallView
 
-MAX_WAITING_PER_SLOT = 4
+MAX_WAITING_PER_SLOT = 1
 RETRY_AFTER_MS = 1000
 
 
--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `quincespool.bench`."""
+
+from __future__ import annotations
--- a/tests/core/keeper_bench.py
+++ b/tests/core/keeper_bench.py
@@ -45,6 +45,7 @@
         self.ids = ids
         self.leaving: set[str] = set()
         self.self_id = "k1"
+        self.settled = True
         self.incarnation = 1
 
     def alive(self) -> tuple[Member, ...]:
--- a/tests/processes/faults.py
+++ b/tests/processes/faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
     from tests.processes.deployment import Deployment
 
 
+_STOP_LIMIT_S = 120
+
+
 class Faults:
     """Breaks things, each for a while, until it is told to stop.
 
@@ -33,6 +37,7 @@
             self._kill,
             self._freeze,
             self._freeze,
+            self._planned_stop,
             self._log_out,
             self._log_slow,
             self._lose_log_answers,
@@ -77,6 +82,18 @@
         self._deployment.thaw(name)
         self._broken.discard(name)
 
+    async def _planned_stop(self) -> None:
+        name = self._random.choice(list(DAEMONS))
+        if name in self._broken:
+            return
+        self._note("planned stop", name)
+        process = self._deployment.cluster[name]
+        process.signal(signal.SIGTERM)
+        await asyncio.to_thread(process.wait, _STOP_LIMIT_S)
+        self._deployment.restart(name)
+        await self._wait_ready(name)
+        self._broken.discard(name)
+
     async def _log_out(self) -> None:
         self._note("log out")
         await self._control("log", reads_out=True, appends_out=True)
