--- a/tests/core/test_fuzz.py
+++ b/tests/core/test_fuzz.py
@@ -100,10 +100,10 @@
             self.frozen.discard(member)
             self.world.thaw(member)
 
-    @rule(member=daemons, is_cut=st.booleans())
-    def cut(self, member: str, is_cut: bool) -> None:
+    @rule(member=daemons, is_cut=st.booleans(), log_too=st.booleans())
+    def cut(self, member: str, is_cut: bool, log_too: bool) -> None:
         if member not in self.down:
-            self.world.set_cut(member, is_cut)
+            self.world.set_cut(member, is_cut, log_too=log_too)
 
     @rule(is_out=st.booleans())
     def log_service(self, is_out: bool) -> None:
@@ -287,8 +287,8 @@
         lambda: machine.restart(member),
         lambda: machine.thaw(member),
         lambda: machine.thaw(member),
-        lambda: machine.cut(member, True),
-        lambda: machine.cut(member, False),
+        lambda: machine.cut(member, True, chance.random() < 0.7),
+        lambda: machine.cut(member, False, True),
         lambda: machine.log_service(chance.random() < 0.5),
         lambda: machine.lose_answers(chance.randint(1, 3)),
         lambda: machine.service_delay(chance.choice([1, 20, 400, 3_000])),
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -54,6 +54,7 @@
         self.streams: dict[str, list[bytes]] = {}
         self.first_kept: dict[str, int] = {}
         self.out = False
+        self.hides_end = False
         self.lose_answers = 0
         self.appends = 0
 
@@ -83,6 +84,7 @@
         self.alive = True
         self.frozen = False
         self.cut = False
+        self.log_cut = False
         self.stopped = False
         self.follows: dict[str, int] = {}
         self.generation: dict[str, int] = {}
@@ -168,9 +170,10 @@
                 continue
             self.give(member_id, event)
 
-    def set_cut(self, member_id: str, is_cut: bool) -> None:
-        """Cuts a daemon off from its peers and the log, or heals it; backend servers it reaches."""
+    def set_cut(self, member_id: str, is_cut: bool, *, log_too: bool = True) -> None:
+        """Cuts a daemon off from its peers, or heals it; backend servers it still reaches."""
         daemon = self.daemons[member_id]
+        daemon.log_cut = is_cut and log_too
         if daemon.cut != is_cut:
             daemon.cut = is_cut
             self._break_links(member_id)
@@ -326,7 +329,7 @@
                 return
             if daemon.generation[stream] != generation:
                 return
-            if daemon.frozen or self.log.out or daemon.cut:
+            if daemon.frozen or self.log.out or daemon.log_cut:
                 self.later(50, read)
                 return
             event, next_offset = self._read(daemon, stream)
@@ -343,7 +346,8 @@
         records = self.log.streams.get(stream, [])
         taken = tuple(ev.LogRecord(offset + i, b) for i, b in enumerate(records[offset:][:500]))
         next_offset = offset + len(taken)
-        return ev.RecordsRead(stream, taken, next_offset, len(records)), next_offset
+        end_offset = len(records) + (1 if self.log.hides_end else 0)
+        return ev.RecordsRead(stream, taken, next_offset, end_offset), next_offset
 
     def _append(self, member_id: str, daemon: Daemon, done: ev.AppendDone, body: bytes) -> None:
         def reply(event: ev.Event) -> None:
@@ -351,7 +355,7 @@
                 self.give(member_id, event)
 
         def write() -> None:
-            if self.log.out or daemon.cut:
+            if self.log.out or daemon.log_cut:
                 failed = ev.AppendFailed(done.stream, done.append_id, False, 0, "out")
                 self.later(1, lambda: reply(failed))
                 return
