A refused call does not go on when its entries are read back

A call refused during a log outage stayed on the list of runs that wait for the log, went on beside its repeat, and only one of the two could be recorded; the other waited for good. Ruled out: a lost timer (the run had fired it and found itself twice); the permit's wait. Change: a run that has been answered is passed over at read-back; a call whose number is taken meanwhile gets the recorded answer.

--- a/src/quincespool/core/owner_dispatch.py
+++ b/src/quincespool/core/owner_dispatch.py
@@ -154,6 +154,20 @@
     return policy.choose(view, backends, now_ms=env.context.now_ms)
 
 
+def may_go_elsewhere(env: OwnerEnv, run: CallRun) -> bool:
+    """Whether a call that was refused unsent may go to a backend server that has not refused it.
+
+    That costs nothing of the retry budget. Otherwise one backend server that keepers know to be
+    leaving, and this daemon does not (it has just started, and the host list has dropped it), uses
+    the budget up, and calls are refused although other backend servers would take them.
+    """
+    if run.backend not in run.avoid or run.tries >= MAX_TRIES:
+        return False
+    if env.context.now_ms >= run.deadline_at_ms:
+        return False
+    return any(view.name not in run.avoid for view in _backend_views(env, run))
+
+
 def _superseded(env: OwnerEnv, run: CallRun) -> Effects:
     """Sends nothing under an epoch that may no longer be in force.
 
--- a/src/quincespool/core/owner_finish.py
+++ b/src/quincespool/core/owner_finish.py
@@ -223,7 +223,7 @@
 def _not_run(env: OwnerEnv, run: CallRun, reason: Reason) -> Effects:
     if reason != Reason.OVERLOAD:
         run.avoid.add(run.backend)
-    if owner_dispatch.may_retry(env, run):
+    if owner_dispatch.may_go_elsewhere(env, run) or owner_dispatch.may_retry(env, run):
         return owner_dispatch.retry_later(env, run)
     retry_after_ms = run.retry_after_ms or COME_BACK_MS
     return give_up(env, run, reason, retry_after_ms=retry_after_ms)
--- a/src/quincespool/core/owner_lifecycle.py
+++ b/src/quincespool/core/owner_lifecycle.py
@@ -19,10 +19,8 @@
 from quincespool.core.messages import ProgramsOver
 from quincespool.core.outcomes import OK
 from quincespool.core.outcomes import OutcomeId
-from quincespool.core.outcomes import stored_answer
 from quincespool.core.owner_dispatch import keeper_of
 from quincespool.core.owner_env import PART
-from quincespool.core.owner_env import finish
 from quincespool.core.owner_env import finish_refused
 from quincespool.core.owner_env import tell
 from quincespool.core.placement import PARTITION_PREFIX
@@ -251,6 +249,10 @@
     ready = [run for run in waiting if run.sequence <= last_sequence]
     env.state.runs.committing[stream] = [run for run in waiting if run.sequence > last_sequence]
     for run in ready:
+        if env.state.runs.find_call(run.call.program_id, run.call.call_number) is not run:
+            # Answered and forgotten while its entries were on their way; running it now would make
+            # two runs of one call, of which only one can be recorded.
+            continue
         if run.phase == Phase.OPENING:
             effects += owner_start.on_applied(env, run)
         elif run.phase == Phase.CLOSING:
@@ -272,20 +274,12 @@
         if run.call.call_number == record.last_call + 1:
             effects += owner_start.start(env, run)
         else:
-            effects += _answer_taken(env, run, record)
+            effects += owner_start.answer_taken(env, run, record)
     if program.end_reason and not program.end_sequence:
         effects += _try_end(env, record)
     return effects
 
 
-def _answer_taken(env: OwnerEnv, run: CallRun, record: ProgramRecord) -> Effects:
-    """The number of a waiting call has got its outcome meanwhile."""
-    stored = record.answer(run.call.call_number)
-    if stored is None or stored.fingerprint != run.call.fingerprint:
-        return finish_refused(env, run, Reason.CALL_CONFLICT)
-    return finish(env, run, stored_answer(stored))
-
-
 def _review_program(env: OwnerEnv, record: ProgramRecord) -> Effects:
     partition = env.ledger.partition(record.program_id)
     if env.ledger.epoch_held(partition) is None:
--- a/src/quincespool/core/owner_start.py
+++ b/src/quincespool/core/owner_start.py
@@ -14,8 +14,10 @@
 from quincespool.core.budget import most_tokens
 from quincespool.core.budget import next_slice
 from quincespool.core.effects import Count
+from quincespool.core.outcomes import stored_answer
 from quincespool.core.owner_checks import check_call
 from quincespool.core.owner_checks import is_idempotent
+from quincespool.core.owner_env import finish
 from quincespool.core.owner_env import finish_refused
 from quincespool.core.owner_env import set_deadline
 from quincespool.core.program_run import Phase
@@ -36,6 +38,8 @@
     """Starts a call whose turn it is."""
     call = run.call
     record = env.ledger.program(call.program_id)
+    if record is not None and call.call_number <= record.last_call:
+        return answer_taken(env, run, record)
     if record is not None and record.intent is not None:
         # Left by an earlier epoch; `owner_lifecycle` is recording its outcome, then we are called
         # again and find the call's number taken.
@@ -98,6 +102,14 @@
     return effects
 
 
+def answer_taken(env: OwnerEnv, run: CallRun, record: ProgramRecord) -> Effects:
+    """The number of a call under way has got its outcome meanwhile."""
+    stored = record.answer(run.call.call_number)
+    if stored is None or stored.fingerprint != run.call.fingerprint:
+        return finish_refused(env, run, Reason.CALL_CONFLICT)
+    return finish(env, run, stored_answer(stored))
+
+
 def resume(env: OwnerEnv, run: CallRun) -> Effects:
     """Goes on with a call after the pause between two tries."""
     if run.licensed:
--- a/tests/core/test_account_limits.py
+++ b/tests/core/test_account_limits.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from quincespool.core.events import MessageReceived
+from quincespool.core.messages import DispatchDone
 from quincespool.core.placement import partition_of
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
@@ -110,6 +112,39 @@
     assert world.most_in_progress == LIMIT
 
 
+@pytest.mark.parametrize("reason", [Reason.NO_OWNER, Reason.BACKEND_FAILED])
+def test_a_keeper_that_started_anew_says_nothing_of_what_ran_before(
+    world: World, reason: Reason
+) -> None:
+    """Symptom: an account passes its limit by one. A keeper's process is replaced.
+
+    The new one answers that the attempt may have run; what the earlier one sent may still run. A
+    keeper that saw its attempt end is believed, and the permit is free.
+    """
+    world.engine_hangs = {"127.0.0.1:4000", "127.0.0.1:4001"}
+    world.call("d0", model_call("p", 1, first_send=True))
+    world.run(200)
+    owner = next(d for d in world.daemons.values() if d.state.owner.runs.attempts)
+    (attempt_id,) = owner.state.owner.runs.attempts
+    done = DispatchDone(
+        attempt_id=attempt_id,
+        verdict=Verdict.MAY_HAVE_RUN,
+        status=0,
+        body=b"",
+        content_type="",
+        prompt_tokens=0,
+        cached_tokens=0,
+        completion_tokens=0,
+        finish_reason="",
+        reason=reason,
+        retry_after_ms=0,
+        crashed=False,
+    )
+    world.give(owner.state.settings.member_id, MessageReceived("d0", done))
+    (holding,) = owner.state.accounts.holdings.values()
+    assert (attempt_id in holding.busy) == (reason == Reason.NO_OWNER)
+
+
 def test_a_refusal_is_final_and_costs_no_append(world: World) -> None:
     world.service_delay_ms = 4_000
     for number in range(LIMIT):
