--- a/src/quincespool/bench/cluster_slopes.py
+++ b/src/quincespool/bench/cluster_slopes.py
@@ -23,8 +23,8 @@
 
     from quincespool.bench.processes import Usage
 
-DAEMONS = (5, 25, 50, 100)
-SETTLE_S = 5
+DAEMONS = (5, 25, 100)
+SETTLE_S = 40
 WINDOW_S = 12
 EDITS = 5
 POLL_S = 0.1
