A caller that may come back does so under the same number

Ruled out: recording idempotent failures as outcomes; the call could then never be completed. Change: it repeats the same number while it is told when to come back, as docs/calling.md says.

--- a/tests/core/test_fuzz.py
+++ b/tests/core/test_fuzz.py
@@ -155,7 +155,7 @@
                 world.thaw(member)
             if member in self.down:
                 world.start(member)
-        # A daemon that drains stops during the quiet; the platform replaces those that have stopped.
+        # A daemon that drains stops during the quiet; the platform replaces those that stopped.
         for _ in range(2):
             for member in DAEMONS:
                 if world.daemons[member].stopped:
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -224,6 +224,19 @@
 
         wait_for(settled, what="every resource to be where placement wants it")
 
+    def hosts(self, state: str, *names: str) -> list[dict[str, str]]:
+        """Returns what the host list shows for backend servers, all by default, in a state."""
+        return [
+            {"address": self.cluster[name].address, "state": state, "role": "backend"}
+            for name in names or (*ENGINES, *SERVICES)
+        ]
+
+    def wait_hosts_read(self) -> None:
+        """Waits until every daemon has read the host list anew."""
+        before = self.counts("hosts")["reads"]
+        wanted = before + 2 * len(DAEMONS)
+        wait_for(lambda: self.counts("hosts")["reads"] >= wanted, what="the host list to be read")
+
     # -- breaking ---------------------------------------------------------------------------
 
     def control(self, name: str, **knobs: object) -> None:
@@ -263,7 +276,7 @@
             lose_after_write=0,
             lose_before_write=0,
         )
-        self.control("hosts", hosts=[], stale=False, empty=False, wrong=None)
+        self.control("hosts", hosts=self.hosts("live"), stale=False, empty=False, wrong=None)
         for name in SERVICES:
             self.control(name, hang=False, delay_ms=5, crash_marker="", **_NO_SERVICE_FAULTS)
         for name in ENGINES:
--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -111,10 +111,8 @@
     deployment: Deployment,
 ) -> None:
     """A backend server that the platform takes away goes on getting calls."""
-    address = deployment.cluster["engine-2"].address
-    host = {"address": address, "state": "leaving", "role": "backend"}
-    deployment.control("hosts", hosts=[host])
-    wait_hosts_read(deployment)
+    deployment.control("hosts", hosts=deployment.hosts("leaving", "engine-2"))
+    deployment.wait_hosts_read()
     assert calls_that_reach(deployment, "engine-2") == 0
 
 
@@ -128,7 +126,7 @@
         {"empty": False, "stale": True},
     ):
         deployment.control("hosts", **fault)
-        wait_hosts_read(deployment)
+        deployment.wait_hosts_read()
 
         async def order() -> set[str]:
             return {told.verdict for told in await asyncio.gather(*(p.order() for p in programs))}
@@ -137,15 +135,6 @@
     deployment.check(programs)
 
 
-def wait_hosts_read(deployment: Deployment) -> None:
-    """Waits until every daemon has read the host list anew."""
-    before = deployment.counts("hosts")["reads"]
-    wait_for(
-        lambda: deployment.counts("hosts")["reads"] >= before + 2 * len(DAEMONS),
-        what="the host list to be read",
-    )
-
-
 def calls_that_reach(deployment: Deployment, engine: str) -> int:
     """Returns how many of many new model calls an engine gets."""
     before = len(deployment.counts(engine)["journal"])
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -21,8 +21,12 @@
     """A caller's connection breaks, or its call is refused, because hosts are being replaced.
 
     Every daemon in turn is asked to stop by SIGTERM and started anew, while programs stream
-    answers and place orders without a pause.
+    answers and place orders without a pause. One engine has been listed as leaving and has dropped
+    out of the list: daemons started since send calls to it, and its keeper refuses them.
     """
+    deployment.control("hosts", hosts=deployment.hosts("leaving", "engine-2"))
+    deployment.wait_hosts_read()
+    deployment.control("hosts", hosts=deployment.hosts("live", "engine-1"))
     for engine in ("engine-1", "engine-2"):
         deployment.control(engine, latency_scale=0.5)
     programs = [deployment.program() for _ in range(PROGRAMS)]
--- a/tests/support/agent_program.py
+++ b/tests/support/agent_program.py
@@ -159,7 +159,7 @@
                 await self._try_another()
                 continue
             self.told.append(told)
-            if told.verdict != Verdict.NOT_RUN or not told.retry_after_ms:
+            if told.verdict == Verdict.RAN or not told.retry_after_ms:
                 return told
             await asyncio.sleep(told.retry_after_ms / 1000)
 
