--- a/scripts/measure_membership.py
+++ b/scripts/measure_membership.py
@@ -4,7 +4,7 @@
 
 import sys
 
-from tests.core.test_membership_network import Network
+from tests.core.membership.test_membership_network import Network
 
 
 def measure(count: int) -> None:
--- a/src/quincespool/bench/fixtures.py
+++ b/src/quincespool/bench/fixtures.py
@@ -10,6 +10,7 @@
 
 from quincespool.core.call import Call
 from quincespool.core.call import CallKind
+from quincespool.core.ledger.program_record import next_chain
 from quincespool.core.members import Member
 from quincespool.core.messages import AccountAsked
 from quincespool.core.messages import AccountGranted
@@ -20,7 +21,6 @@
 from quincespool.core.placement import desired_holder
 from quincespool.core.placement import partition_of
 from quincespool.core.placement import stream_members
-from quincespool.core.program_record import next_chain
 from quincespool.settings import Settings
 
 if TYPE_CHECKING:
--- a/src/quincespool/bench/memory_slopes.py
+++ b/src/quincespool/bench/memory_slopes.py
@@ -12,10 +12,10 @@
 from quincespool.bench.one_daemon import OneDaemon
 from quincespool.bench.size import Size
 from quincespool.core import events as ev
+from quincespool.core.ledger.stream_ledger import FORGET_ENDED_MS
+from quincespool.core.ledger.stream_ledger import StreamLedger
 from quincespool.core.messages import MembersTold
 from quincespool.core.placement import PARTITION_PREFIX
-from quincespool.core.stream_ledger import FORGET_ENDED_MS
-from quincespool.core.stream_ledger import StreamLedger
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/quincespool/bench/reducer_slopes.py
+++ b/src/quincespool/bench/reducer_slopes.py
@@ -13,7 +13,7 @@
 from quincespool.bench.one_daemon import OneDaemon
 from quincespool.bench.size import SIZES
 from quincespool.core import events as ev
-from quincespool.core.accounts_extents import home_resource
+from quincespool.core.accounts.extents import home_resource
 from quincespool.core.messages import AccountAsked
 from quincespool.core.messages import Dispatch
 from quincespool.core.messages import DispatchDone
--- a/src/quincespool/cli/catalogue.py
+++ b/src/quincespool/cli/catalogue.py
@@ -19,9 +19,9 @@
 from quincespool.cli.publish import publish_edit
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue_fold import Change
-    from quincespool.core.catalogue_fold import EditRecord
-    from quincespool.core.catalogue_fold import EditResult
+    from quincespool.core.catalogue.fold import Change
+    from quincespool.core.catalogue.fold import EditRecord
+    from quincespool.core.catalogue.fold import EditResult
 
 TIME_LIMIT_S = 30.0
 
--- a/src/quincespool/cli/catalogue_files.py
+++ b/src/quincespool/cli/catalogue_files.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from quincespool.cli.errors import usage_error
-from quincespool.core.catalogue import check_entry
+from quincespool.core.catalogue.reducer import check_entry
 
 
 def read_entries(path: str) -> dict[str, dict[str, object] | None]:
--- a/src/quincespool/cli/catalogue_reader.py
+++ b/src/quincespool/cli/catalogue_reader.py
@@ -7,13 +7,13 @@
 from quincespool.cli.errors import CommandError
 from quincespool.cli.log_client import RecordsExpiredError
 from quincespool.cli.log_client import read_page
-from quincespool.core.catalogue import CatalogueFold
-from quincespool.core.catalogue_checkpoint import CheckpointCollector
-from quincespool.core.catalogue_checkpoint import load_state
+from quincespool.core.catalogue.checkpoint import CheckpointCollector
+from quincespool.core.catalogue.checkpoint import load_state
+from quincespool.core.catalogue.reducer import CatalogueFold
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue_checkpoint import Completed
-    from quincespool.core.catalogue_fold import EditResult
+    from quincespool.core.catalogue.checkpoint import Completed
+    from quincespool.core.catalogue.fold import EditResult
 
 STREAM = "catalogue"
 
--- a/src/quincespool/cli/publish.py
+++ b/src/quincespool/cli/publish.py
@@ -13,9 +13,9 @@
 
 if TYPE_CHECKING:
     from quincespool.cli.catalogue_reader import CatalogueReader
-    from quincespool.core.catalogue_fold import EditRecord
-    from quincespool.core.catalogue_fold import EditResult
-    from quincespool.core.catalogue_fold import LostTo
+    from quincespool.core.catalogue.fold import EditRecord
+    from quincespool.core.catalogue.fold import EditResult
+    from quincespool.core.catalogue.fold import LostTo
 
 _PAUSE_S = 0.2
 
--- a/src/quincespool/core/accounts_extents.py
+++ b/src/quincespool/core/accounts/extents.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from quincespool.core.accounts_records import ExtentRecord
+from quincespool.core.accounts.records import ExtentRecord
 from quincespool.core.placement import partition_of
 from quincespool.core.placement import stream_of
 
--- a/src/quincespool/core/accounts_holder.py
+++ b/src/quincespool/core/accounts/holder.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.accounts_home import MAX_HOLD_MS
-from quincespool.core.accounts_home import REUSE_MS
-from quincespool.core.accounts_home import SLICE_MS
+from quincespool.core.accounts.home import MAX_HOLD_MS
+from quincespool.core.accounts.home import REUSE_MS
+from quincespool.core.accounts.home import SLICE_MS
 from quincespool.core.events import AccountDecided
 from quincespool.core.messages import AccountAsked
 
--- a/src/quincespool/core/accounts_home.py
+++ b/src/quincespool/core/accounts/home.py
@@ -9,7 +9,7 @@
 from quincespool.core.messages import AccountGranted
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_extents import Extent
+    from quincespool.core.accounts.extents import Extent
     from quincespool.core.messages import AccountAsked
 
 # How long a holder may start calls under a grant without renewing it.
--- a/src/quincespool/core/accounts_lending.py
+++ b/src/quincespool/core/accounts/lending.py
@@ -6,15 +6,15 @@
 
 import msgspec
 
-from quincespool.core.accounts_extents import ExtentFold
-from quincespool.core.accounts_extents import home_resource
-from quincespool.core.accounts_home import MIN_PERMITS
-from quincespool.core.accounts_home import REUSE_MS
-from quincespool.core.accounts_home import Home
-from quincespool.core.accounts_state import Claimed
-from quincespool.core.accounts_state import PendingExtent
-from quincespool.core.accounts_state import extents_stream_of
-from quincespool.core.accounts_state import find_limits
+from quincespool.core.accounts.extents import ExtentFold
+from quincespool.core.accounts.extents import home_resource
+from quincespool.core.accounts.home import MIN_PERMITS
+from quincespool.core.accounts.home import REUSE_MS
+from quincespool.core.accounts.home import Home
+from quincespool.core.accounts.state import Claimed
+from quincespool.core.accounts.state import PendingExtent
+from quincespool.core.accounts.state import extents_stream_of
+from quincespool.core.accounts.state import find_limits
 from quincespool.core.effects import AppendRecord
 from quincespool.core.effects import Count
 from quincespool.core.effects import FollowStream
@@ -22,10 +22,10 @@
 from quincespool.core.messages import AccountElsewhere
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_home import HolderKey
-    from quincespool.core.accounts_home import Limits
-    from quincespool.core.accounts_records import ExtentRecord
-    from quincespool.core.accounts_state import AccountsState
+    from quincespool.core.accounts.home import HolderKey
+    from quincespool.core.accounts.home import Limits
+    from quincespool.core.accounts.records import ExtentRecord
+    from quincespool.core.accounts.state import AccountsState
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import RecordsRead
--- a/src/quincespool/core/accounts_state.py
+++ b/src/quincespool/core/accounts/state.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.accounts_extents import extents_stream
-from quincespool.core.accounts_extents import home_resource
-from quincespool.core.accounts_home import Limits
+from quincespool.core.accounts.extents import extents_stream
+from quincespool.core.accounts.extents import home_resource
+from quincespool.core.accounts.home import Limits
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_extents import ExtentFold
-    from quincespool.core.accounts_holder import Holding
-    from quincespool.core.accounts_home import Home
-    from quincespool.core.accounts_records import ExtentRecord
+    from quincespool.core.accounts.extents import ExtentFold
+    from quincespool.core.accounts.holder import Holding
+    from quincespool.core.accounts.home import Home
+    from quincespool.core.accounts.records import ExtentRecord
     from quincespool.core.context import Context
     from quincespool.settings import Settings
 
--- a/src/quincespool/core/catalogue_checkpoint.py
+++ b/src/quincespool/core/catalogue/checkpoint.py
@@ -15,8 +15,8 @@
 
 import msgspec
 
-from quincespool.core.catalogue_fold import CatalogueFold
-from quincespool.core.catalogue_fold import CheckpointError
+from quincespool.core.catalogue.fold import CatalogueFold
+from quincespool.core.catalogue.fold import CheckpointError
 
 PART_BYTES = 200_000
 MAX_PARTS = 1000
--- a/src/quincespool/core/catalogue_fold.py
+++ b/src/quincespool/core/catalogue/fold.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from quincespool.core.catalogue_check import check_entry
+from quincespool.core.catalogue.check import check_entry
 from quincespool.core.entries import Entry
 from quincespool.core.entries import VersionedEntry
 
--- a/src/quincespool/core/catalogue.py
+++ b/src/quincespool/core/catalogue/reducer.py
@@ -8,15 +8,15 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core.catalogue_check import check_entry
-from quincespool.core.catalogue_checkpoint import load_state
-from quincespool.core.catalogue_fold import NO_VERSION
-from quincespool.core.catalogue_fold import CatalogueFold
-from quincespool.core.catalogue_state import CatalogueState
-from quincespool.core.catalogue_writer import STREAM
-from quincespool.core.catalogue_writer import note_append_failed
-from quincespool.core.catalogue_writer import note_completed
-from quincespool.core.catalogue_writer import write_checkpoint
+from quincespool.core.catalogue.check import check_entry
+from quincespool.core.catalogue.checkpoint import load_state
+from quincespool.core.catalogue.fold import NO_VERSION
+from quincespool.core.catalogue.fold import CatalogueFold
+from quincespool.core.catalogue.state import CatalogueState
+from quincespool.core.catalogue.writer import STREAM
+from quincespool.core.catalogue.writer import note_append_failed
+from quincespool.core.catalogue.writer import note_completed
+from quincespool.core.catalogue.writer import write_checkpoint
 from quincespool.core.effects import Count
 from quincespool.core.effects import FollowStream
 from quincespool.core.effects import Log
@@ -39,7 +39,7 @@
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue_fold import EditResult
+    from quincespool.core.catalogue.fold import EditResult
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
--- a/src/quincespool/core/catalogue_state.py
+++ b/src/quincespool/core/catalogue/state.py
@@ -7,16 +7,16 @@
 from typing import TypedDict
 from typing import cast
 
-from quincespool.core.catalogue_checkpoint import CheckpointCollector
-from quincespool.core.catalogue_checkpoint import load_state
-from quincespool.core.catalogue_fold import NO_VERSION
-from quincespool.core.catalogue_fold import CatalogueFold
-from quincespool.core.catalogue_index import CatalogueIndex
+from quincespool.core.catalogue.checkpoint import CheckpointCollector
+from quincespool.core.catalogue.checkpoint import load_state
+from quincespool.core.catalogue.fold import NO_VERSION
+from quincespool.core.catalogue.fold import CatalogueFold
+from quincespool.core.catalogue.index import CatalogueIndex
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue_checkpoint import Completed
-    from quincespool.core.catalogue_fold import EditResult
-    from quincespool.core.catalogue_writer import PendingWrite
+    from quincespool.core.catalogue.checkpoint import Completed
+    from quincespool.core.catalogue.fold import EditResult
+    from quincespool.core.catalogue.writer import PendingWrite
     from quincespool.core.entries import AccountEntry
     from quincespool.core.entries import BackendEntry
     from quincespool.core.entries import ClassEntry
--- a/src/quincespool/core/catalogue_writer.py
+++ b/src/quincespool/core/catalogue/writer.py
@@ -9,15 +9,15 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.catalogue_checkpoint import CheckpointWrite
-from quincespool.core.catalogue_state import ASK_AFTER_LAG_MS
+from quincespool.core.catalogue.checkpoint import CheckpointWrite
+from quincespool.core.catalogue.state import ASK_AFTER_LAG_MS
 from quincespool.core.effects import AppendRecord
 from quincespool.core.effects import Count
 from quincespool.core.placement import stable_hash
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue_checkpoint import Completed
-    from quincespool.core.catalogue_state import CatalogueState
+    from quincespool.core.catalogue.checkpoint import Completed
+    from quincespool.core.catalogue.state import CatalogueState
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import AppendFailed
--- a/src/quincespool/core/claims.py
+++ b/src/quincespool/core/claims.py
@@ -21,6 +21,7 @@
 from quincespool.core.events import MessageReceived
 from quincespool.core.events import Started
 from quincespool.core.events import TimerFired
+from quincespool.core.ledger.stream_ledger import NO_EPOCH
 from quincespool.core.messages import PartitionAsked
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import PARTITION_PREFIX
@@ -28,7 +29,6 @@
 from quincespool.core.placement import desired_holder
 from quincespool.core.placement import shared_streams
 from quincespool.core.placement import stream_of
-from quincespool.core.stream_ledger import NO_EPOCH
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
@@ -38,9 +38,9 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.ledger import LedgerState
+    from quincespool.core.ledger.reducer import LedgerState
+    from quincespool.core.ledger.stream_ledger import ClaimState
     from quincespool.core.records import LedgerEntry
-    from quincespool.core.stream_ledger import ClaimState
     from quincespool.settings import Settings
 
 PART = "claims"
--- a/src/quincespool/core/keeper_answers.py
+++ b/src/quincespool/core/keeper/answers.py
@@ -10,8 +10,8 @@
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
-    from quincespool.core.chat_stream import ChatStream
-    from quincespool.core.keeper_exchange import Reply
+    from quincespool.core.keeper.chat_stream import ChatStream
+    from quincespool.core.keeper.exchange import Reply
     from quincespool.core.messages import Dispatch
 
 STATUS_FENCED = 412
--- a/src/quincespool/core/cache_audit.py
+++ b/src/quincespool/core/keeper/cache_audit.py
@@ -14,7 +14,6 @@
 
 import msgspec
 
-from quincespool.core import keeper_timers
 from quincespool.core.call import CallKind
 from quincespool.core.effects import Count
 from quincespool.core.effects import Log
@@ -24,7 +23,8 @@
 from quincespool.core.events import ExchangeData
 from quincespool.core.events import ExchangeFailed
 from quincespool.core.events import ExchangeHead
-from quincespool.core.keeper_exchange import FENCING_HEADER
+from quincespool.core.keeper import timers as keeper_timers
+from quincespool.core.keeper.exchange import FENCING_HEADER
 from quincespool.core.messages import ProgramsAsked
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import desired_holder
@@ -33,8 +33,8 @@
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.keeper_run import ExchangeEvent
-    from quincespool.core.keeper_state import KeeperState
+    from quincespool.core.keeper.run import ExchangeEvent
+    from quincespool.core.keeper.state import KeeperState
     from quincespool.core.messages import CacheRelease
     from quincespool.core.messages import ProgramsOver
 
--- a/src/quincespool/core/keeper_exchange.py
+++ b/src/quincespool/core/keeper/exchange.py
@@ -10,8 +10,8 @@
 from expression import Result
 
 from quincespool.core.call import CallKind
-from quincespool.core.chat_stream import ChatStream
-from quincespool.core.chat_stream import MalformedReplyError
+from quincespool.core.keeper.chat_stream import ChatStream
+from quincespool.core.keeper.chat_stream import MalformedReplyError
 
 if TYPE_CHECKING:
     from quincespool.core.events import ExchangeHead
--- a/src/quincespool/core/keeper_intake.py
+++ b/src/quincespool/core/keeper/intake.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import keeper_answers
-from quincespool.core import keeper_run
-from quincespool.core import keeper_summary
-from quincespool.core import keeper_timers
 from quincespool.core.effects import Count
 from quincespool.core.effects import Observe
 from quincespool.core.effects import SendMessage
-from quincespool.core.keeper_queue import Attempt
+from quincespool.core.keeper import answers as keeper_answers
+from quincespool.core.keeper import run as keeper_run
+from quincespool.core.keeper import summary as keeper_summary
+from quincespool.core.keeper import timers as keeper_timers
+from quincespool.core.keeper.queue import Attempt
 from quincespool.core.messages import KeeperElsewhere
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import partition_of
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.keeper_state import KeeperState
+    from quincespool.core.keeper.state import KeeperState
     from quincespool.core.messages import Dispatch
 
 
--- a/src/quincespool/core/keeper_queue.py
+++ b/src/quincespool/core/keeper/queue.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from quincespool.core.keeper_exchange import Reply
+    from quincespool.core.keeper.exchange import Reply
     from quincespool.core.messages import Dispatch
 
 WAITING_PER_SLOT = 8
--- a/src/quincespool/core/keeper.py
+++ b/src/quincespool/core/keeper/reducer.py
@@ -9,13 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import cache_audit
-from quincespool.core import keeper_answers
-from quincespool.core import keeper_intake
-from quincespool.core import keeper_run
-from quincespool.core import keeper_summary
-from quincespool.core import keeper_suspects
-from quincespool.core import keeper_timers
 from quincespool.core.effects import SendMessage
 from quincespool.core.events import CatalogueChanged
 from quincespool.core.events import DrainRequested
@@ -32,7 +25,14 @@
 from quincespool.core.events import Started
 from quincespool.core.events import TimerFired
 from quincespool.core.events import Woken
-from quincespool.core.keeper_state import KeeperState
+from quincespool.core.keeper import answers as keeper_answers
+from quincespool.core.keeper import cache_audit
+from quincespool.core.keeper import intake as keeper_intake
+from quincespool.core.keeper import run as keeper_run
+from quincespool.core.keeper import summary as keeper_summary
+from quincespool.core.keeper import suspects as keeper_suspects
+from quincespool.core.keeper import timers as keeper_timers
+from quincespool.core.keeper.state import KeeperState
 from quincespool.core.messages import CacheRelease
 from quincespool.core.messages import CrashSeen
 from quincespool.core.messages import Dispatch
@@ -42,7 +42,7 @@
 from quincespool.core.messages import SummaryAsked
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import backend_resource
-from quincespool.core.quarantine_outbox import QUARANTINE_STREAM
+from quincespool.core.quarantine.outbox import QUARANTINE_STREAM
 from quincespool.core.reasons import Reason
 
 if TYPE_CHECKING:
@@ -50,7 +50,7 @@
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
     from quincespool.core.messages import Message
-    from quincespool.core.quarantine import QuarantineView
+    from quincespool.core.quarantine.reducer import QuarantineView
     from quincespool.settings import Settings
 
 
--- a/src/quincespool/core/keeper_run.py
+++ b/src/quincespool/core/keeper/run.py
@@ -4,10 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import keeper_answers
-from quincespool.core import keeper_summary
-from quincespool.core import keeper_timers
-from quincespool.core.chat_stream import MalformedReplyError
 from quincespool.core.effects import Count
 from quincespool.core.effects import Log
 from quincespool.core.effects import Observe
@@ -18,9 +14,13 @@
 from quincespool.core.events import ExchangeEnd
 from quincespool.core.events import ExchangeFailed
 from quincespool.core.events import ExchangeHead
-from quincespool.core.keeper_exchange import Reply
-from quincespool.core.keeper_exchange import request_body
-from quincespool.core.keeper_exchange import request_headers
+from quincespool.core.keeper import answers as keeper_answers
+from quincespool.core.keeper import summary as keeper_summary
+from quincespool.core.keeper import timers as keeper_timers
+from quincespool.core.keeper.chat_stream import MalformedReplyError
+from quincespool.core.keeper.exchange import Reply
+from quincespool.core.keeper.exchange import request_body
+from quincespool.core.keeper.exchange import request_headers
 from quincespool.core.messages import DispatchText
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import partition_of
@@ -31,9 +31,9 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.entries import BackendEntry
-    from quincespool.core.keeper_queue import Attempt
-    from quincespool.core.keeper_queue import BackendQueue
-    from quincespool.core.keeper_state import KeeperState
+    from quincespool.core.keeper.queue import Attempt
+    from quincespool.core.keeper.queue import BackendQueue
+    from quincespool.core.keeper.state import KeeperState
     from quincespool.core.messages import DispatchDone
 
 ExchangeEvent = ExchangeHead | ExchangeData | ExchangeEnd | ExchangeFailed
--- a/src/quincespool/core/keeper_state.py
+++ b/src/quincespool/core/keeper/state.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core.cache_audit import AuditState
-from quincespool.core.keeper_order import ProgramOrder
-from quincespool.core.keeper_queue import BackendQueue
-from quincespool.core.keeper_summary import SummaryState
+from quincespool.core.keeper.cache_audit import AuditState
+from quincespool.core.keeper.order import ProgramOrder
+from quincespool.core.keeper.queue import BackendQueue
+from quincespool.core.keeper.summary import SummaryState
 
 if TYPE_CHECKING:
-    from quincespool.core.keeper_queue import Attempt
+    from quincespool.core.keeper.queue import Attempt
     from quincespool.core.messages import DispatchDone
-    from quincespool.core.quarantine import QuarantineView
+    from quincespool.core.quarantine.reducer import QuarantineView
     from quincespool.settings import Settings
 
 REMEMBER_MS = 60_000
--- a/src/quincespool/core/keeper_summary.py
+++ b/src/quincespool/core/keeper/summary.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import keeper_timers
 from quincespool.core.effects import SendMessage
+from quincespool.core.keeper import timers as keeper_timers
 from quincespool.core.messages import BackendSummary
 
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.keeper_state import KeeperState
+    from quincespool.core.keeper.state import KeeperState
 
 SUBSCRIBED_MS = 5000
 INTERVAL_MS = 200
--- a/src/quincespool/core/keeper_suspects.py
+++ b/src/quincespool/core/keeper/suspects.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import keeper_run
-from quincespool.core import keeper_timers
+from quincespool.core.keeper import run as keeper_run
+from quincespool.core.keeper import timers as keeper_timers
 from quincespool.core.reasons import Reason
 
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.keeper_queue import BackendQueue
-    from quincespool.core.keeper_state import KeeperState
+    from quincespool.core.keeper.queue import BackendQueue
+    from quincespool.core.keeper.state import KeeperState
 
 
 def schedule(context: Context) -> None:
--- /dev/null
+++ b/src/quincespool/core/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""Part of the reducer: what the streams of programs say: claims, groups, histories."""
+
+from __future__ import annotations
--- a/src/quincespool/core/checkpoints.py
+++ b/src/quincespool/core/ledger/checkpoints.py
@@ -25,9 +25,9 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.ledger import LedgerState
+    from quincespool.core.ledger.reducer import LedgerState
+    from quincespool.core.ledger.stream_ledger import StreamLedger
     from quincespool.core.records import LedgerEntry
-    from quincespool.core.stream_ledger import StreamLedger
     from quincespool.settings import Settings
 
 PART = "checkpoints"
--- a/src/quincespool/core/ledger.py
+++ b/src/quincespool/core/ledger/reducer.py
@@ -11,7 +11,6 @@
 
 import msgspec
 
-from quincespool.core.checkpoints import CheckpointReader
 from quincespool.core.effects import Count
 from quincespool.core.effects import FollowStream
 from quincespool.core.effects import Log
@@ -24,17 +23,18 @@
 from quincespool.core.events import Started
 from quincespool.core.events import StreamExpired
 from quincespool.core.events import Woken
+from quincespool.core.ledger.checkpoints import CheckpointReader
+from quincespool.core.ledger.stream_ledger import StreamLedger
 from quincespool.core.placement import partition_of
 from quincespool.core.placement import shared_streams
 from quincespool.core.placement import stream_of
-from quincespool.core.stream_ledger import StreamLedger
 
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.program_record import ProgramRecord
-    from quincespool.core.stream_ledger import ClaimState
+    from quincespool.core.ledger.program_record import ProgramRecord
+    from quincespool.core.ledger.stream_ledger import ClaimState
     from quincespool.settings import Settings
 
 NEVER_MS = -(10**12)
--- a/src/quincespool/core/stream_ledger.py
+++ b/src/quincespool/core/ledger/stream_ledger.py
@@ -14,14 +14,14 @@
 
 import msgspec
 
+from quincespool.core.ledger.program_record import OpenIntent
+from quincespool.core.ledger.program_record import ProgramRecord
+from quincespool.core.ledger.program_record import Step
+from quincespool.core.ledger.program_record import StoredAnswer
+from quincespool.core.ledger.program_record import next_chain
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import PARTITION_PREFIX
 from quincespool.core.placement import partition_of
-from quincespool.core.program_record import OpenIntent
-from quincespool.core.program_record import ProgramRecord
-from quincespool.core.program_record import Step
-from quincespool.core.program_record import StoredAnswer
-from quincespool.core.program_record import next_chain
 from quincespool.core.records import Checkpoint
 from quincespool.core.records import Claim
 from quincespool.core.records import Ended
--- a/src/quincespool/core/membership.py
+++ b/src/quincespool/core/membership/reducer.py
@@ -12,17 +12,17 @@
 
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
-from quincespool.core import membership_send as send
-from quincespool.core.membership_probe import Probe
-from quincespool.core.membership_probe import Relay
-from quincespool.core.membership_send import JOIN_CONTACTS
-from quincespool.core.membership_send import PART
-from quincespool.core.membership_send import PROBE_PERIOD_MS
-from quincespool.core.membership_state import MembershipState
-from quincespool.core.membership_table import TELL_GONE_MS
-from quincespool.core.membership_table import MemberState
-from quincespool.core.membership_table import MemberTable
-from quincespool.core.membership_table import address_of
+from quincespool.core.membership import send
+from quincespool.core.membership.probe import Probe
+from quincespool.core.membership.probe import Relay
+from quincespool.core.membership.send import JOIN_CONTACTS
+from quincespool.core.membership.send import PART
+from quincespool.core.membership.send import PROBE_PERIOD_MS
+from quincespool.core.membership.state import MembershipState
+from quincespool.core.membership.table import TELL_GONE_MS
+from quincespool.core.membership.table import MemberState
+from quincespool.core.membership.table import MemberTable
+from quincespool.core.membership.table import address_of
 from quincespool.core.messages import Ack
 from quincespool.core.messages import MembersTold
 from quincespool.core.messages import MemberUpdate
--- a/src/quincespool/core/membership_send.py
+++ b/src/quincespool/core/membership/send.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from quincespool.core import effects as fx
-from quincespool.core.membership_table import MemberState
-from quincespool.core.membership_table import address_of
+from quincespool.core.membership.table import MemberState
+from quincespool.core.membership.table import address_of
 from quincespool.core.messages import MembersTold
 from quincespool.core.messages import Ping
 from quincespool.core.timers import TimerKey
@@ -15,7 +15,7 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.members import Member
-    from quincespool.core.membership_state import MembershipState
+    from quincespool.core.membership.state import MembershipState
     from quincespool.core.messages import MemberUpdate
 
 PART = "membership"
--- a/src/quincespool/core/membership_state.py
+++ b/src/quincespool/core/membership/state.py
@@ -5,16 +5,16 @@
 import random
 from typing import TYPE_CHECKING
 
-from quincespool.core.membership_contacts import Contacts
-from quincespool.core.membership_gossip import GossipQueue
-from quincespool.core.membership_probe import ProbeOrder
-from quincespool.core.membership_table import MemberTable
+from quincespool.core.membership.contacts import Contacts
+from quincespool.core.membership.gossip import GossipQueue
+from quincespool.core.membership.probe import ProbeOrder
+from quincespool.core.membership.table import MemberTable
 from quincespool.core.messages import Ack
 
 if TYPE_CHECKING:
     from quincespool.core.members import Member
-    from quincespool.core.membership_probe import Probe
-    from quincespool.core.membership_probe import Relay
+    from quincespool.core.membership.probe import Probe
+    from quincespool.core.membership.probe import Relay
     from quincespool.core.messages import Datagram
     from quincespool.core.messages import MemberUpdate
 
--- a/src/quincespool/core/outcomes.py
+++ b/src/quincespool/core/outcomes.py
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from quincespool.core.call import Call
     from quincespool.core.call import Usage
-    from quincespool.core.program_record import StoredAnswer
+    from quincespool.core.ledger.program_record import StoredAnswer
     from quincespool.core.reasons import Reason
 
 OK = "ok"
--- /dev/null
+++ b/src/quincespool/core/owner/__init__.py
@@ -0,0 +1,3 @@
+"""Part of the reducer: the programs of the partitions that this daemon holds."""
+
+from __future__ import annotations
--- a/src/quincespool/core/owner_audit.py
+++ b/src/quincespool/core/owner/audit.py
@@ -8,17 +8,17 @@
 
 from quincespool.core.call import Answer
 from quincespool.core.outcomes import parse_outcome_id
-from quincespool.core.owner_env import tell
+from quincespool.core.owner.env import tell
 from quincespool.core.reasons import STATUS
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
+    from quincespool.core.ledger.program_record import ProgramRecord
     from quincespool.core.outcomes import OutcomeId
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_record import ProgramRecord
-    from quincespool.core.program_run import Caller
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import Caller
 
 
 def on_audit(env: OwnerEnv, caller: Caller, text: str) -> Effects:
--- a/src/quincespool/core/budget.py
+++ b/src/quincespool/core/owner/budget.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from quincespool.core.call import Call
-    from quincespool.core.program_record import ProgramRecord
+    from quincespool.core.ledger.program_record import ProgramRecord
 
 SLICE_PARTS = 8
 """A slice is a part of the budget: small, since a takeover counts an open one as spent."""
--- a/src/quincespool/core/owner_checks.py
+++ b/src/quincespool/core/owner/checks.py
@@ -12,7 +12,7 @@
     from quincespool.core.call import Call
     from quincespool.core.context import CatalogueView
     from quincespool.core.context import Context
-    from quincespool.core.program_record import ProgramRecord
+    from quincespool.core.ledger.program_record import ProgramRecord
 
 SOON_MS = 1_000
 
--- a/src/quincespool/core/owner_dispatch.py
+++ b/src/quincespool/core/owner/dispatch.py
@@ -4,21 +4,21 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import owner_finish
-from quincespool.core import owner_permit
 from quincespool.core.call import CallKind
 from quincespool.core.effects import Count
 from quincespool.core.effects import SendMessage
 from quincespool.core.messages import Dispatch
 from quincespool.core.messages import SummaryAsked
-from quincespool.core.owner_env import PART
-from quincespool.core.owner_env import finish_refused
+from quincespool.core.owner import finish as owner_finish
+from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner.env import PART
+from quincespool.core.owner.env import finish_refused
+from quincespool.core.owner.program_run import Phase
+from quincespool.core.owner.retry_budget import backoff_ms
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import desired_holder
 from quincespool.core.placement import stable_hash
-from quincespool.core.program_run import Phase
 from quincespool.core.reasons import Reason
-from quincespool.core.retry_budget import backoff_ms
 from quincespool.core.timers import TimerKey
 from quincespool.policy.protocol import BackendView
 from quincespool.policy.protocol import CallView
@@ -27,8 +27,8 @@
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
     from quincespool.core.messages import KeeperElsewhere
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_run import CallRun
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import CallRun
     from quincespool.policy.protocol import Policy
 
 MAX_TRIES = 4
--- a/src/quincespool/core/owner_env.py
+++ b/src/quincespool/core/owner/env.py
@@ -5,29 +5,29 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core import owner_permit
 from quincespool.core.effects import SendMessage
 from quincespool.core.outcomes import forward
 from quincespool.core.outcomes import refusal
-from quincespool.core.program_run import OwnerRuns
-from quincespool.core.retry_budget import RetryBudget
+from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner.program_run import OwnerRuns
+from quincespool.core.owner.retry_budget import RetryBudget
 from quincespool.core.timers import TimerKey
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
-    from quincespool.core.accounts_state import AccountsState
+    from quincespool.core.accounts.state import AccountsState
     from quincespool.core.call import Answer
     from quincespool.core.call import Call
     from quincespool.core.claims import ClaimsState
     from quincespool.core.commit import CommitState
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.ledger import LedgerState
+    from quincespool.core.ledger.program_record import ProgramRecord
+    from quincespool.core.ledger.reducer import LedgerState
     from quincespool.core.messages import BackendSummary
-    from quincespool.core.program_record import ProgramRecord
-    from quincespool.core.program_run import Caller
-    from quincespool.core.program_run import CallRun
-    from quincespool.core.quarantine import QuarantineState
+    from quincespool.core.owner.program_run import Caller
+    from quincespool.core.owner.program_run import CallRun
+    from quincespool.core.quarantine.reducer import QuarantineState
     from quincespool.core.reasons import Reason
     from quincespool.policy.protocol import Policy
     from quincespool.settings import Settings
--- a/src/quincespool/core/owner_finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -6,28 +6,28 @@
 from typing import Literal
 
 from quincespool.core import commit
-from quincespool.core import owner_dispatch
-from quincespool.core import owner_permit
 from quincespool.core.call import Answer
 from quincespool.core.call import CallKind
 from quincespool.core.call import Usage
 from quincespool.core.effects import Count
 from quincespool.core.effects import Observe
 from quincespool.core.effects import SendMessage
+from quincespool.core.ledger.program_record import next_chain
 from quincespool.core.messages import DispatchCancel
 from quincespool.core.outcomes import OK
 from quincespool.core.outcomes import OutcomeId
 from quincespool.core.outcomes import completion_body
 from quincespool.core.outcomes import encode_body
 from quincespool.core.outcomes import stored_answer
-from quincespool.core.owner_env import PART
-from quincespool.core.owner_env import finish
-from quincespool.core.owner_env import finish_refused
-from quincespool.core.owner_env import refuse
-from quincespool.core.owner_env import tell
-from quincespool.core.owner_env import unused_licence_verdict
-from quincespool.core.program_record import next_chain
-from quincespool.core.program_run import Phase
+from quincespool.core.owner import dispatch as owner_dispatch
+from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner.env import PART
+from quincespool.core.owner.env import finish
+from quincespool.core.owner.env import finish_refused
+from quincespool.core.owner.env import refuse
+from quincespool.core.owner.env import tell
+from quincespool.core.owner.env import unused_licence_verdict
+from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import STATUS
 from quincespool.core.reasons import Reason
 from quincespool.core.timers import TimerKey
@@ -36,8 +36,8 @@
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
     from quincespool.core.messages import DispatchDone
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_run import CallRun
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import Outcome
 
 COME_BACK_MS = 500
--- a/src/quincespool/core/owner_lifecycle.py
+++ b/src/quincespool/core/owner/lifecycle.py
@@ -7,25 +7,25 @@
 import msgspec
 
 from quincespool.core import commit
-from quincespool.core import owner_finish
-from quincespool.core import owner_permit
-from quincespool.core import owner_start
 from quincespool.core.call import Answer
 from quincespool.core.effects import Count
 from quincespool.core.effects import Log
 from quincespool.core.effects import SendMessage
+from quincespool.core.ledger.program_record import next_chain
 from quincespool.core.messages import CacheRelease
 from quincespool.core.messages import DispatchCancel
 from quincespool.core.messages import ProgramsOver
 from quincespool.core.outcomes import OK
 from quincespool.core.outcomes import OutcomeId
-from quincespool.core.owner_dispatch import keeper_of
-from quincespool.core.owner_env import PART
-from quincespool.core.owner_env import finish_refused
-from quincespool.core.owner_env import tell
+from quincespool.core.owner import finish as owner_finish
+from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner import start as owner_start
+from quincespool.core.owner.dispatch import keeper_of
+from quincespool.core.owner.env import PART
+from quincespool.core.owner.env import finish_refused
+from quincespool.core.owner.env import tell
+from quincespool.core.owner.program_run import Phase
 from quincespool.core.placement import PARTITION_PREFIX
-from quincespool.core.program_record import next_chain
-from quincespool.core.program_run import Phase
 from quincespool.core.reasons import STATUS
 from quincespool.core.reasons import Reason
 from quincespool.core.timers import TimerKey
@@ -35,11 +35,11 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import LedgerAdvanced
+    from quincespool.core.ledger.program_record import ProgramRecord
     from quincespool.core.messages import ProgramsAsked
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_record import ProgramRecord
-    from quincespool.core.program_run import Caller
-    from quincespool.core.program_run import CallRun
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import Caller
+    from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import LedgerEntry
 
 REVIEW_MS = 2_000
--- a/src/quincespool/core/owner_permit.py
+++ b/src/quincespool/core/owner/permit.py
@@ -8,15 +8,15 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import accounts
-from quincespool.core.accounts_home import MAX_HOLD_MS
-from quincespool.core.budget import most_tokens
-from quincespool.core.program_run import Phase
+from quincespool.core.accounts import reducer as accounts
+from quincespool.core.accounts.home import MAX_HOLD_MS
+from quincespool.core.owner.budget import most_tokens
+from quincespool.core.owner.program_run import Phase
 
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_run import CallRun
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import CallRun
 
 
 def acquire(env: OwnerEnv, run: CallRun) -> accounts.Acquired:
--- a/src/quincespool/core/program_run.py
+++ b/src/quincespool/core/owner/program_run.py
@@ -7,8 +7,8 @@
 from typing import NamedTuple
 
 if TYPE_CHECKING:
-    from quincespool.core.budget import Spending
     from quincespool.core.call import Call
+    from quincespool.core.owner.budget import Spending
 
 
 class Phase(StrEnum):
--- a/src/quincespool/core/owner.py
+++ b/src/quincespool/core/owner/reducer.py
@@ -9,11 +9,6 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import owner_audit
-from quincespool.core import owner_dispatch
-from quincespool.core import owner_finish
-from quincespool.core import owner_lifecycle
-from quincespool.core import owner_start
 from quincespool.core.call import Call
 from quincespool.core.call import CallKind
 from quincespool.core.claims import yielding
@@ -37,23 +32,28 @@
 from quincespool.core.messages import KeeperElsewhere
 from quincespool.core.messages import ProgramsAsked
 from quincespool.core.outcomes import stored_answer
-from quincespool.core.owner_checks import time_limit_ms
-from quincespool.core.owner_env import PART
-from quincespool.core.owner_env import KnownSummary
-from quincespool.core.owner_env import refuse
-from quincespool.core.owner_env import set_deadline
-from quincespool.core.owner_env import tell
-from quincespool.core.program_run import Caller
-from quincespool.core.program_run import CallRun
-from quincespool.core.program_run import Phase
+from quincespool.core.owner import audit as owner_audit
+from quincespool.core.owner import dispatch as owner_dispatch
+from quincespool.core.owner import finish as owner_finish
+from quincespool.core.owner import lifecycle as owner_lifecycle
+from quincespool.core.owner import start as owner_start
+from quincespool.core.owner.checks import time_limit_ms
+from quincespool.core.owner.env import PART
+from quincespool.core.owner.env import KnownSummary
+from quincespool.core.owner.env import refuse
+from quincespool.core.owner.env import set_deadline
+from quincespool.core.owner.env import tell
+from quincespool.core.owner.program_run import Caller
+from quincespool.core.owner.program_run import CallRun
+from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_record import ProgramRecord
+    from quincespool.core.ledger.program_record import ProgramRecord
+    from quincespool.core.owner.env import OwnerEnv
 
 MAX_WAITING_CALLS = 64
 GAP_LIMIT_MS = 5_000
--- a/src/quincespool/core/owner_start.py
+++ b/src/quincespool/core/owner/start.py
@@ -4,31 +4,31 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core import accounts
 from quincespool.core import commit
-from quincespool.core import owner_dispatch
-from quincespool.core import owner_finish
-from quincespool.core import owner_permit
-from quincespool.core.budget import Spending
-from quincespool.core.budget import missing_tokens
-from quincespool.core.budget import most_tokens
-from quincespool.core.budget import next_slice
+from quincespool.core.accounts import reducer as accounts
 from quincespool.core.effects import Count
 from quincespool.core.outcomes import stored_answer
-from quincespool.core.owner_checks import check_call
-from quincespool.core.owner_checks import is_idempotent
-from quincespool.core.owner_env import finish
-from quincespool.core.owner_env import finish_refused
-from quincespool.core.owner_env import set_deadline
-from quincespool.core.program_run import Phase
+from quincespool.core.owner import dispatch as owner_dispatch
+from quincespool.core.owner import finish as owner_finish
+from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner.budget import Spending
+from quincespool.core.owner.budget import missing_tokens
+from quincespool.core.owner.budget import most_tokens
+from quincespool.core.owner.budget import next_slice
+from quincespool.core.owner.checks import check_call
+from quincespool.core.owner.checks import is_idempotent
+from quincespool.core.owner.env import finish
+from quincespool.core.owner.env import finish_refused
+from quincespool.core.owner.env import set_deadline
+from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import Reason
 
 if TYPE_CHECKING:
     from quincespool.core.effects import Effects
     from quincespool.core.events import AccountDecided
-    from quincespool.core.owner_env import OwnerEnv
-    from quincespool.core.program_record import ProgramRecord
-    from quincespool.core.program_run import CallRun
+    from quincespool.core.ledger.program_record import ProgramRecord
+    from quincespool.core.owner.env import OwnerEnv
+    from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import LedgerEntry
 
 COME_BACK_MS = 500
--- /dev/null
+++ b/src/quincespool/core/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Part of the reducer: requests that crash backend servers."""
+
+from __future__ import annotations
--- a/src/quincespool/core/quarantine_outbox.py
+++ b/src/quincespool/core/quarantine/outbox.py
@@ -10,7 +10,7 @@
 from quincespool.core.effects import AppendRecord
 from quincespool.core.effects import Count
 from quincespool.core.placement import stable_hash
-from quincespool.core.quarantine_log import CheckpointRecord
+from quincespool.core.quarantine.log import CheckpointRecord
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
@@ -18,7 +18,7 @@
     from quincespool.core.effects import Effects
     from quincespool.core.events import AppendDone
     from quincespool.core.events import AppendFailed
-    from quincespool.core.quarantine_log import QuarantineRecord
+    from quincespool.core.quarantine.log import QuarantineRecord
 
 QUARANTINE_STREAM = "quarantine"
 PART = "quarantine"
--- a/src/quincespool/core/quarantine.py
+++ b/src/quincespool/core/quarantine/reducer.py
@@ -1,6 +1,6 @@
 """The quarantine: stops requests that crash backend servers, whoever sends them.
 
-The log decides (`quincespool.core.quarantine_log`); what daemons tell one another by `CrashSeen`
+The log decides (`quincespool.core.quarantine.log`); what daemons tell one another by `CrashSeen`
 counts at once, until the log has it. A fingerprint with one crash is a suspect: it runs on one
 backend server at a time and next to no other suspect. With two it is blocked for good.
 """
@@ -26,14 +26,14 @@
 from quincespool.core.events import TimerFired
 from quincespool.core.messages import CrashSeen
 from quincespool.core.placement import stable_hash
-from quincespool.core.quarantine_log import BLOCKED_CRASHES
-from quincespool.core.quarantine_log import ClearedRecord
-from quincespool.core.quarantine_log import CrashRecord
-from quincespool.core.quarantine_log import QuarantineLog
-from quincespool.core.quarantine_outbox import PART
-from quincespool.core.quarantine_outbox import QUARANTINE_STREAM
-from quincespool.core.quarantine_outbox import RETRY
-from quincespool.core.quarantine_outbox import Outbox
+from quincespool.core.quarantine.log import BLOCKED_CRASHES
+from quincespool.core.quarantine.log import ClearedRecord
+from quincespool.core.quarantine.log import CrashRecord
+from quincespool.core.quarantine.log import QuarantineLog
+from quincespool.core.quarantine.outbox import PART
+from quincespool.core.quarantine.outbox import QUARANTINE_STREAM
+from quincespool.core.quarantine.outbox import RETRY
+from quincespool.core.quarantine.outbox import Outbox
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
@@ -42,7 +42,7 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.quarantine_log import QuarantineRecord
+    from quincespool.core.quarantine.log import QuarantineRecord
     from quincespool.settings import Settings
 
 CHECKPOINT = TimerKey(part=PART, name="checkpoint")
--- a/src/quincespool/core/reducer.py
+++ b/src/quincespool/core/reducer.py
@@ -9,19 +9,12 @@
 from collections import deque
 from typing import TYPE_CHECKING
 
-from quincespool.core import accounts
-from quincespool.core import catalogue
-from quincespool.core import checkpoints
 from quincespool.core import claims
 from quincespool.core import commit
 from quincespool.core import event_routes
 from quincespool.core import frontdoor
-from quincespool.core import keeper
-from quincespool.core import ledger
-from quincespool.core import membership
-from quincespool.core import owner
-from quincespool.core import owner_lifecycle
-from quincespool.core import quarantine
+from quincespool.core.accounts import reducer as accounts
+from quincespool.core.catalogue import reducer as catalogue
 from quincespool.core.context import Context
 from quincespool.core.effects import CloseLinks
 from quincespool.core.effects import Log
@@ -34,9 +27,16 @@
 from quincespool.core.events import Started
 from quincespool.core.events import TimerFired
 from quincespool.core.events import Woken
-from quincespool.core.owner_env import OwnerEnv
-from quincespool.core.owner_env import make_owner
+from quincespool.core.keeper import reducer as keeper
+from quincespool.core.ledger import checkpoints
+from quincespool.core.ledger import reducer as ledger
+from quincespool.core.membership import reducer as membership
+from quincespool.core.owner import lifecycle as owner_lifecycle
+from quincespool.core.owner import reducer as owner
+from quincespool.core.owner.env import OwnerEnv
+from quincespool.core.owner.env import make_owner
 from quincespool.core.placement import BACKEND_PREFIX
+from quincespool.core.quarantine import reducer as quarantine
 from quincespool.core.timers import TimerKey
 from quincespool.core.timers import Timers
 
--- a/tests/bench/test_reducer_slopes.py
+++ b/tests/bench/test_reducer_slopes.py
@@ -14,9 +14,9 @@
 from quincespool.bench.reducer_slopes import fill_streams
 from quincespool.bench.reducer_slopes import measure_size
 from quincespool.bench.size import Size
+from quincespool.core.ledger.stream_ledger import StreamLedger
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import PARTITION_PREFIX
-from quincespool.core.stream_ledger import StreamLedger
 
 SIZE = Size(daemons=15, backends=45, models=3, accounts=5, stream_programs=40)
 
--- a/tests/cli/test_catalogue.py
+++ b/tests/cli/test_catalogue.py
@@ -16,12 +16,12 @@
 from quincespool.cli.errors import CommandError
 from quincespool.cli.log_client import append
 from quincespool.cli.publish import publish_edit
-from quincespool.core.catalogue_checkpoint import CheckpointWrite
+from quincespool.core.catalogue.checkpoint import CheckpointWrite
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from quincespool.core.catalogue_fold import EditRecord
+    from quincespool.core.catalogue.fold import EditRecord
     from tests.cli.conftest import Cli
     from tests.cli.conftest import Result
     from tests.support.standins.log_service import LogService
--- /dev/null
+++ b/tests/core/accounts/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of accounts."""
+
+from __future__ import annotations
--- a/tests/core/test_accounts.py
+++ b/tests/core/accounts/test_accounts.py
@@ -17,12 +17,12 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from quincespool.core import accounts
-from quincespool.core.accounts_extents import Extent
-from quincespool.core.accounts_extents import ExtentFold
-from quincespool.core.accounts_home import FRESH_MS
-from quincespool.core.accounts_home import Home
-from quincespool.core.accounts_home import Limits
+from quincespool.core.accounts import reducer as accounts
+from quincespool.core.accounts.extents import Extent
+from quincespool.core.accounts.extents import ExtentFold
+from quincespool.core.accounts.home import FRESH_MS
+from quincespool.core.accounts.home import Home
+from quincespool.core.accounts.home import Limits
 from quincespool.core.context import CatalogueView
 from quincespool.core.context import ClaimsView
 from quincespool.core.context import Context
--- /dev/null
+++ b/tests/core/catalogue/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of catalogue."""
+
+from __future__ import annotations
--- a/tests/core/test_catalogue.py
+++ b/tests/core/catalogue/test_catalogue.py
@@ -19,9 +19,9 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from quincespool.core import catalogue
-from quincespool.core import catalogue_writer
-from quincespool.core.catalogue_checkpoint import CheckpointWrite
+from quincespool.core.catalogue import reducer as catalogue
+from quincespool.core.catalogue import writer as catalogue_writer
+from quincespool.core.catalogue.checkpoint import CheckpointWrite
 from quincespool.core.context import ClaimsView
 from quincespool.core.context import Context
 from quincespool.core.context import MembersView
@@ -46,7 +46,7 @@
 from quincespool.settings import Settings
 
 if TYPE_CHECKING:
-    from quincespool.core.catalogue import CatalogueState
+    from quincespool.core.catalogue.reducer import CatalogueState
 
 NAMES = ["account/a", "account/b"]
 READ_LIMIT = 3
@@ -198,7 +198,7 @@
 
 def test_a_checkpoint_outlives_the_records(bench: Bench, monkeypatch: pytest.MonkeyPatch) -> None:
     """Symptom: a new host has no catalogue. The accepted records have expired from the log."""
-    monkeypatch.setattr("quincespool.core.catalogue_checkpoint.PART_BYTES", 100)
+    monkeypatch.setattr("quincespool.core.catalogue.checkpoint.PART_BYTES", 100)
     bench.publish("account/a", -1, 5)
     bench.settle(40)
     end = len(bench.log)
--- a/tests/core/test_catalogue_fold.py
+++ b/tests/core/catalogue/test_catalogue_fold.py
@@ -10,11 +10,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from quincespool.core.catalogue import CatalogueFold
-from quincespool.core.catalogue import check_entry
-from quincespool.core.catalogue_fold import MAX_HISTORY
-from quincespool.core.catalogue_fold import CheckpointError
-from quincespool.core.catalogue_fold import EditResult
+from quincespool.core.catalogue.fold import MAX_HISTORY
+from quincespool.core.catalogue.fold import CheckpointError
+from quincespool.core.catalogue.fold import EditResult
+from quincespool.core.catalogue.reducer import CatalogueFold
+from quincespool.core.catalogue.reducer import check_entry
 
 CLASS: dict[str, Any] = {
     "kind": "class",
--- /dev/null
+++ b/tests/core/keeper/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of keeper."""
+
+from __future__ import annotations
--- a/tests/core/keeper_bench.py
+++ b/tests/core/keeper/keeper_bench.py
@@ -9,12 +9,12 @@
 
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
-from quincespool.core import keeper
 from quincespool.core import messages as ms
-from quincespool.core import quarantine
 from quincespool.core.context import CatalogueView
 from quincespool.core.context import Context
+from quincespool.core.keeper import reducer as keeper
 from quincespool.core.members import Member
+from quincespool.core.quarantine import reducer as quarantine
 from quincespool.core.timers import Timers
 from quincespool.settings import Settings
 
--- a/tests/core/test_cache_audit.py
+++ b/tests/core/keeper/test_cache_audit.py
@@ -9,11 +9,11 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core import messages as ms
-from quincespool.core.cache_audit import MAX_PROGRAMS_PER_MESSAGE
-from quincespool.core.cache_audit import MAX_PROGRAMS_PER_PERIOD
+from quincespool.core.keeper.cache_audit import MAX_PROGRAMS_PER_MESSAGE
+from quincespool.core.keeper.cache_audit import MAX_PROGRAMS_PER_PERIOD
 from quincespool.core.placement import partition_of
-from tests.core import keeper_bench as kb
-from tests.core.keeper_bench import Bench
+from tests.core.keeper import keeper_bench as kb
+from tests.core.keeper.keeper_bench import Bench
 
 
 @pytest.fixture
--- a/tests/core/test_chat_stream.py
+++ b/tests/core/keeper/test_chat_stream.py
@@ -10,9 +10,9 @@
 from hypothesis import strategies as st
 
 from quincespool.core.call import Usage
-from quincespool.core.chat_stream import ChatStream
-from quincespool.core.chat_stream import MalformedReplyError
-from tests.core.keeper_bench import CHAT
+from quincespool.core.keeper.chat_stream import ChatStream
+from quincespool.core.keeper.chat_stream import MalformedReplyError
+from tests.core.keeper.keeper_bench import CHAT
 
 TOOL_CALL = (
     b'data: {"choices":[{"delta":{"tool_calls":[{"index":0,"id":"c1",'
--- a/tests/core/test_keeper.py
+++ b/tests/core/keeper/test_keeper.py
@@ -9,8 +9,8 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core import messages as ms
-from tests.core import keeper_bench as kb
-from tests.core.keeper_bench import Bench
+from tests.core.keeper import keeper_bench as kb
+from tests.core.keeper.keeper_bench import Bench
 
 
 @pytest.fixture
--- a/tests/core/test_keeper_order.py
+++ b/tests/core/keeper/test_keeper_order.py
@@ -5,8 +5,8 @@
 import pytest
 
 from quincespool.core import messages as ms
-from tests.core import keeper_bench as kb
-from tests.core.keeper_bench import Bench
+from tests.core.keeper import keeper_bench as kb
+from tests.core.keeper.keeper_bench import Bench
 
 
 @pytest.fixture
--- /dev/null
+++ b/tests/core/ledger/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of ledger."""
+
+from __future__ import annotations
--- a/tests/core/test_stream_ledger.py
+++ b/tests/core/ledger/test_stream_ledger.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from quincespool.core.program_record import next_chain
-from quincespool.core.stream_ledger import FORGET_ENDED_MS
-from quincespool.core.stream_ledger import StreamLedger
+from quincespool.core.ledger.program_record import next_chain
+from quincespool.core.ledger.stream_ledger import FORGET_ENDED_MS
+from quincespool.core.ledger.stream_ledger import StreamLedger
 
 PARTITION = "partition/0"
 
--- /dev/null
+++ b/tests/core/membership/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of membership."""
+
+from __future__ import annotations
--- a/tests/core/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -8,16 +8,16 @@
 import pytest
 
 from quincespool.core import events as ev
-from quincespool.core.membership_contacts import Contacts
-from quincespool.core.membership_table import DISTRUST_MS
+from quincespool.core.membership.contacts import Contacts
+from quincespool.core.membership.table import DISTRUST_MS
 from quincespool.core.messages import Ack
 from quincespool.core.messages import MemberUpdate
 from quincespool.core.messages import Ping
-from tests.core.test_membership_network import Network
+from tests.core.membership.test_membership_network import Network
 
 if TYPE_CHECKING:
-    from quincespool.core.membership_probe import Probe
-    from quincespool.core.membership_state import MembershipState
+    from quincespool.core.membership.probe import Probe
+    from quincespool.core.membership.state import MembershipState
 
 
 @pytest.fixture
--- a/tests/core/test_membership_machine.py
+++ b/tests/core/membership/test_membership_machine.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import invariant
 from hypothesis.stateful import rule
 
-from tests.core.test_membership_network import Network
+from tests.core.membership.test_membership_network import Network
 
 NUMBERS = st.integers(0, 6)
 QUIET_MS = 90_000
--- a/tests/core/test_membership_network.py
+++ b/tests/core/membership/test_membership_network.py
@@ -11,10 +11,10 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core.context import Context
-from quincespool.core.membership import make_membership
-from quincespool.core.membership import reduce
-from quincespool.core.membership import say_left
-from quincespool.core.membership_gossip import update_bytes
+from quincespool.core.membership.gossip import update_bytes
+from quincespool.core.membership.reducer import make_membership
+from quincespool.core.membership.reducer import reduce
+from quincespool.core.membership.reducer import say_left
 from quincespool.core.messages import MembersTold
 from quincespool.core.timers import Timers
 from quincespool.settings import Settings
--- /dev/null
+++ b/tests/core/quarantine/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of quarantine."""
+
+from __future__ import annotations
--- a/tests/core/test_quarantine.py
+++ b/tests/core/quarantine/test_quarantine.py
@@ -7,9 +7,9 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core import messages as ms
-from quincespool.core import quarantine
-from tests.core import keeper_bench as kb
-from tests.core.keeper_bench import Bench
+from quincespool.core.quarantine import reducer as quarantine
+from tests.core.keeper import keeper_bench as kb
+from tests.core.keeper.keeper_bench import Bench
 
 
 class Log:
--- a/tests/core/test_quarantine_log.py
+++ b/tests/core/quarantine/test_quarantine_log.py
@@ -7,11 +7,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from quincespool.core import quarantine_log
-from quincespool.core.quarantine_log import ClearedRecord
-from quincespool.core.quarantine_log import CrashRecord
-from quincespool.core.quarantine_log import QuarantineLog
-from quincespool.core.quarantine_log import QuarantineRecord
+from quincespool.core.quarantine import log as quarantine_log
+from quincespool.core.quarantine.log import ClearedRecord
+from quincespool.core.quarantine.log import CrashRecord
+from quincespool.core.quarantine.log import QuarantineLog
+from quincespool.core.quarantine.log import QuarantineRecord
 
 FINGERPRINTS = st.sampled_from("fgh")
 CRASHES = st.builds(
