Group commit: a steady flow can't put off sending again; a slow log gets less, not more

Cause, both by reading: each submit moved the timer that sends unread groups again, so with calls more often than once a second a lost group held up its daemon for good; and every writer appended all it waited for once a second while read-back was slower than that. Ruled out: the walks had not shown either - their calls pause longer than a second after a loss. Change: the timer is set for the first group that waits; its wait doubles up to 8 s; a group that the committer has at hand is not gathered twice.

--- a/src/quincespool/core/commit.py
+++ b/src/quincespool/core/commit.py
@@ -41,6 +41,7 @@
 PART = "commit"
 RESEND_MS = 1_000
 """A group not read back within this time is appended by its writer itself."""
+MAX_RESEND_DOUBLINGS = 3
 RETRY_MS = 200
 MAX_BATCH_BYTES = 512_000
 MAX_GATHERED_GROUPS = 5_000
@@ -62,6 +63,7 @@
         self.in_flight: list[bytes] = []
         self.next_append_ms = 0
         self.own_until_ms = 0
+        self.resends = 0
 
 
 class CommitState:
@@ -113,7 +115,10 @@
     pending = _Pending(sequence, msgspec.json.encode(group))
     commit.unapplied.append(pending)
     effects = _hand_over(state, context, stream, [pending])
-    _subscribe(context, "resend", stream, context.now_ms + RESEND_MS)
+    if len(commit.unapplied) == 1:
+        # Only for the first one that waits: moved by each that follows, the timer would never come,
+        # and a group lost on its way would hold up all of them for good.
+        _subscribe(context, "resend", stream, context.now_ms + RESEND_MS)
     return sequence, effects
 
 
@@ -123,7 +128,7 @@
         case MessageReceived(sender, CommitGroups() as message):
             return _gather(state, context, sender, message)
         case MessageReceived(_, CommitRefused() as message):
-            return _resend(state, context, message.stream, by_self=True)
+            return _resend(state, context, message.stream)
         case AppendDone() | AppendFailed():
             return _on_append(state, context, event)
         case LedgerAdvanced():
@@ -171,6 +176,8 @@
 
 def _gather(state: CommitState, context: Context, sender: str, message: CommitGroups) -> Effects:
     commit = state.stream(message.stream)
+    if message.group in commit.gathered or message.group in commit.in_flight:
+        return []
     if len(commit.gathered) >= MAX_GATHERED_GROUPS:
         return [SendMessage(sender, CommitRefused(ticket=message.ticket, stream=message.stream))]
     commit.gathered.append(message.group)
@@ -233,6 +240,7 @@
         return []
     while commit.unapplied and commit.unapplied[0].sequence <= event.last_sequence:
         commit.unapplied.popleft()
+        commit.resends = 0
     if not commit.unapplied:
         context.timers.cancel(TimerKey(PART, "resend", event.stream))
     return []
@@ -242,17 +250,17 @@
     effects: Effects = []
     for stream, commit in state.streams.items():
         if commit.unapplied and _committer(state, context, stream) == member_id:
-            effects += _resend(state, context, stream, by_self=True)
+            effects += _resend(state, context, stream)
     return effects
 
 
 def _on_timer(state: CommitState, context: Context, event: TimerFired) -> Effects:
     if event.name == "append":
         return _append(state, context, event.argument)
-    return _resend(state, context, event.argument, by_self=True)
+    return _resend(state, context, event.argument)
 
 
-def _resend(state: CommitState, context: Context, stream: str, *, by_self: bool) -> Effects:
+def _resend(state: CommitState, context: Context, stream: str) -> Effects:
     """Appends everything not read back yet, in order.
 
     A group lost on its way makes the ledger void all later ones of this writer (its sequence has a
@@ -261,9 +269,12 @@
     commit = state.stream(stream)
     if not commit.unapplied:
         return []
-    if by_self:
-        commit.own_until_ms = context.now_ms + 5 * RESEND_MS
-    _subscribe(context, "resend", stream, context.now_ms + RESEND_MS)
+    commit.own_until_ms = context.now_ms + 5 * RESEND_MS
+    # A log that takes longer than the wait would else be given more appends the slower it gets: one
+    # of each writer, every second.
+    wait_ms = RESEND_MS << min(commit.resends, MAX_RESEND_DOUBLINGS)
+    commit.resends += 1
+    _subscribe(context, "resend", stream, context.now_ms + wait_ms)
     own = {pending.group for pending in commit.unapplied}
     foreign = [group for group in commit.gathered if group not in own]
     in_flight = set(commit.in_flight)
