--- a/src/quincespool/core/ledger/reducer.py
+++ b/src/quincespool/core/ledger/reducer.py
@@ -34,7 +34,7 @@
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
     from quincespool.core.ledger.program_record import ProgramRecord
-    from quincespool.core.ledger.stream_ledger import ClaimState
+    from quincespool.core.ledger.state import ClaimState
     from quincespool.settings import Settings
 
 NEVER_MS = -(10**12)
--- a/src/quincespool/core/ledger/stream_ledger.py
+++ b/src/quincespool/core/ledger/stream_ledger.py
@@ -17,55 +17,36 @@
 from quincespool.core.ledger.program_record import OpenIntent
 from quincespool.core.ledger.program_record import ProgramRecord
 from quincespool.core.ledger.program_record import Step
-from quincespool.core.ledger.program_record import StoredAnswer
 from quincespool.core.ledger.program_record import next_chain
+from quincespool.core.ledger.record_reader import convert_entry
+from quincespool.core.ledger.record_reader import decode_groups
+from quincespool.core.ledger.record_reader import stored_answer_of
+from quincespool.core.ledger.state import ClaimState
+from quincespool.core.ledger.state import LedgerState
+from quincespool.core.ledger.state import WriterState
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import PARTITION_PREFIX
 from quincespool.core.placement import partition_of
-from quincespool.core.records import Checkpoint
-from quincespool.core.records import Claim
-from quincespool.core.records import Ended
-from quincespool.core.records import Intent
-from quincespool.core.records import Opened
-from quincespool.core.records import Outcome
-from quincespool.core.records import Slice
-from quincespool.core.records import Yield
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.core.ledger.record_reader import RawGroup
+    from quincespool.core.records import Checkpoint
+    from quincespool.core.records import Claim
+    from quincespool.core.records import Ended
+    from quincespool.core.records import Intent
+    from quincespool.core.records import Opened
+    from quincespool.core.records import Outcome
+    from quincespool.core.records import Slice
+    from quincespool.core.records import Yield
+
 FORGET_ENDED_MS = 3_600_000
 """Ended programs are remembered this long by the stream's own clock, to answer late repeats."""
 
 NO_EPOCH = -1
 
-ENTRY_TYPES: dict[str, type] = {
-    "claim": Claim,
-    "yield": Yield,
-    "opened": Opened,
-    "slice": Slice,
-    "intent": Intent,
-    "outcome": Outcome,
-    "ended": Ended,
-    "checkpoint": Checkpoint,
-}
-
-
-class ClaimState(NamedTuple):
-    """Who holds a resource. A yielded resource keeps its epoch and has no holder."""
-
-    epoch: int
-    holder: str
-    incarnation: int
-
-
-class WriterState(NamedTuple):
-    """The newest incarnation of a writer and its last group that counted."""
-
-    incarnation: int
-    sequence: int
-
 
 class Applied(NamedTuple):
     """What one record changed."""
@@ -75,17 +56,6 @@
     void: int
 
 
-class LedgerState(msgspec.Struct):
-    """The whole state after a prefix; this is what a checkpoint states."""
-
-    next_offset: int = 0
-    clock_ms: int = 0
-    claims: dict[str, ClaimState] = msgspec.field(default_factory=dict)
-    writers: dict[str, WriterState] = msgspec.field(default_factory=dict)
-    programs: dict[str, ProgramRecord] = msgspec.field(default_factory=dict)
-    ended: list[tuple[int, str]] = msgspec.field(default_factory=list)
-
-
 class StreamLedger:
     """Applies the records of one stream in order."""
 
@@ -103,7 +73,7 @@
         self._resources.clear()
         self._programs.clear()
         void = 0
-        for group in _decode_groups(body):
+        for group in decode_groups(body):
             if not self._take_turn(group):
                 void += len(group.entries)
                 continue
@@ -155,7 +125,7 @@
             if not record.ended:
                 self._index(record.program_id)
 
-    def _take_turn(self, group: _Group) -> bool:
+    def _take_turn(self, group: RawGroup) -> bool:
         """Lets a group count only as the next one of its writer's newest incarnation.
 
         Without this, a group sent again after a lost answer would count twice, and one that was
@@ -175,13 +145,13 @@
         self.state.writers[group.writer] = WriterState(incarnation, sequence)
         return True
 
-    def _apply_entry(self, offset: int, group: _Group, entry: dict[str, Any]) -> bool:
-        typed = _convert_entry(entry)
+    def _apply_entry(self, offset: int, group: RawGroup, entry: dict[str, Any]) -> bool:
+        typed = convert_entry(entry)
         if typed is None:
             return False
         return _HANDLERS[typed["kind"]](self, offset, group, typed)
 
-    def _claim(self, offset: int, group: _Group, entry: Claim) -> bool:
+    def _claim(self, offset: int, group: RawGroup, entry: Claim) -> bool:
         resource = entry["resource"]
         if not resource.startswith((PARTITION_PREFIX, BACKEND_PREFIX)):
             return False
@@ -193,7 +163,7 @@
         self._resources.add(resource)
         return True
 
-    def _yield(self, offset: int, group: _Group, entry: Yield) -> bool:
+    def _yield(self, offset: int, group: RawGroup, entry: Yield) -> bool:
         resource = entry["resource"]
         claim = self.state.claims.get(resource)
         if claim is None or claim.epoch != entry["epoch"] or claim.holder != group.writer:
@@ -215,7 +185,7 @@
                 record.slice_tokens = 0
                 record.settled_tokens = 0
 
-    def _opened(self, offset: int, group: _Group, entry: Opened) -> bool:
+    def _opened(self, offset: int, group: RawGroup, entry: Opened) -> bool:
         program_id = entry["program"]
         if not self._in_force(program_id, entry["epoch"], group):
             return False
@@ -243,7 +213,7 @@
         self._note(program_id, Step(offset, "opened", 0, entry["class_name"]))
         return True
 
-    def _slice(self, offset: int, group: _Group, entry: Slice) -> bool:
+    def _slice(self, offset: int, group: RawGroup, entry: Slice) -> bool:
         record = self._live(entry["program"], entry["epoch"], group)
         if record is None or entry["tokens"] <= 0:
             return False
@@ -260,7 +230,7 @@
         self._note(record.program_id, Step(offset, "slice", 0, str(entry["tokens"])))
         return True
 
-    def _intent(self, offset: int, group: _Group, entry: Intent) -> bool:
+    def _intent(self, offset: int, group: RawGroup, entry: Intent) -> bool:
         record = self._live(entry["program"], entry["epoch"], group)
         if record is None or record.intent is not None:
             return False
@@ -277,7 +247,7 @@
         self._note(record.program_id, Step(offset, "intent", entry["call_number"], licensee))
         return True
 
-    def _outcome(self, offset: int, group: _Group, entry: Outcome) -> bool:
+    def _outcome(self, offset: int, group: RawGroup, entry: Outcome) -> bool:
         record = self._live(entry["program"], entry["epoch"], group)
         if record is None or entry["call_number"] != record.last_call + 1:
             return False
@@ -299,7 +269,7 @@
         record.last_epoch = entry["epoch"]
         record.last_at_ms = entry["at_ms"]
         record.chain = expected
-        record.note_answer(_stored(offset, entry))
+        record.note_answer(stored_answer_of(offset, entry))
         self._settle(record, entry)
         self._advance_clock(entry["at_ms"])
         detail = f"{entry['verdict']} {entry['status']} {entry['backend']}".rstrip()
@@ -320,7 +290,7 @@
         if root is not None and root.slice_epoch == entry["epoch"]:
             root.settled_tokens += entry["tokens"]
 
-    def _ended(self, offset: int, group: _Group, entry: Ended) -> bool:
+    def _ended(self, offset: int, group: RawGroup, entry: Ended) -> bool:
         record = self._live(entry["program"], entry["epoch"], group)
         if record is None:
             return False
@@ -337,7 +307,7 @@
             member.shrink()
         return True
 
-    def _checkpoint(self, offset: int, group: _Group, entry: Checkpoint) -> bool:
+    def _checkpoint(self, offset: int, group: RawGroup, entry: Checkpoint) -> bool:
         del offset, group
         if entry["part"] == entry["parts"] - 1:
             self.checkpoint_as_of = max(self.checkpoint_as_of, entry["as_of"])
@@ -354,14 +324,14 @@
     def _close(self, program_id: str) -> None:
         self._open_roots.get(self._partition(program_id), {}).pop(program_id, None)
 
-    def _live(self, program_id: str, epoch: int, group: _Group) -> ProgramRecord | None:
+    def _live(self, program_id: str, epoch: int, group: RawGroup) -> ProgramRecord | None:
         """Returns the record of a program that the group may write to."""
         record = self.state.programs.get(program_id)
         if record is None or record.ended or not self._in_force(program_id, epoch, group):
             return None
         return record
 
-    def _in_force(self, program_id: str, epoch: int, group: _Group) -> bool:
+    def _in_force(self, program_id: str, epoch: int, group: RawGroup) -> bool:
         """Whether the writer holds the program's partition under this epoch, here in the stream.
 
         A holder that was paused past a takeover goes on writing under its old epoch; without this
@@ -406,56 +376,3 @@
     "ended": StreamLedger._ended,
     "checkpoint": StreamLedger._checkpoint,
 }
-
-
-class _Groups(msgspec.Struct):
-    """`Batch` with its entries still unchecked: one bad entry must not void its neighbours."""
-
-    groups: list[_Group]
-
-
-class _Group(msgspec.Struct):
-    writer: str
-    incarnation: int
-    sequence: int
-    entries: list[dict[str, Any]]
-
-
-def _decode_groups(body: bytes) -> list[_Group]:
-    try:
-        return _DECODER.decode(body).groups
-    except msgspec.MsgspecError:
-        return []
-
-
-def _convert_entry(entry: dict[str, Any]) -> Any:
-    """Returns the entry as its `TypedDict`, None if it is malformed."""
-    entry_type = ENTRY_TYPES.get(entry.get("kind", ""))
-    if entry_type is None:
-        return None
-    try:
-        return msgspec.convert(entry, entry_type)
-    except msgspec.ValidationError:
-        return None
-
-
-def _stored(offset: int, entry: Outcome) -> StoredAnswer:
-    return StoredAnswer(
-        call_number=entry["call_number"],
-        fingerprint=entry["fingerprint"],
-        verdict=entry["verdict"],
-        status=entry["status"],
-        reason=entry["reason"],
-        body=entry["body"],
-        encoding=entry["encoding"],
-        content_type=entry["content_type"],
-        tokens=entry["tokens"],
-        backend=entry["backend"],
-        class_version=entry["class_version"],
-        outcome_id=entry["outcome_id"],
-        epoch=entry["epoch"],
-        offset=offset,
-    )
-
-
-_DECODER = msgspec.json.Decoder(_Groups)
