--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -25,6 +25,7 @@
 from quincespool.net.error_bodies import unavailable
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_connection import HttpResponse
+from quincespool.net.listener import Listener
 from quincespool.net.requests import AuditRequest
 from quincespool.net.requests import CallRequest
 from quincespool.net.requests import EndRequest
@@ -89,14 +90,13 @@
         self._connections: set[Connection] = set()
         self._pending: dict[int, _Pending] = {}
         self._request_of: dict[Connection, int] = {}
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(lambda: Connection(self))
         metrics.watch("http_connections", lambda: len(self._connections))
 
     @property
     def port(self) -> int:
         """Where it listens; differs from the settings if they say 0. Only after `start`."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._listener.port
 
     async def start(self) -> None:
         """Listens on the HTTP port.
@@ -104,9 +104,7 @@
         Raises:
           OSError: if the port cannot be had.
         """
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: Connection(self), self._settings.host, self._settings.http_port, backlog=1024
-        )
+        await self._listener.start(self._settings.host, self._settings.http_port)
 
     async def close(self) -> None:
         """Ends what is still on the connections, then stops listening.
@@ -119,8 +117,7 @@
         deadline_s = time.monotonic() + CLOSE_LIMIT_S
         while time.monotonic() < deadline_s and any(c.busy for c in self._connections):
             await asyncio.sleep(0.02)
-        if self._server is not None:
-            self._server.close()
+        self._listener.stop()
         for connection in list(self._connections):
             connection.close_if_idle()
 
--- a/src/quincespool/net/peers.py
+++ b/src/quincespool/net/peers.py
@@ -17,6 +17,7 @@
 from quincespool.net.codec import encode
 from quincespool.net.framing import frame
 from quincespool.net.incoming_link import IncomingLink
+from quincespool.net.listener import Listener
 from quincespool.net.outgoing_link import OutgoingLink
 
 if TYPE_CHECKING:
@@ -59,7 +60,7 @@
         self._outgoing: dict[str, OutgoingLink] = {}
         self._incoming: dict[str, IncomingLink] = {}
         self._unnamed: set[IncomingLink] = set()
-        self._server: asyncio.Server | None = None
+        self._listener = Listener(lambda: IncomingLink(self))
         self._sent_messages = 0
         self._sent_bytes = 0
         self._received_messages = 0
@@ -72,8 +73,7 @@
     @property
     def port(self) -> int:
         """Where it listens; differs from the settings if they say 0. Only after `start`."""
-        assert self._server is not None
-        return int(self._server.sockets[0].getsockname()[1])
+        return self._listener.port
 
     async def start(self) -> None:
         """Listens on the peer port.
@@ -81,9 +81,7 @@
         Raises:
           OSError: if the port cannot be had.
         """
-        self._server = await asyncio.get_running_loop().create_server(
-            lambda: IncomingLink(self), self._settings.host, self._settings.peer_port, backlog=1024
-        )
+        await self._listener.start(self._settings.host, self._settings.peer_port)
 
     async def flush(self) -> None:
         """Waits a moment for what has been sent to leave this process."""
@@ -95,8 +93,7 @@
 
     def close(self) -> None:
         """Stops listening and breaks all links off."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.stop()
         for outgoing in self._outgoing.values():
             outgoing.abort()
         for incoming in [*self._incoming.values(), *self._unnamed]:
--- a/tests/core/accounts/test_account_limits.py
+++ b/tests/core/accounts/test_account_limits.py
@@ -12,10 +12,10 @@
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
 from tests.core.agents import Agent
+from tests.core.samples import abay_catalogue
+from tests.core.samples import model_call
+from tests.core.samples import reorder_call
 from tests.core.world import World
-from tests.core.world import abay_catalogue
-from tests.core.world import model_call
-from tests.core.world import reorder_call
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/core/agents.py
+++ b/tests/core/agents.py
@@ -7,8 +7,8 @@
 
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
-from tests.core.world import model_call
-from tests.core.world import reorder_call
+from tests.core.samples import model_call
+from tests.core.samples import reorder_call
 
 if TYPE_CHECKING:
     from quincespool.core.call import Answer
--- a/tests/core/test_found_faults.py
+++ b/tests/core/test_found_faults.py
@@ -7,10 +7,10 @@
 import pytest
 
 from quincespool.verdict import Verdict
+from tests.core.samples import abay_catalogue
+from tests.core.samples import model_call
+from tests.core.samples import reorder_call
 from tests.core.world import World
-from tests.core.world import abay_catalogue
-from tests.core.world import model_call
-from tests.core.world import reorder_call
 
 
 @pytest.fixture
--- a/tests/core/test_fuzz.py
+++ b/tests/core/test_fuzz.py
@@ -25,8 +25,8 @@
 from quincespool.core import events as ev
 from quincespool.verdict import Verdict
 from tests.core.agents import Agent
+from tests.core.samples import abay_catalogue
 from tests.core.world import World
-from tests.core.world import abay_catalogue
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -17,14 +17,14 @@
 from quincespool.core import effects as fx
 from quincespool.core import events as ev
 from quincespool.core import reducer
-from quincespool.core.call import Call
-from quincespool.core.call import CallKind
 from quincespool.settings import Settings
+from tests.core.log_stand_in import LogService
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from quincespool.core.call import Answer
+    from quincespool.core.call import Call
 
 START_MS = 1_700_000_000_000
 PROMPT_TOKENS = 10
@@ -47,34 +47,6 @@
     at_ms: int
 
 
-class LogService:
-    """Streams with offsets; can be out, and can lose answers after the write."""
-
-    def __init__(self) -> None:
-        self.streams: dict[str, list[bytes]] = {}
-        self.first_kept: dict[str, int] = {}
-        self.out = False
-        self.hides_end = False
-        self.lose_answers = 0
-        self.appends = 0
-
-    def append(self, stream: str, body: bytes) -> int:
-        """Appends a record; returns its offset."""
-        records = self.streams.setdefault(stream, [])
-        records.append(body)
-        self.appends += 1
-        return len(records) - 1
-
-    def expire_old(self) -> None:
-        """Expires what the newest whole checkpoint of each ledger stream stands for."""
-        for stream, records in self.streams.items():
-            for body in reversed(records):
-                as_of = _whole_checkpoint(body)
-                if as_of is not None:
-                    self.first_kept[stream] = as_of
-                    break
-
-
 class Daemon:
     """One reducer with what its shell would keep."""
 
@@ -423,16 +395,6 @@
         return _whole(number, json.dumps(body).encode(), self.service_delay_ms)
 
 
-def _whole_checkpoint(body: bytes) -> int | None:
-    if b'"checkpoint"' not in body:
-        return None
-    for group in json.loads(body).get("groups", []):
-        for entry in group["entries"]:
-            if entry["kind"] == "checkpoint" and entry["parts"] == 1:
-                return int(entry["as_of"])
-    return None
-
-
 def _whole(number: int, body: bytes, delay_ms: int) -> list[tuple[ev.Event, int]]:
     head = ev.ExchangeHead(number, 200, {"content-type": "application/json"})
     return [
@@ -456,78 +418,3 @@
     replies = _whole(number, text.encode(), delay_ms)
     head = ev.ExchangeHead(number, 200, {"content-type": "text/event-stream"})
     return [(head, delay_ms), *replies[1:]]
-
-
-def abay_catalogue() -> dict[str, Any]:
-    """A small deployment: one class, two engines, one service on two backend servers."""
-    entries: dict[str, Any] = {
-        "class/stock": {
-            "kind": "class",
-            "owner": "buyers",
-            "budget_tokens": 10_000,
-            "turn_limit": 50,
-            "program_deadline_ms": 600_000,
-            "call_limit_ms": 20_000,
-            "idle_limit_ms": 120_000,
-            "models": ["stock"],
-            "services": ["inventory"],
-            "accounts": ["abay"],
-            "policy": "least_loaded",
-        },
-        "service/inventory": {
-            "kind": "service",
-            "owner": "warehouse",
-            "non_idempotent": ["/reorder"],
-            "time_limit_ms": 5_000,
-        },
-        "account/abay": {
-            "kind": "account",
-            "owner": "finance",
-            "concurrent_calls": 100,
-            "tokens_per_minute": 1_000_000,
-        },
-    }
-    for number in range(2):
-        for kind, serves in (("model", "stock"), ("service", "inventory")):
-            entries[f"backend/{kind}-{number}"] = {
-                "kind": "backend",
-                "owner": "platform",
-                "address": f"127.0.0.1:{(4000 if kind == 'model' else 5000) + number}",
-                "zone": f"zone-{number}",
-                "backend_kind": kind,
-                "serves": [serves],
-                "slots": 8,
-            }
-    return entries
-
-
-def model_call(program_id: str, number: int, *, text: str = "stock?", **changes: Any) -> Call:
-    """A call to a model."""
-    body = {"model": "stock", "messages": [{"role": "user", "content": text}], "max_tokens": 50}
-    call = Call(
-        program_id=program_id,
-        call_number=number,
-        class_name="stock",
-        account="abay",
-        kind=CallKind.MODEL,
-        target="stock",
-        path="/v1/chat/completions",
-        body=json.dumps(body).encode(),
-        max_tokens=50,
-    )
-    return call._replace(**changes)
-
-
-def reorder_call(program_id: str, number: int, *, text: str = "", **changes: Any) -> Call:
-    """A non-idempotent call to a plain service."""
-    call = Call(
-        program_id=program_id,
-        call_number=number,
-        class_name="stock",
-        account="abay",
-        kind=CallKind.SERVICE,
-        target="inventory",
-        path="/reorder",
-        body=json.dumps({"item": text or f"{program_id}#{number}"}).encode(),
-    )
-    return call._replace(**changes)
