--- a/src/quincespool/core/ledger/stream_ledger.py
+++ b/src/quincespool/core/ledger/stream_ledger.py
@@ -45,6 +45,12 @@
 FORGET_ENDED_MS = 3_600_000
 """Ended programs are remembered this long by the stream's own clock, to answer late repeats."""
 
+KEPT_ENDED = 5_000
+"""So many of the last ones are remembered in any case: for days, at the sizes of today.
+
+A repeat that comes after its program has been forgotten opens a new one, and its order runs again.
+"""
+
 NO_EPOCH = -1
 
 
@@ -360,7 +366,9 @@
         ended = self.state.ended
         if not ended or ended[0][0] >= limit_ms:
             return
-        count = bisect.bisect_left(ended, (limit_ms, ""))
+        count = min(bisect.bisect_left(ended, (limit_ms, "")), len(ended) - KEPT_ENDED)
+        if count <= 0:
+            return
         for _, program_id in ended[:count]:
             self.state.programs.pop(program_id, None)
         del ended[:count]
--- a/tests/core/ledger/test_stream_ledger.py
+++ b/tests/core/ledger/test_stream_ledger.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from quincespool.core.ledger import stream_ledger
 from quincespool.core.ledger.program_record import next_chain
 from quincespool.core.ledger.stream_ledger import FORGET_ENDED_MS
 from quincespool.core.ledger.stream_ledger import StreamLedger
@@ -233,11 +234,23 @@
     assert other.state.next_offset == stream.offset
 
 
-def test_ended_programs_are_remembered_for_a_while(stream: Stream) -> None:
-    stream.write("a", {"kind": "ended", "epoch": 0, "program": "p", "reason": "x", "at_ms": 10})
-    late = opened(0) | {"program": "q", "opened_at_ms": FORGET_ENDED_MS}
-    stream.write("a", late)
-    assert stream.ledger.program("p") is not None
-    later = opened(0) | {"program": "r", "opened_at_ms": FORGET_ENDED_MS + 11}
-    stream.write("a", later)
-    assert stream.ledger.program("p") is None
+def test_ended_programs_are_remembered_for_a_while(
+    stream: Stream, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(stream_ledger, "KEPT_ENDED", 1)
+
+    def end(program: str, at_ms: int) -> None:
+        stream.write("a", opened(0) | {"program": program, "opened_at_ms": at_ms})
+        ended = {"kind": "ended", "epoch": 0, "program": program, "reason": "x", "at_ms": at_ms}
+        stream.write("a", ended)
+
+    def remembered() -> list[str]:
+        return [name for name in ("q", "r", "s") if stream.ledger.program(name) is not None]
+
+    end("q", 10)
+    end("r", FORGET_ENDED_MS + 5)
+    assert remembered() == ["q", "r"], "an hour is not over"
+    end("s", FORGET_ENDED_MS + 20)
+    assert remembered() == ["r", "s"]
+    stream.write("a", opened(0) | {"program": "t", "opened_at_ms": 9 * FORGET_ENDED_MS})
+    assert remembered() == ["s"], "the last one is kept however old"
