The owner's views of backend servers and the end of programs stand apart; suspects meet again

Ruled out: candidates by fingerprint for all calls - the prefix stays with the program. Change: a suspect's backend server is chosen from all that stay; owner/views.py, owner/ending.py.

--- a/src/quincespool/core/owner/dispatch.py
+++ b/src/quincespool/core/owner/dispatch.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core.call import CallKind
 from quincespool.core.effects import Count
 from quincespool.core.effects import SendMessage
 from quincespool.core.messages import Dispatch
@@ -15,13 +14,14 @@
 from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.program_run import Phase
 from quincespool.core.owner.retry_budget import backoff_ms
+from quincespool.core.owner.views import BYTES_PER_TOKEN
+from quincespool.core.owner.views import backend_views
+from quincespool.core.owner.views import call_view
+from quincespool.core.owner.views import stays
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import desired_holder
-from quincespool.core.placement import stable_hash
 from quincespool.core.reasons import Reason
 from quincespool.core.timers import TimerKey
-from quincespool.policy.protocol import BackendView
-from quincespool.policy.protocol import CallView
 from quincespool.policy.registry import make_policy
 
 if TYPE_CHECKING:
@@ -29,13 +29,13 @@
     from quincespool.core.messages import KeeperElsewhere
     from quincespool.core.owner.env import OwnerEnv
     from quincespool.core.owner.program_run import CallRun
+    from quincespool.policy.protocol import BackendView
+    from quincespool.policy.protocol import CallView
     from quincespool.policy.protocol import Policy
 
 MAX_TRIES = 4
-MAX_CANDIDATES = 12
 MAX_KEEPER_SEARCHES = 10
 SUMMARY_ASK_MS = 3_000
-BYTES_PER_TOKEN = 4
 DEFAULT_POLICY = "program_aware"
 
 
@@ -45,9 +45,9 @@
         return dispatch(env, run)
     env.state.retries.note_first_try()
     policy = _policy(env, run.call.class_name)
-    backends = _backend_views(env, run)
+    backends = backend_views(env, run)
     if backends:
-        admission = policy.admit(_call_view(env, run), backends)
+        admission = policy.admit(call_view(env, run), backends)
         if not admission.admitted:
             # With no time to come back, coming back is of no use: it can't finish in time at all.
             reason = Reason.OVERLOAD if admission.retry_after_ms else Reason.DEADLINE
@@ -63,10 +63,10 @@
         return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
     if env.quarantine.blocked(run.call.fingerprint):
         return owner_finish.give_up(env, run, Reason.QUARANTINED, retry_after_ms=0)
-    backends = _backend_views(env, run)
+    backends = backend_views(env, run)
     if not backends:
         return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
-    view = _call_view(env, run)
+    view = call_view(env, run)
     policy = _policy(env, run.call.class_name)
     run.backend = _choose(env, run, policy, view, backends)
     run.keeper = keeper_of(env, run.backend)
@@ -151,7 +151,8 @@
     keepers that don't know of one another's, each could crash a backend server of its own.
     """
     if env.quarantine.suspect(run.call.fingerprint):
-        names = [backend.name for backend in backends]
+        # From all that stay: candidates differ from program to program.
+        names = [n for n in env.context.catalogue.backends_for(run.call.target) if stays(env, n)]
         return env.quarantine.trial_backend(run.call.fingerprint, names)
     return policy.choose(view, backends, now_ms=env.context.now_ms)
 
@@ -167,7 +168,7 @@
         return False
     if env.context.now_ms >= run.deadline_at_ms:
         return False
-    return any(view.name not in run.avoid for view in _backend_views(env, run))
+    return any(view.name not in run.avoid for view in backend_views(env, run))
 
 
 def _superseded(env: OwnerEnv, run: CallRun) -> Effects:
@@ -226,84 +227,6 @@
     return env.state.policies[key]
 
 
-def _backend_views(env: OwnerEnv, run: CallRun) -> list[BackendView]:
-    """Returns the backend servers that may get the call; those that failed it come last."""
-    entries = env.context.catalogue.backends()
-    program = env.state.runs.program(run.call.program_id)
-    names = _candidates(env, run, program.cached_backend)
-    views = []
-    for name in names:
-        known = env.state.summaries.get(name)
-        own = env.state.outstanding.get(name, 0)
-        summary = known.summary if known else None
-        views.append(
-            BackendView(
-                name=name,
-                zone=entries[name]["zone"],
-                slots=entries[name]["slots"],
-                running=max(summary.running if summary else 0, min(own, entries[name]["slots"])),
-                waiting=summary.waiting if summary else max(0, own - entries[name]["slots"]),
-                waiting_tokens=summary.waiting_tokens if summary else 0,
-                reported_running=-1,
-                summary_age_ms=env.context.now_ms - known.received_ms if known else -1,
-                cached_tokens=program.cached_tokens if program.cached_backend == name else 0,
-            )
-        )
-    return views
-
-
-def _candidates(env: OwnerEnv, run: CallRun, cached_backend: str) -> list[str]:
-    """Returns a few backend servers to choose from, the one that holds the prefix among them.
-
-    A model has hundreds of engines at the size to design for; looking at each of them took 5.5 ms a
-    call. Each program sees the same spread-out few, so that its prefix stays among them.
-    """
-    names = env.context.catalogue.backends_for(run.call.target)
-    few = _spread(names, run.call.root_id)
-    if cached_backend and cached_backend not in few and cached_backend in names:
-        few.append(cached_backend)
-    staying = [name for name in few if _stays(env, name)]
-    fit = [name for name in staying if name not in run.avoid]
-    if fit:
-        return fit
-    everywhere = [name for name in names if _stays(env, name)]
-    return [name for name in everywhere if name not in run.avoid] or everywhere
-
-
-def _spread(names: list[str], root_id: str) -> list[str]:
-    if len(names) <= MAX_CANDIDATES:
-        return list(names)
-    first = stable_hash(root_id) % len(names)
-    step = len(names) // MAX_CANDIDATES
-    return [names[(first + number * step) % len(names)] for number in range(MAX_CANDIDATES)]
-
-
-def _stays(env: OwnerEnv, name: str) -> bool:
-    entry = env.context.catalogue.backends()[name]
-    leaving = env.context.members.backend_leaving(entry["address"])
-    return not entry.get("leaving", False) and not leaving
-
-
-def _call_view(env: OwnerEnv, run: CallRun) -> CallView:
-    call = run.call
-    entry = env.context.catalogue.class_entry(call.class_name)
-    root = env.ledger.program(call.root_id)
-    age_ms = env.context.now_ms - root.opened_at_ms if root else 0
-    deadline_ms = entry["program_deadline_ms"] if entry else 0
-    root_run = env.state.runs.program(call.root_id)
-    return CallView(
-        program_id=call.program_id,
-        call_number=call.call_number,
-        prompt_tokens=len(call.body) // BYTES_PER_TOKEN if call.kind == CallKind.MODEL else 0,
-        max_tokens=call.max_tokens,
-        attained_ms=root_run.attained_ms,
-        program_age_ms=age_ms,
-        deadline_left_ms=deadline_ms - age_ms,
-        priority=entry.get("priority", 5) if entry else 5,
-        sub_agent=call.program_id != call.root_id,
-    )
-
-
 def keeper_of(env: OwnerEnv, backend: str) -> str:
     """Returns the daemon to ask for a backend server; empty if there is none."""
     resource = backend_resource(backend)
--- a/src/quincespool/core/owner/reducer.py
+++ b/src/quincespool/core/owner/reducer.py
@@ -34,6 +34,7 @@
 from quincespool.core.outcomes import stored_answer
 from quincespool.core.owner import audit as owner_audit
 from quincespool.core.owner import dispatch as owner_dispatch
+from quincespool.core.owner import ending
 from quincespool.core.owner import finish as owner_finish
 from quincespool.core.owner import lifecycle as owner_lifecycle
 from quincespool.core.owner import start as owner_start
@@ -77,7 +78,7 @@
         case MembersChanged():
             return owner_dispatch.on_members(env)
         case Started():
-            owner_lifecycle.subscribe_review(env.context)
+            ending.subscribe_review(env.context)
             return []
         case CatalogueChanged():
             env.state.policies.clear()
@@ -99,7 +100,7 @@
         case KeeperElsewhere() as message:
             return owner_dispatch.on_elsewhere(env, message)
         case ForwardEnd() as message:
-            return owner_lifecycle.on_end(env, Caller(sender, message.ticket), message.program_id)
+            return ending.on_end(env, Caller(sender, message.ticket), message.program_id)
         case ForwardAudit() as message:
             return owner_audit.on_audit(env, Caller(sender, message.ticket), message.outcome_id)
         case ForwardGone() as message:
@@ -242,7 +243,7 @@
 
 def _on_timer(env: OwnerEnv, event: TimerFired) -> Effects:
     if event.name == "review":
-        return owner_lifecycle.review(env)
+        return ending.review(env)
     program_id, _, number = event.argument.rpartition("#")
     run = env.state.runs.find_call(program_id, int(number))
     if run is None:
