--- a/src/quincespool/core/owner/finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -122,7 +122,8 @@
         case Phase.WAITING:
             return finish_refused(env, run, Reason.CALL_GAP, retry_after_ms=COME_BACK_MS)
         case Phase.PERMIT:
-            return finish_refused(env, run, Reason.RATE, retry_after_ms=COME_BACK_MS)
+            # The account's home has not answered, which says nothing of the account's limit.
+            return finish_refused(env, run, Reason.DEADLINE, retry_after_ms=COME_BACK_MS)
         case Phase.OPENING:
             return _abandon_opening(env, run)
         case Phase.BACKOFF:
