--- a/src/quincespool/core/owner/finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -125,7 +125,8 @@
             # The account's home has not answered, which says nothing of the account's limit.
             return finish_refused(env, run, Reason.DEADLINE, retry_after_ms=COME_BACK_MS)
         case Phase.OPENING:
-            return _abandon_opening(env, run)
+            # An intent on its way may yet count; its withdrawal follows it in sequence.
+            return give_up(env, run, Reason.LOG_OUT, retry_after_ms=COME_BACK_MS)
         case Phase.BACKOFF:
             return give_up(env, run, Reason.DEADLINE, retry_after_ms=run.retry_after_ms)
         case Phase.CLOSING:
@@ -159,22 +160,6 @@
     )
 
 
-def _abandon_opening(env: OwnerEnv, run: CallRun) -> Effects:
-    if not run.licensed:
-        return finish_refused(env, run, Reason.LOG_OUT, retry_after_ms=COME_BACK_MS)
-    effects = refuse(
-        env,
-        run.call,
-        run.callers,
-        Reason.LOG_OUT,
-        retry_after_ms=COME_BACK_MS,
-        verdict=unused_licence_verdict(env, run),
-    )
-    run.callers = []
-    # The intent is on its way and may yet count; the withdrawal follows it in sequence.
-    return effects + _withdraw(env, run)
-
-
 def _ran(env: OwnerEnv, run: CallRun, message: DispatchDone) -> Effects:
     call = run.call
     program = env.state.runs.program(call.program_id)
--- a/tests/support/standins/generation.py
+++ b/tests/support/standins/generation.py
@@ -6,6 +6,8 @@
 from typing import NamedTuple
 from typing import TypedDict
 
+import msgspec
+
 _BYTES_PER_TOKEN = 4
 _DEFAULT_MAX_TOKENS = 64
 _SHORTEST_TOKENS = 8
@@ -19,6 +21,22 @@
     content: str
 
 
+class Resume(msgspec.Struct, frozen=True):
+    """Where to resume a stream: after the text generated so far."""
+
+    text: str
+
+
+class ChatRequest(msgspec.Struct, kw_only=True):
+    """What the engine reads of a chat completion request."""
+
+    model: str
+    messages: list[ChatMessage]
+    stream: bool = False
+    max_tokens: int | None = None
+    resume: Resume = Resume(text="")
+
+
 class Block(NamedTuple):
     """One message as the prefix cache sees it."""
 
@@ -37,6 +55,19 @@
         """The whole answer."""
         return "".join(self.pieces)
 
+    def after(self, text: str) -> Generation | None:
+        """Returns what follows `text`, or None if the answer does not begin with it.
+
+        A token that `text` ends within is generated again and counts; only its rest is given.
+        """
+        if not self.text.startswith(text):
+            return None
+        pieces, skip = [], len(text)
+        for piece in self.pieces:
+            pieces.append(piece[skip:])
+            skip = max(0, skip - len(piece))
+        return self._replace(pieces=[piece for piece in pieces if piece])
+
 
 def block_of(message: ChatMessage) -> Block:
     """Returns the cache block of one message."""
--- a/tests/support/test_model_engine.py
+++ b/tests/support/test_model_engine.py
@@ -14,8 +14,10 @@
 from tests.support.standins.batch import Batch
 from tests.support.standins.batch import BatchSpeed
 from tests.support.standins.batch import Sequence
+from tests.support.standins.generation import Block
 from tests.support.standins.generation import ChatMessage
 from tests.support.standins.generation import Generation
+from tests.support.standins.generation import block_of
 from tests.support.standins.generation import generate
 from tests.support.standins.model_engine import make_model_engine
 from tests.support.standins.weight_store import make_weight_store
@@ -42,6 +44,10 @@
     return int(reply.json()["usage"]["prompt_tokens_details"]["cached_tokens"])
 
 
+def _answer_block(text: str) -> Block:
+    return block_of(ChatMessage(role="assistant", content=text))
+
+
 def _next_prompt(reply: Reply) -> list[ChatMessage]:
     answer = reply.json()["choices"][0]["message"]
     return [*_PROMPT, answer, ChatMessage(role="user", content="And malaria tablets?")]
@@ -85,6 +91,60 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("length", "left_tokens"), [(0, 9), (3, 9), (20, 5), (21, 4), (37, 0)])
+def test_resumed_call_generates_only_the_rest(length: int, left_tokens: int) -> None:
+    answer = generate("p", "1", _PROMPT, None).text
+    text = answer[:length]
+
+    async def scenario() -> None:
+        async with make_model_engine(latency_scale=0) as engine:
+            whole = (await _complete(engine.address, "p", _PROMPT)).json()["usage"]
+            rest = await _complete(engine.address, "p", _PROMPT, resume={"text": text})
+            usage = rest.json()["usage"]
+            assert rest.json()["choices"][0]["message"]["content"] == answer[length:]
+            assert usage["completion_tokens"] == left_tokens
+            text_tokens = _answer_block(text).tokens if text else 0
+            assert usage["prompt_tokens"] == whole["prompt_tokens"] + text_tokens
+            wrong = await _complete(engine.address, "p", _PROMPT, resume={"text": text + "?"})
+            assert wrong.status == 409
+            assert engine.counts()["totals"] == {"finished": 2}
+
+    asyncio.run(scenario())
+
+
+def test_stream_cut_off_is_resumed_from_the_cache() -> None:
+    """A stream ends early: its caller's connection breaks after the first data.
+
+    The engine cancels the call and keeps what it has computed; the caller then sends the call again
+    with the text generated, and nothing is computed twice.
+    """
+    answer = generate("q", "1", _PROMPT, None)
+    texts = ["".join(answer.pieces[:at]) for at in range(1, len(answer.pieces))]
+
+    async def scenario() -> None:
+        def cut_off(_: bytes) -> None:
+            call.cancel()
+
+        async with make_model_engine() as engine:
+            url = (engine.address, "POST", "/v1/chat/completions")
+            headers = {"x-program-id": "q", "x-call-number": "1"}
+            body = msgspec.json.encode({"model": "m", "messages": _PROMPT, "stream": True})
+            call = asyncio.create_task(fetch(*url, headers=headers, body=body, on_data=cut_off))
+            with pytest.raises(asyncio.CancelledError):
+                await call
+            while not engine.counts()["journal"]:
+                await asyncio.sleep(0)
+            exported = await _post(engine.address, "/v1/cache/export", {"program_id": "q"})
+            held = msgspec.convert(exported.json()["blocks"][-1], Block)
+            [text] = [text for text in texts if _answer_block(text) == held]
+            engine.knobs.latency_scale = 0
+            resumed = await _complete(engine.address, "q", _PROMPT, resume={"text": text})
+            assert text + resumed.json()["choices"][0]["message"]["content"] == answer.text
+            assert _cached(resumed) == resumed.json()["usage"]["prompt_tokens"]
+
+    asyncio.run(scenario())
+
+
 def test_least_recently_used_prefix_is_evicted_and_events_have_gaps() -> None:
     async def scenario() -> None:
         async with make_model_engine(
