Requests turned away unread leave an id and no claim; an account that does not answer is no limit

Ruled out: reading the request to be refused, when there is no room for it. Change: ids like @-1~overload~0~-; may_have_run with a time to come back for what is turned away unread (malformed requests are no call and stay not_run); reason account_out. Conclusion: any answer leads to an entry or says that none had a part in it.

--- a/src/quincespool/core/accounts/holder.py
+++ b/src/quincespool/core/accounts/holder.py
@@ -154,7 +154,9 @@
         for ticket, need in list(self.pending.items()):
             if need.give_up_at_ms <= now_ms:
                 del self.pending[ticket]
-                decided.append(AccountDecided(self.account, ticket, False, 0, RETRY_MS))
+                decided.append(
+                    AccountDecided(self.account, ticket, False, 0, RETRY_MS, unanswered=True)
+                )
         return decided
 
     def wants_to_ask(self, now_ms: int) -> bool:
--- a/src/quincespool/core/events.py
+++ b/src/quincespool/core/events.py
@@ -216,7 +216,8 @@
     """Raised by the accounts part: the decision on a ticket that was pending.
 
     If granted, the call must be over by `must_end_by_ms`; else it may be tried again after
-    `retry_after_ms`.
+    `retry_after_ms`. `unanswered` says that the account's home did not answer, so that nothing is
+    known of the account's limit.
     """
 
     account: str
@@ -224,6 +225,7 @@
     granted: bool
     must_end_by_ms: int
     retry_after_ms: int
+    unanswered: bool = False
 
 
 Event = (
--- a/src/quincespool/core/owner/finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -123,7 +123,7 @@
             return finish_refused(env, run, Reason.CALL_GAP, retry_after_ms=COME_BACK_MS)
         case Phase.PERMIT:
             # The account's home has not answered, which says nothing of the account's limit.
-            return finish_refused(env, run, Reason.DEADLINE, retry_after_ms=COME_BACK_MS)
+            return finish_refused(env, run, Reason.ACCOUNT_OUT, retry_after_ms=COME_BACK_MS)
         case Phase.OPENING:
             # An intent on its way may yet count; its withdrawal follows it in sequence.
             return give_up(env, run, Reason.LOG_OUT, retry_after_ms=COME_BACK_MS)
--- a/src/quincespool/core/owner/start.py
+++ b/src/quincespool/core/owner/start.py
@@ -76,16 +76,20 @@
         return []
     if not event.granted:
         run.ticket = ""
-        return _refuse_permit(env, run, event.retry_after_ms)
+        return _refuse_permit(env, run, event.retry_after_ms, unanswered=event.unanswered)
     owner_permit.keep_within(run, event.must_end_by_ms)
     set_deadline(env, run)
     return start(env, run)
 
 
-def _refuse_permit(env: OwnerEnv, run: CallRun, retry_after_ms: int) -> Effects:
+def _refuse_permit(
+    env: OwnerEnv, run: CallRun, retry_after_ms: int, *, unanswered: bool = False
+) -> Effects:
     refused = Count("owner_permits_total", labels=(("how", "refused"),))
     known = env.context.catalogue.account_entry(run.call.account) is not None
     reason = Reason.RATE if known else Reason.NOT_ALLOWED
+    if unanswered:
+        reason = Reason.ACCOUNT_OUT
     return [refused, *finish_refused(env, run, reason, retry_after_ms=retry_after_ms)]
 
 
--- a/src/quincespool/core/reasons.py
+++ b/src/quincespool/core/reasons.py
@@ -31,6 +31,7 @@
     NOT_READY = "not_ready"
     UNKNOWN_PROGRAM = "unknown_program"
     ANSWER_NOT_KEPT = "answer_not_kept"
+    ACCOUNT_OUT = "account_out"
 
 
 STATUS: dict[Reason, int] = {
@@ -57,4 +58,5 @@
     Reason.NOT_READY: 503,
     Reason.UNKNOWN_PROGRAM: 404,
     Reason.ANSWER_NOT_KEPT: 410,
+    Reason.ACCOUNT_OUT: 503,
 }
--- a/src/quincespool/net/error_bodies.py
+++ b/src/quincespool/net/error_bodies.py
@@ -7,12 +7,16 @@
 import msgspec
 
 from quincespool.core.call import Answer
+from quincespool.core.outcomes import OutcomeId
 from quincespool.core.reasons import Reason
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
     from quincespool.net.requests import RequestError
 
+NO_PROGRAM = "-"
+"""Stands for the program in the outcome id of a request that was not read as a call."""
+
 _MESSAGES: dict[str, str] = {
     Reason.UNKNOWN_CLASS: "the catalogue has no such class",
     Reason.NOT_ALLOWED: "the class does not allow this model, service or account",
@@ -36,6 +40,7 @@
     Reason.MALFORMED: "the request is malformed",
     Reason.UNKNOWN_PROGRAM: "no such program is known here",
     Reason.ANSWER_NOT_KEPT: "the answer to this call is not kept any more",
+    Reason.ACCOUNT_OUT: "the account's permits cannot be had at present",
     Reason.NOT_READY: "this daemon has not read the log yet",
 }
 
@@ -54,22 +59,37 @@
 
 def refusal(error: RequestError) -> Answer:
     """Returns the answer to a request that is refused as such."""
-    answer = Answer(status=error.status, body=b"", verdict=Verdict.NOT_RUN, reason=Reason.MALFORMED)
+    answer = Answer(
+        status=error.status,
+        body=b"",
+        verdict=Verdict.NOT_RUN,
+        outcome_id=_outcome_id(Reason.MALFORMED),
+        reason=Reason.MALFORMED,
+    )
     return answer._replace(body=error_body(answer, error.message))
 
 
 def unavailable(reason: Reason, *, retry_after_ms: int) -> Answer:
-    """Returns the answer to a request that the shell itself turns away; it was not run."""
+    """Returns the answer to a request that the shell itself turns away, unread.
+
+    It did not run, but it may be the repeat of a call that did: "not run" would speak for that too.
+    """
     answer = Answer(
         status=503,
         body=b"",
-        verdict=Verdict.NOT_RUN,
+        verdict=Verdict.MAY_HAVE_RUN,
+        outcome_id=_outcome_id(reason),
         retry_after_ms=retry_after_ms,
         reason=reason,
     )
     return answer._replace(body=error_body(answer))
 
 
+def _outcome_id(reason: Reason) -> str:
+    """Returns the id of a refusal that no catalogue entry had a part in."""
+    return str(OutcomeId("", -1, reason, call_number=0, program_id=NO_PROGRAM))
+
+
 def answer_headers(answer: Answer) -> list[tuple[str, str]]:
     """Returns the headers that tell the caller the verdict and when to come back."""
     headers = [("content-type", answer.content_type), ("x-verdict", str(answer.verdict))]
--- a/tests/core/test_reducer.py
+++ b/tests/core/test_reducer.py
@@ -73,3 +73,9 @@
     assert answer is not None
     found: dict[str, Any] = json.loads(answer.body)
     return found
+
+
+def test_request_that_no_entry_had_a_part_in_audits_too(world: World) -> None:
+    found = _audit(world, "@-1~malformed~0~-")
+    assert (found["reason"], found["recorded"]) == ("malformed", False)
+    assert found["entry"]["owner"] == ""
