--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -65,7 +65,9 @@
     "quarantine_cleared_total": MetricSpec("counter", "Requests taken out of quarantine."),
     "quarantine_append_retries_total": MetricSpec("counter", "Appends to the quarantine again."),
     "catalogue_edits_total": MetricSpec("counter", "Edits of the catalogue, by verdict."),
-    "catalogue_lag_ms": MetricSpec("histogram", "Time since the catalogue was last read to its end."),
+    "catalogue_lag_ms": MetricSpec(
+        "histogram", "Time since the catalogue was last read to its end."
+    ),
     "catalogue_adopted_total": MetricSpec("counter", "Catalogues taken over from other daemons."),
     "catalogue_checkpoints_total": MetricSpec("counter", "Checkpoints of the catalogue written."),
     "accounts_extents_total": MetricSpec("counter", "Shares of account limits written."),
