--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -15,7 +15,8 @@
 @pytest.fixture(scope="session")
 def running(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Deployment]:
     """A deployment that all tests share; each uses programs of its own."""
-    deployment = Deployment(tmp_path_factory.mktemp("deployment"))
+    settings: dict[str, object] = {"checkpoint_every_ms": 2_000}
+    deployment = Deployment(tmp_path_factory.mktemp("deployment"), settings=settings)
     with deployment.cluster:
         deployment.start()
         yield deployment
