One time to come back for the owner's modules

Cause: the last reading found the same constant in five modules of one part. Ruled out: sharing it with the front door, whose callers come back after another time. Change: it stands in owner/env.py. The whole suite was not run again on this commit. Conclusion: no behaviour changed.

--- a/src/quincespool/core/owner/ending.py
+++ b/src/quincespool/core/owner/ending.py
@@ -14,6 +14,7 @@
 from quincespool.core.outcomes import OutcomeId
 from quincespool.core.owner import finish as owner_finish
 from quincespool.core.owner.dispatch import keeper_of
+from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import PART
 from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import tell
@@ -33,7 +34,6 @@
 
 REVIEW_MS = 2_000
 """How often programs are looked through for those that are idle or too old."""
-COME_BACK_MS = 500
 
 
 def subscribe_review(context: Context) -> None:
--- a/src/quincespool/core/owner/env.py
+++ b/src/quincespool/core/owner/env.py
@@ -33,6 +33,8 @@
     from quincespool.settings import Settings
 
 PART = "owner"
+COME_BACK_MS = 500
+"""When a caller is told to come back, unless something else says when."""
 
 
 class KnownSummary(NamedTuple):
--- a/src/quincespool/core/owner/finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -21,6 +21,7 @@
 from quincespool.core.outcomes import stored_answer
 from quincespool.core.owner import dispatch as owner_dispatch
 from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import PART
 from quincespool.core.owner.env import finish
 from quincespool.core.owner.env import finish_refused
@@ -40,8 +41,6 @@
     from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import Outcome
 
-COME_BACK_MS = 500
-
 
 def on_done(env: OwnerEnv, message: DispatchDone) -> Effects:
     """Handles the end of an attempt. One that was given up belongs to nobody any more."""
--- a/src/quincespool/core/owner/lifecycle.py
+++ b/src/quincespool/core/owner/lifecycle.py
@@ -16,6 +16,7 @@
 from quincespool.core.owner import finish as owner_finish
 from quincespool.core.owner import permit as owner_permit
 from quincespool.core.owner import start as owner_start
+from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import tell
 from quincespool.core.owner.program_run import Phase
@@ -33,8 +34,6 @@
     from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import LedgerEntry
 
-COME_BACK_MS = 500
-
 
 def on_advance(env: OwnerEnv, event: LedgerAdvanced) -> Effects:
     """Goes on with what waited for the stream to be read this far."""
--- a/src/quincespool/core/owner/reducer.py
+++ b/src/quincespool/core/owner/reducer.py
@@ -39,6 +39,7 @@
 from quincespool.core.owner import lifecycle as owner_lifecycle
 from quincespool.core.owner import start as owner_start
 from quincespool.core.owner.checks import time_limit_ms
+from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import PART
 from quincespool.core.owner.env import KnownSummary
 from quincespool.core.owner.env import refuse
@@ -59,7 +60,6 @@
 MAX_WAITING_CALLS = 64
 GAP_LIMIT_MS = 5_000
 """How long a call waits for the one before it to arrive."""
-COME_BACK_MS = 500
 
 
 def reduce(env: OwnerEnv, event: Event) -> Effects:
--- a/src/quincespool/core/owner/start.py
+++ b/src/quincespool/core/owner/start.py
@@ -17,6 +17,7 @@
 from quincespool.core.owner.budget import next_slice
 from quincespool.core.owner.checks import check_call
 from quincespool.core.owner.checks import is_idempotent
+from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import finish
 from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import set_deadline
@@ -31,8 +32,6 @@
     from quincespool.core.owner.program_run import CallRun
     from quincespool.core.records import LedgerEntry
 
-COME_BACK_MS = 500
-
 
 def start(env: OwnerEnv, run: CallRun) -> Effects:
     """Starts a call whose turn it is."""
