--- /dev/null
+++ b/src/quincespool/cli/gateway.py
@@ -0,0 +1,40 @@
+"""`quincespool gateway`: runs a gateway daemon on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from pathlib import Path
+
+from quincespool.cli.command import command
+from quincespool.cli.errors import usage_error
+from quincespool.gateway.settings import load_gateway_settings
+from quincespool.settings import SettingsError
+
+SETTINGS_VARIABLE = "QUINCESPOOL_NODE_FILE"
+
+
+@command("settings")
+def gateway(settings: str = "") -> int:
+    """Runs a gateway daemon until SIGTERM.
+
+    Logs JSON lines on standard output. Exits with 0 after a planned stop.
+
+    Examples:
+      quincespool gateway settings.json
+
+    Args:
+      settings: Path of the settings file; from QUINCESPOOL_NODE_FILE if not given.
+    """
+    path = settings or os.environ.get(SETTINGS_VARIABLE, "")
+    if not path:
+        raise usage_error(f"no settings: name a file or set {SETTINGS_VARIABLE}")
+    try:
+        loaded = load_gateway_settings(Path(path))
+    except SettingsError as error:
+        raise usage_error(str(error)) from error
+    # Imported here, so that the commands that only ask a daemon don't load the whole of it.
+    from quincespool.platform.serve import serve  # noqa: PLC0415
+
+    asyncio.run(serve(loaded))
+    return 0
--- a/src/quincespool/cli/main.py
+++ b/src/quincespool/cli/main.py
@@ -20,6 +20,7 @@
 from quincespool.cli.dump import dump
 from quincespool.cli.end import end
 from quincespool.cli.errors import CommandError
+from quincespool.cli.gateway import gateway
 from quincespool.cli.output import print_error
 from quincespool.cli.serve import serve
 from quincespool.cli.where import where
@@ -45,6 +46,7 @@
 
     catalogue = CatalogueCommands()
     serve = staticmethod(serve)
+    gateway = staticmethod(gateway)
     check = staticmethod(check)
     where = staticmethod(where)
     dump = staticmethod(dump)
--- /dev/null
+++ b/src/quincespool/gateway/attempt.py
@@ -0,0 +1,221 @@
+"""One attempt at one backend server, and how it is accounted for."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from quincespool.gateway.exchange import Broken
+from quincespool.gateway.exchange import ConnectError
+from quincespool.gateway.exchange import End
+from quincespool.gateway.exchange import Head
+from quincespool.gateway.exchange import Piece
+
+if TYPE_CHECKING:
+    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.exchange import BackendConnection
+    from quincespool.gateway.exchange import ExchangeEvent
+    from quincespool.gateway.model import BackendEntry
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Headers
+    from quincespool.gateway.pool import ConnectionPool
+    from quincespool.gateway.wire import AnswerHead
+    from quincespool.gateway.wire import Wire
+    from quincespool.net.metrics import Metrics
+
+MAX_ANSWER_BYTES = 16_000_000
+
+
+class NotRun(NamedTuple):
+    """The call has not run at this backend server and never will.
+
+    Attributes:
+      sent: Whether it reached the backend server, which refused it.
+    """
+
+    reason: str
+    sent: bool
+
+
+class Lost(NamedTuple):
+    """The call may have run; there will be no answer.
+
+    Attributes:
+      crashed: Whether the backend server ended or reset the connection before it answered.
+    """
+
+    reason: str
+    crashed: bool
+
+
+class Whole(NamedTuple):
+    """The backend server's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Services(NamedTuple):
+    """What attempts share."""
+
+    backends: Backends
+    pool: ConnectionPool
+    wire: Wire
+    log: DecisionLog
+    metrics: Metrics
+
+
+def now_ms() -> int:
+    """Returns the steady clock."""
+    return int(asyncio.get_running_loop().time() * 1000)
+
+
+class Attempt:
+    """A call on its way to one backend server. Use as an asynchronous context manager.
+
+    Attributes:
+      entry: The backend server.
+    """
+
+    def __init__(self, services: Services, entry: BackendEntry, call: Call) -> None:
+        self.entry = entry
+        self._services = services
+        self._call = call
+        self._connection: BackendConnection | None = None
+        self._idle_s: float | None = None
+        self._started_ms = now_ms()
+        self._settled = False
+
+    async def __aenter__(self) -> Attempt:
+        self._services.backends.started(self.entry.backend_id)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        self._services.backends.finished(self.entry.backend_id)
+        if self._connection is None:
+            return
+        if self._settled:
+            self._services.pool.give_back(self.entry, self._connection, self._idle_s)
+        else:
+            # Closing is what tells the backend server to stop working on the call.
+            self._connection.close()
+
+    async def send(self, body: bytes, headers: Headers) -> NotRun | None:
+        """Connects and sends; returns why that did not happen, if so."""
+        services, entry = self._services, self.entry
+        try:
+            self._connection = await services.pool.take(entry)
+            self._connection.send(
+                self._call.method, self._call.target, headers, body, is_mine=self._is_mine
+            )
+        except ConnectError as error:
+            ejected = services.backends.failed(entry.backend_id, now_ms(), unreachable=True)
+            services.pool.drop(entry.backend_id)
+            services.log.write(
+                "backend unreachable",
+                call_id=self._call.call_id,
+                backend_id=entry.backend_id,
+                detail=str(error),
+                ejected=ejected,
+            )
+            services.metrics.count("gateway_attempts_total", outcome="unreachable")
+            return NotRun("backend_unreachable", sent=False)
+        return None
+
+    async def next_event(self) -> ExchangeEvent:
+        """Returns what comes next of the answer."""
+        assert self._connection is not None
+        return await self._connection.next_event()
+
+    async def head(self) -> AnswerHead | NotRun | Lost:
+        """Returns the head of the answer, or why there is none that counts."""
+        event = await self.next_event()
+        if isinstance(event, Broken):
+            return self._lose(event)
+        assert isinstance(event, Head)
+        head = self._services.wire.read_answer_head(event.status, event.headers)
+        self._idle_s = head.idle_s
+        if head.not_run:
+            await self._drain()
+            return self._refused(head.status)
+        if head.status < 300 and not head.stamped:
+            # Whatever answers without the receipt is not the backend server of the call, or broken.
+            return self._lose(Broken(f"status {head.status} without receipt", closed=False))
+        return head
+
+    async def body(self) -> bytes | Lost:
+        """Returns the rest of the answer's body."""
+        pieces: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = await self.next_event()
+            if isinstance(event, End):
+                return b"".join(pieces)
+            if isinstance(event, Broken):
+                return self._lose(event)
+            if isinstance(event, Piece):
+                pieces.append(event.data)
+                size_bytes += len(event.data)
+            if size_bytes > MAX_ANSWER_BYTES:
+                return self._lose(Broken("the answer is too large", closed=False))
+
+    def settle(self, *, sound: bool, latency_ms: float | None = None) -> None:
+        """The answer is whole: the connection may be used again.
+
+        Args:
+          sound: Whether the answer speaks for the backend server.
+          latency_ms: Counts for its latency; from the start of the attempt if not given.
+        """
+        self._settled = True
+        backend_id = self.entry.backend_id
+        if sound:
+            took_ms = now_ms() - self._started_ms if latency_ms is None else latency_ms
+            self._services.backends.succeeded(backend_id, took_ms)
+        else:
+            self._services.backends.failed(backend_id, now_ms())
+        self._services.metrics.count("gateway_attempts_total", outcome="answered")
+
+    def timed_out(self) -> Lost:
+        """Takes note that no answer came in time."""
+        return self._lose(Broken("no answer in time", closed=False))
+
+    def _is_mine(self, headers: Headers) -> bool:
+        answered = self._services.wire.read_answer_head(0, headers).call_id
+        return not answered or answered == self._call.call_id
+
+    def _refused(self, status: int) -> NotRun:
+        self._settled = True
+        self._services.metrics.count("gateway_attempts_total", outcome="refused")
+        self._services.log.write(
+            "backend refused",
+            call_id=self._call.call_id,
+            backend_id=self.entry.backend_id,
+            status=status,
+            load=self._services.backends.load(self.entry.backend_id, now_ms()),
+        )
+        if status == 421:
+            # Another backend server has the address: this one has gone without a word.
+            self._services.backends.failed(self.entry.backend_id, now_ms(), unreachable=True)
+            return NotRun("backend_replaced", sent=True)
+        return NotRun("backend_full", sent=True)
+
+    async def _drain(self) -> None:
+        while not isinstance(await self.next_event(), End | Broken):
+            pass
+
+    def _lose(self, event: Broken) -> Lost:
+        services, entry = self._services, self.entry
+        ejected = services.backends.failed(entry.backend_id, now_ms())
+        services.metrics.count("gateway_attempts_total", outcome="lost")
+        services.log.write(
+            "answer lost",
+            call_id=self._call.call_id,
+            backend_id=entry.backend_id,
+            detail=event.detail,
+            after_ms=now_ms() - self._started_ms,
+            ejected=ejected,
+        )
+        return Lost(event.detail, crashed=event.closed)
--- /dev/null
+++ b/src/quincespool/gateway/backends.py
@@ -0,0 +1,202 @@
+"""Which backend servers there are, how busy and how sound each one is, and which one to take."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from quincespool.gateway.model import BackendEntry
+
+# Loads that another daemon told longer ago say nothing of now: calls last some 100 ms.
+LOAD_VALID_MS = 1_500
+# An entry that lapses while the store is away is back within two seconds of its return.
+LAPSE_GRACE_MS = 2_200
+# First pause after a failure that may be the backend server's; doubles with each further one.
+FIRST_EJECTION_MS = 500
+MAX_EJECTION_MS = 4_000
+# Failures in a row after which a backend server is passed over. One broken answer in fifty is
+# usual on a bad day, two in a row from a sound backend server are not.
+FAILURES_TO_EJECT = 2
+# At most this part of a service is passed over at once: with more, the fault is likely our own link.
+MAX_EJECTED_SHARE = 0.5
+# Part of its slots by which a backend server of the own zone may be busier and is still preferred:
+# traffic between zones is paid for and takes longer, but waiting for a slot takes longer still.
+OTHER_ZONE_LOAD = 0.1
+# How much busier, in parts of its slots, an engine that holds a program's cache may be than the
+# least busy one. Reading a history again takes about as long as waiting for a third of a batch.
+AFFINITY_SLACK = 0.34
+# Weight of the newest measurement in the moving average of latencies.
+LATENCY_WEIGHT = 0.2
+
+
+class _Health(NamedTuple):
+    failures: int
+    ejected_until_ms: int
+
+
+class _PeerLoads(NamedTuple):
+    told_ms: int
+    in_flight: dict[str, int]
+
+
+class Backends:
+    """The backend servers known to one daemon.
+
+    Attributes:
+      entries: By id; those that may still be used.
+      in_flight: Own calls under way, by id.
+    """
+
+    def __init__(self, *, zone: str, seed: int) -> None:
+        self.entries: dict[str, BackendEntry] = {}
+        self.in_flight: dict[str, int] = {}
+        self._zone = zone
+        self._random = random.Random(seed)
+        self._lapsing: dict[str, int] = {}
+        self._health: dict[str, _Health] = {}
+        self._peer_loads: dict[str, _PeerLoads] = {}
+        self._latency_ms: dict[str, float] = {}
+
+    def put(self, entry: BackendEntry) -> bool:
+        """Takes an entry in; returns whether anything but its age changed."""
+        self._lapsing.pop(entry.backend_id, None)
+        known = self.entries.get(entry.backend_id)
+        self.entries[entry.backend_id] = entry
+        return known is None or known.leaving != entry.leaving or known.address != entry.address
+
+    def remove(self, backend_id: str, *, now_ms: int, store_shaky: bool) -> None:
+        """Takes note that an entry is gone.
+
+        Args:
+          backend_id: Whose.
+          now_ms: Steady clock.
+          store_shaky: Whether the store was away a moment ago, so that the entry may have lapsed
+            although the backend server lives; it is then kept until it should be back.
+        """
+        if backend_id not in self.entries:
+            return
+        if store_shaky:
+            self._lapsing.setdefault(backend_id, now_ms + LAPSE_GRACE_MS)
+            return
+        self._forget(backend_id)
+
+    def retain(self, backend_ids: Iterable[str], *, now_ms: int, store_shaky: bool) -> None:
+        """Removes all entries but these, after a listing of all."""
+        kept = set(backend_ids)
+        for backend_id in [one for one in self.entries if one not in kept]:
+            self.remove(backend_id, now_ms=now_ms, store_shaky=store_shaky)
+
+    def expire(self, now_ms: int) -> list[str]:
+        """Forgets entries that are still missing after their grace; returns their ids."""
+        over = [one for one, until_ms in self._lapsing.items() if until_ms <= now_ms]
+        for backend_id in over:
+            self._forget(backend_id)
+        return over
+
+    def started(self, backend_id: str) -> None:
+        """Counts a call that is being sent."""
+        self.in_flight[backend_id] = self.in_flight.get(backend_id, 0) + 1
+
+    def finished(self, backend_id: str) -> None:
+        """Counts a call that is over."""
+        left = self.in_flight.get(backend_id, 0) - 1
+        if left > 0:
+            self.in_flight[backend_id] = left
+        else:
+            self.in_flight.pop(backend_id, None)
+
+    def succeeded(self, backend_id: str, latency_ms: float) -> None:
+        """Takes note of a sound answer and how long it took."""
+        self._health.pop(backend_id, None)
+        known = self._latency_ms.get(backend_id, latency_ms)
+        self._latency_ms[backend_id] = known + LATENCY_WEIGHT * (latency_ms - known)
+
+    def failed(self, backend_id: str, now_ms: int, *, unreachable: bool = False) -> bool:
+        """Takes note of a failure; returns whether the backend server is ejected for it."""
+        known = self._health.get(backend_id)
+        failures = (known.failures if known is not None else 0) + 1
+        if failures < FAILURES_TO_EJECT and not unreachable:
+            self._health[backend_id] = _Health(failures, 0)
+            return False
+        doublings = max(0, failures - FAILURES_TO_EJECT)
+        pause_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS << min(doublings, 8))
+        self._health[backend_id] = _Health(failures, now_ms + pause_ms)
+        return True
+
+    def hear_loads(self, member_id: str, in_flight: dict[str, int], now_ms: int) -> None:
+        """Takes note of another daemon's calls under way."""
+        self._peer_loads[member_id] = _PeerLoads(now_ms, in_flight)
+
+    def load(self, backend_id: str, now_ms: int) -> int:
+        """Returns the calls under way at a backend server, as far as known."""
+        others = sum(
+            loads.in_flight.get(backend_id, 0)
+            for loads in self._peer_loads.values()
+            if now_ms - loads.told_ms < LOAD_VALID_MS
+        )
+        return self.in_flight.get(backend_id, 0) + others
+
+    def choose(
+        self,
+        service: str,
+        *,
+        now_ms: int,
+        exclude: frozenset[str] = frozenset(),
+        prefer: str = "",
+    ) -> BackendEntry | None:
+        """Returns the backend server to send a call to, None if there is none.
+
+        Args:
+          service: Whose backend servers.
+          now_ms: Steady clock.
+          exclude: Those that this call was sent to already.
+          prefer: The one that holds what the call would have to read again.
+        """
+        candidates = [
+            entry
+            for entry in self.entries.values()
+            if entry.service == service and not entry.leaving and entry.backend_id not in exclude
+        ]
+        if not candidates:
+            return None
+        sound = [e for e in candidates if not self._is_ejected(e.backend_id, now_ms)]
+        if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
+            sound = candidates
+        best = min(sound, key=lambda entry: self._cost(entry, now_ms))
+        preferred = self.entries.get(prefer)
+        if preferred in sound and preferred is not None:
+            extra = self._busy(preferred, now_ms) - self._busy(best, now_ms)
+            return preferred if extra <= AFFINITY_SLACK else best
+        return best
+
+    def room(self, service: str, now_ms: int) -> int:
+        """Returns how many more calls the service could run at once, as far as known."""
+        return sum(
+            max(0, entry.slots - self.load(entry.backend_id, now_ms))
+            for entry in self.entries.values()
+            if entry.service == service and not entry.leaving
+        )
+
+    def _cost(self, entry: BackendEntry, now_ms: int) -> float:
+        busy = self._busy(entry, now_ms)
+        far = OTHER_ZONE_LOAD if entry.zone != self._zone else 0.0
+        cold = 1.0 if entry.cold_ms > 0 else 0.0
+        slowness = self._latency_ms.get(entry.backend_id, 0.0) / 10_000
+        return busy + far + cold + slowness + self._random.random() * 0.05
+
+    def _busy(self, entry: BackendEntry, now_ms: int) -> float:
+        return self.load(entry.backend_id, now_ms) / max(1, entry.slots)
+
+    def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
+        health = self._health.get(backend_id)
+        return health is not None and now_ms < health.ejected_until_ms
+
+    def _forget(self, backend_id: str) -> None:
+        self._lapsing.pop(backend_id, None)
+        self.entries.pop(backend_id, None)
+        self._health.pop(backend_id, None)
+        self._latency_ms.pop(backend_id, None)
--- /dev/null
+++ b/src/quincespool/gateway/beliefs.py
@@ -0,0 +1,233 @@
+"""What a daemon believes of the rest: configuration, backend servers, other daemons, the store.
+
+Everything that changes a belief comes in here and leaves a log line.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from quincespool.gateway.follower import Follower
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.messages import Heartbeat
+    from quincespool.gateway.pool import ConnectionPool
+    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.store import KeyedRecord
+    from quincespool.gateway.store import Store
+    from quincespool.gateway.wire import Wire
+
+# A read of the configuration waits this long for a change; a connection that has gone silent is
+# noticed after it.
+CONFIGURATION_WAIT_MS = 2_000
+DAEMONS_WAIT_MS = 5_000
+# After the store has failed, entries of backend servers that are missing may have lapsed meanwhile.
+SHAKY_MS = 2_500
+# Requests to the store that fail in a row before it counts as lost.
+FAILURES_TO_LOSE = 3
+
+
+class StoreHealth:
+    """Whether the store answers this daemon.
+
+    Attributes:
+      reachable: Whether it did lately.
+    """
+
+    def __init__(self, log: DecisionLog, now_ms: Callable[[], int]) -> None:
+        self.reachable = True
+        self._log = log
+        self._now_ms = now_ms
+        self._failures = 0
+        self._failed_ms: int | None = None
+
+    def note(self, status: str) -> None:
+        """Takes the outcome of a request in: a status or `unanswered`."""
+        if status in ("unanswered", "503", "429"):
+            self._failures += 1
+            self._failed_ms = self._now_ms()
+            if self._failures == FAILURES_TO_LOSE:
+                self.reachable = False
+                self._log.write_always("store lost", status=status)
+            return
+        self._failures = 0
+        if not self.reachable:
+            self.reachable = True
+            self._log.write_always("store regained")
+
+    @property
+    def shaky(self) -> bool:
+        """Whether it failed a moment ago."""
+        return self._failed_ms is not None and self._now_ms() - self._failed_ms < SHAKY_MS
+
+
+class Beliefs:
+    """Follows the store's topics and the heartbeats of other daemons."""
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        store: Store,
+        store_health: StoreHealth,
+        wire: Wire,
+        routes: RouteTable,
+        backends: Backends,
+        pool: ConnectionPool,
+        members: Members,
+        log: DecisionLog,
+        now_ms: Callable[[], int],
+        backends_interval_ms: int,
+    ) -> None:
+        self._member_id = member_id
+        self._store_health = store_health
+        self._wire = wire
+        self._routes = routes
+        self._backends = backends
+        self._pool = pool
+        self._members = members
+        self._log = log
+        self._now_ms = now_ms
+        self.configuration = Follower(
+            wire.CONFIGURATION_TOPIC,
+            store=store,
+            on_records=self._take_configuration,
+            on_listing=lambda _: None,
+            wait_ms=CONFIGURATION_WAIT_MS,
+            pause_ms=lambda: 0,
+        )
+        self.backend_entries = Follower(
+            wire.BACKENDS_TOPIC,
+            store=store,
+            on_records=self._take_backends,
+            on_listing=self._list_backends,
+            wait_ms=0,
+            pause_ms=lambda: backends_interval_ms,
+        )
+        self.daemon_entries = Follower(
+            wire.DAEMONS_TOPIC,
+            store=store,
+            on_records=self._take_daemons,
+            on_listing=lambda _: None,
+            wait_ms=DAEMONS_WAIT_MS,
+            pause_ms=lambda: 0,
+        )
+
+    @property
+    def complete(self) -> bool:
+        """Whether calls can be routed."""
+        return self._routes.configuration is not None and self.backend_entries.synced
+
+    def hear(self, sender: str, beat: Heartbeat) -> None:
+        """Takes a heartbeat in."""
+        now_ms = self._now_ms()
+        alive = self._members.is_alive(sender, now_ms)
+        if sender == self._member_id or not self._members.hear(sender, beat, now_ms):
+            return
+        loads = {load.backend_id: load.in_flight for load in beat.loads}
+        self._backends.hear_loads(sender, loads, now_ms)
+        if not alive:
+            self._log.write("daemon heard", peer_id=sender, incarnation=beat.incarnation)
+        if beat.configuration_version > self._routes.version:
+            self.configuration.read_soon()
+
+    def expire(self) -> None:
+        """Forgets what was not renewed in time."""
+        for backend_id in self._backends.expire(self._now_ms()):
+            self._pool.drop(backend_id)
+            self._log.write("backend lapsed", backend_id=backend_id)
+        self._pool.close_stale()
+
+    def _take_configuration(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.key != self._wire.CONFIGURATION_KEY or record.value is None:
+                continue
+            try:
+                configuration = self._wire.read_configuration(record.value)
+            except msgspec.MsgspecError as error:
+                # The present one stays in force; operators see a version that does not come.
+                self._log.write_always(
+                    "configuration unreadable", offset=record.offset, detail=str(error)
+                )
+                continue
+            if self._routes.adopt(configuration):
+                self._log.write_always(
+                    "configuration adopted",
+                    configuration_version=configuration.version,
+                    offset=record.offset,
+                    routes=len(configuration.routes),
+                )
+
+    def _take_backends(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.value is None:
+                self._remove_backend(record.key, record.offset)
+                continue
+            try:
+                entry = self._wire.read_backend(record.key, record.value)
+            except msgspec.MsgspecError as error:
+                self._log.write("backend entry unreadable", key=record.key, detail=str(error))
+                continue
+            if self._backends.put(entry):
+                self._log.write(
+                    "backend entry",
+                    backend_id=entry.backend_id,
+                    service=entry.service,
+                    address=entry.address,
+                    leaving=entry.leaving,
+                    offset=record.offset,
+                )
+
+    def _remove_backend(self, backend_id: str, offset: int) -> None:
+        shaky = self._store_health.shaky
+        self._backends.remove(backend_id, now_ms=self._now_ms(), store_shaky=shaky)
+        self._log.write("backend removed", backend_id=backend_id, offset=offset, store_shaky=shaky)
+
+    def _list_backends(self, keys: list[str]) -> None:
+        shaky = self._store_health.shaky
+        self._backends.retain(keys, now_ms=self._now_ms(), store_shaky=shaky)
+
+    def _take_daemons(self, records: list[KeyedRecord]) -> None:
+        for record in records:
+            if record.value is None:
+                self._members.remove(record.key)
+                self._log.write("daemon left", peer_id=record.key, offset=record.offset)
+                continue
+            try:
+                daemon = self._wire.read_daemon(record.key, record.value)
+            except msgspec.MsgspecError as error:
+                self._log.write("daemon entry unreadable", key=record.key, detail=str(error))
+                continue
+            if self._members.put(daemon, self._now_ms()):
+                self._log.write(
+                    "daemon entry",
+                    peer_id=daemon.member_id,
+                    address=daemon.peer_address,
+                    zone=daemon.zone,
+                    incarnation=daemon.incarnation,
+                    offset=record.offset,
+                )
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what is believed, for people to read."""
+        now_ms = self._now_ms()
+        return {
+            "configuration_version": self._routes.version,
+            "store_reachable": self._store_health.reachable,
+            "backends": {
+                one: {"load": self._backends.load(one, now_ms), **entry._asdict()}
+                for one, entry in self._backends.entries.items()
+            },
+            "daemons": {
+                one: {"alive": self._members.is_alive(one, now_ms), **daemon._asdict()}
+                for one, daemon in self._members.entries.items()
+            },
+        }
--- /dev/null
+++ b/src/quincespool/gateway/daemon.py
@@ -0,0 +1,399 @@
+"""A gateway daemon: its parts, its start and its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+from quincespool.gateway.attempt import Services
+from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.backends import Backends
+from quincespool.gateway.beliefs import Beliefs
+from quincespool.gateway.beliefs import StoreHealth
+from quincespool.gateway.front import Front
+from quincespool.gateway.heartbeats import Heartbeats
+from quincespool.gateway.http_port import HttpPort
+from quincespool.gateway.links import Links
+from quincespool.gateway.members import Members
+from quincespool.gateway.messages import BackendLoad
+from quincespool.gateway.messages import Heartbeat
+from quincespool.gateway.messages import PartitionClaim
+from quincespool.gateway.model import Daemon
+from quincespool.gateway.ownership import Ownership
+from quincespool.gateway.ownership import list_partitions
+from quincespool.gateway.ownership import partition_of
+from quincespool.gateway.plain import PlainCalls
+from quincespool.gateway.pool import ConnectionPool
+from quincespool.gateway.relay import Relay
+from quincespool.gateway.routes import RouteTable
+from quincespool.gateway.side_ports import SidePorts
+from quincespool.gateway.store import StoreError
+from quincespool.gateway.ticker import Ticker
+from quincespool.gateway.turns import TurnRunner
+from quincespool.net.addresses import split_address
+from quincespool.net.http_connection import ConnectionLimits
+from quincespool.net.http_connection import default_limits
+from quincespool.net.metrics import Metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.links import Link
+    from quincespool.gateway.partition import OwnedPartition
+    from quincespool.gateway.settings import GatewaySettings
+    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store import Store
+    from quincespool.gateway.wire import Wire
+
+OWNER_TOPIC = "programs"
+EXPIRY_INTERVAL_MS = 2_000
+UPKEEP_INTERVAL_MS = 250
+# Programs are forgotten this long after they can no longer be continued: clocks of daemons differ
+# by some seconds, and no turn lasts longer.
+LEDGER_GRACE_MS = 30_000
+# Callers keep an address for up to three times as long as the directory says.
+ADDRESS_KEPT_FACTOR = 3
+# Kept of the stop's time for what is still under way after the callers should be gone.
+STOP_MARGIN_MS = 700
+REGISTER_RETRY_S = 0.3
+# Callers close idle connections a little before the limit that they know.
+IDLE_MARGIN_MS = 2_000
+MAX_BODY_BYTES = 8_000_000
+
+
+class GatewayDaemon:
+    """One daemon."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        make_store: Callable[[Callable[[str, str], None]], Store],
+        wire: Wire,
+        log: DecisionLog,
+    ) -> None:
+        self._settings = settings
+        self._wire = wire
+        self._log = log
+        self._incarnation = time.time_ns() // 1_000
+        self._beat_sequence = 0
+        self._draining = False
+        self._stopped = asyncio.Event()
+        self._tasks: list[asyncio.Task[Any]] = []
+        self._ticker = Ticker()
+        self._metrics = Metrics()
+        self._store_health = StoreHealth(log, now_ms)
+        self._store = make_store(self._note_store_call)
+        self._make_beliefs()
+        self._make_program_parts()
+        self._make_ports()
+        self._watch()
+
+    async def run(self) -> None:
+        """Serves until SIGTERM, then stops as planned.
+
+        Raises:
+          OSError: if a port cannot be had.
+        """
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        await self._start()
+        await self._stopped.wait()
+        await self._stop()
+
+    def _make_beliefs(self) -> None:
+        settings = self._settings
+        self._routes = RouteTable()
+        self._backends = Backends(zone=settings.zone, seed=self._incarnation)
+        self._pool = ConnectionPool(
+            on_open=lambda: self._metrics.count("gateway_backend_connections_total")
+        )
+        self._members = Members(settings.member_id)
+        self._services = Services(self._backends, self._pool, self._wire, self._log, self._metrics)
+        self._beliefs = Beliefs(
+            member_id=settings.member_id,
+            store=self._store,
+            store_health=self._store_health,
+            wire=self._wire,
+            routes=self._routes,
+            backends=self._backends,
+            pool=self._pool,
+            members=self._members,
+            log=self._log,
+            now_ms=now_ms,
+            backends_interval_ms=settings.backends_interval_ms,
+        )
+
+    def _make_program_parts(self) -> None:
+        settings = self._settings
+        topics = [f"{OWNER_TOPIC}.{number}" for number in range(settings.owner_topics)]
+        partitions = list_partitions(topics, settings.store_partitions)
+        self._ownership = Ownership(
+            member_id=f"{settings.member_id}.{self._incarnation}",
+            topics=topics,
+            lease_ms=settings.owner_lease_ms,
+            store=self._store,
+            on_change=self._note_partition,
+            on_assignment=self._note_assignment,
+        )
+
+        def partition_for(program_id: str) -> Partition:
+            return partition_of(program_id, partitions)
+
+        self._links = Links(
+            settings.member_id,
+            on_message=self._take_message,
+            on_lost=self._lose_link,
+        )
+        self._turns = TurnRunner(
+            self._services,
+            settle_elsewhere=self._settle_elsewhere,
+        )
+        self._relay = Relay(
+            member_id=settings.member_id,
+            partition_for=partition_for,
+            members=self._members,
+            ownership=self._ownership,
+            links=self._links,
+            turns=self._turns,
+        )
+        self._heartbeats = Heartbeats(settings.member_id, on_datagram=self._take_datagram)
+
+    # The relay needs the links and the runner of turns, and both report back to it.
+
+    def _take_message(self, link: Link, sender: str, message: Any) -> None:
+        self._relay.on_message(link, sender, message)
+
+    def _lose_link(self, link: Link) -> None:
+        self._relay.on_lost(link)
+
+    async def _settle_elsewhere(self, partition: Partition, record: Record, left_ms: int) -> bool:
+        return await self._relay.settle_elsewhere(partition, record, left_ms)
+
+    def _make_ports(self) -> None:
+        front = Front(
+            self._services,
+            routes=self._routes,
+            plain=PlainCalls(self._services),
+            relay=self._relay,
+        )
+        self._front_port = HttpPort(
+            front,
+            limits=self._caller_limits,
+            max_body_bytes=MAX_BODY_BYTES,
+            metrics=self._metrics,
+        )
+        side = SidePorts(
+            wire=self._wire,
+            metrics=self._metrics,
+            is_ready=self._is_ready,
+            addresses=self._caller_addresses,
+            addresses_valid_ms=self._settings.addresses_valid_ms,
+            dump=self._dump,
+        )
+        self._side_ports = [
+            HttpPort(
+                side, limits=default_limits, max_body_bytes=MAX_BODY_BYTES, metrics=self._metrics
+            )
+            for _ in range(3)
+        ]
+
+    def _watch(self) -> None:
+        self._metrics.watch("http_connections", lambda: self._front_port.connection_count)
+        self._metrics.watch("processor_seconds", time.process_time)
+        self._metrics.watch("ready", lambda: float(self._is_ready()))
+        self._metrics.watch("gateway_partitions", lambda: len(self._ownership.owned))
+
+    async def _start(self) -> None:
+        settings = self._settings
+        await self._links.start(settings.host, settings.peer_port)
+        await self._heartbeats.start(settings.host, settings.peer_port)
+        await self._front_port.start(*split_address(settings.caller_address))
+        addresses = (
+            settings.ready_address,
+            settings.directory_address,
+            f"{settings.host}:{settings.metrics_port}",
+        )
+        for port, address in zip(self._side_ports, addresses, strict=True):
+            await port.start(*split_address(address))
+        self._log.write_always("started", incarnation=self._incarnation)
+        for work in (
+            self._beliefs.configuration.run(),
+            self._beliefs.backend_entries.run(),
+            self._beliefs.daemon_entries.run(),
+            self._ownership.run(),
+            self._links.probe(),
+            self._register(),
+        ):
+            self._tasks.append(asyncio.get_running_loop().create_task(work))
+        self._ticker.every(lambda: self._members.beat_interval_ms, self._beat)
+        self._ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
+        self._ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
+
+    async def _register(self) -> None:
+        settings = self._settings
+        daemon = Daemon(
+            member_id=settings.member_id,
+            incarnation=self._incarnation,
+            zone=settings.zone,
+            caller_address=settings.caller_address,
+            peer_address=f"{settings.host}:{settings.peer_port}",
+        )
+        self._members.put(daemon, now_ms())
+        value = self._wire.write_daemon(daemon)
+        while True:
+            try:
+                await self._store.append_keyed(self._wire.DAEMONS_TOPIC, settings.member_id, value)
+            except StoreError:
+                await asyncio.sleep(REGISTER_RETRY_S)
+            else:
+                return
+
+    def _begin_stop(self) -> None:
+        if self._draining:
+            return
+        self._draining = True
+        self._front_port.draining = True
+        self._log.write_always("stopping", under_way=self._front_port.busy)
+        self._beat()
+        self._tasks.append(asyncio.get_running_loop().create_task(self._drain()))
+
+    async def _drain(self) -> None:
+        """Lets callers and programs go elsewhere, then ends what is left."""
+        began_ms = now_ms()
+        await self._ownership.leave()
+        self._beat()
+        kept_ms = ADDRESS_KEPT_FACTOR * self._settings.addresses_valid_ms
+        last_ms = began_ms + self._settings.stop_grace_ms - STOP_MARGIN_MS
+        while now_ms() < last_ms:
+            if now_ms() - began_ms > kept_ms and not self._under_way():
+                break
+            await asyncio.sleep(0.05)
+        self._stopped.set()
+
+    def _under_way(self) -> int:
+        return self._front_port.busy + self._relay.serving
+
+    async def _stop(self) -> None:
+        self._front_port.stop()
+        # A request that crosses the closing of its connection is still answered.
+        await asyncio.sleep(0.05)
+        self._front_port.close_idle()
+        self._log.write_always("stopped", under_way=self._under_way())
+        self._ticker.stop()
+        for port in self._side_ports:
+            port.stop()
+        self._links.stop()
+        self._heartbeats.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    def _beat(self) -> None:
+        self._beat_sequence += 1
+        claims = tuple(
+            PartitionClaim(one.partition.topic, one.partition.number, one.epoch)
+            for one in self._ownership.owned.values()
+            if one.ready
+        )
+        loads = tuple(BackendLoad(*item) for item in self._backends.in_flight.items())
+        beat = Heartbeat(
+            incarnation=self._incarnation,
+            sequence=self._beat_sequence,
+            draining=self._draining,
+            configuration_version=self._routes.version,
+            generation=self._ownership.generation,
+            claims=claims,
+            loads=loads,
+            store_reachable=self._store_health.reachable,
+        )
+        self._heartbeats.send(self._members.others, beat)
+
+    def _take_datagram(self, sender: str, message: Any) -> None:
+        if not isinstance(message, Heartbeat):
+            return
+        self._beliefs.hear(sender, message)
+        if message.generation > self._ownership.generation:
+            self._ownership.renew_soon()
+
+    def _keep_up(self) -> None:
+        self._beliefs.expire()
+        for daemon in self._members.others:
+            if not self._members.is_alive(daemon.member_id, now_ms()):
+                self._links.drop(daemon.peer_address)
+
+    def _expire(self) -> None:
+        wall_ms = time.time_ns() // 1_000_000
+        for owned in self._ownership.owned.values():
+            owned.ledger.expire(wall_ms, grace_ms=LEDGER_GRACE_MS)
+        self._turns.forget_engines()
+
+    def _is_ready(self) -> bool:
+        return self._beliefs.complete and not self._draining
+
+    def _caller_addresses(self) -> list[str]:
+        return self._members.caller_addresses(now_ms(), own_serves=self._is_ready())
+
+    def _caller_limits(self) -> ConnectionLimits:
+        configuration = self._routes.configuration
+        if configuration is None:
+            return default_limits()
+        limits = configuration.limits
+        self._front_port.max_body_bytes = limits.max_body_bytes
+        return ConnectionLimits(
+            max_head_bytes=limits.max_head_bytes,
+            head_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
+            body_s=default_limits().body_s,
+            idle_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
+        )
+
+    def _note_store_call(self, path: str, status: str) -> None:
+        self._metrics.count("gateway_store_calls_total", path=path, status=status)
+        self._store_health.note(status)
+
+    def _note_partition(self, owned: OwnedPartition, detail: str) -> None:
+        self._log.write(
+            "partition",
+            topic=owned.partition.topic,
+            number=owned.partition.number,
+            epoch=owned.epoch,
+            ready=owned.ready,
+            lost=owned.lost,
+            detail=detail,
+        )
+        if owned.lost:
+            self._ownership.forget(owned)
+        self._beat()
+
+    def _note_assignment(self, generation: int, count: int) -> None:
+        self._log.write("partitions assigned", generation=generation, partitions=count)
+
+    def _note_reload(self) -> None:
+        # Settings hold addresses only, which a running daemon cannot change.
+        self._log.write_always("reload asked for; settings are read at start only")
+
+    def _dump(self) -> dict[str, object]:
+        return {
+            "member_id": self._settings.member_id,
+            "incarnation": self._incarnation,
+            "draining": self._draining,
+            "generation": self._ownership.generation,
+            "partitions": [
+                {
+                    "topic": one.partition.topic,
+                    "number": one.partition.number,
+                    "epoch": one.epoch,
+                    "ready": one.ready,
+                    "stalled": one.stalled,
+                    "programs": len(one.ledger.programs),
+                }
+                for one in self._ownership.owned.values()
+            ],
+            **self._beliefs.dump(),
+        }
--- /dev/null
+++ b/src/quincespool/gateway/front.py
@@ -0,0 +1,155 @@
+"""Callers' requests: each becomes a call, gets a route, and an answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quincespool.gateway.attempt import Whole
+from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.model import CallKind
+from quincespool.gateway.model import not_run
+from quincespool.net.http_connection import HttpResponse
+from quincespool.verdict import Verdict
+
+if TYPE_CHECKING:
+    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Decision
+    from quincespool.gateway.model import Headers
+    from quincespool.gateway.model import Refusal
+    from quincespool.gateway.plain import PlainCalls
+    from quincespool.gateway.relay import Relay
+    from quincespool.gateway.routes import RouteTable
+    from quincespool.net.http_connection import Connection
+    from quincespool.net.requests import HttpRequest
+    from quincespool.net.requests import RequestError
+
+
+class Front:
+    """Answers callers."""
+
+    def __init__(
+        self, services: Services, *, routes: RouteTable, plain: PlainCalls, relay: Relay
+    ) -> None:
+        self._services = services
+        self._routes = routes
+        self._plain = plain
+        self._relay = relay
+
+    async def handle(self, connection: Connection, request: HttpRequest) -> None:
+        """Answers one request."""
+        started_ms = now_ms()
+        read = self._services.wire.read_call(request)
+        if read.is_error():
+            connection.respond(self.refuse(request, read.error))
+            return
+        call = read.ok
+        reply = _ConnectionReply(connection, call, self._services)
+        decided = self._routes.decide(call)
+        if decided.is_error():
+            reply.refuse(decided.error)
+            self._note(call, None, reply, started_ms, served_by="")
+            return
+        decision = decided.ok
+        until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
+        served_by = ""
+        try:
+            if decision.route.kind is CallKind.STREAMING and call.turn is not None:
+                served_by = await self._relay.run(call, decision, reply, until_ms=until_ms)
+            else:
+                reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
+        finally:
+            self._note(call, decision, reply, started_ms, served_by=served_by)
+
+    def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
+        """Returns the answer to a request that cannot be read."""
+        call_id = self._services.wire.read_call_id(request) if request is not None else ""
+        self._services.log.write(
+            "request unreadable", call_id=call_id, status=error.status, detail=error.message
+        )
+        refusal = not_run(error.message, status=error.status)
+        return _refusal_response(self._services, refusal, call_id)
+
+    def _note(
+        self,
+        call: Call,
+        decision: Decision | None,
+        reply: _ConnectionReply,
+        started_ms: int,
+        *,
+        served_by: str,
+    ) -> None:
+        took_ms = now_ms() - started_ms
+        outcome = reply.outcome or "caller_gone"
+        route = decision.route.name if decision is not None else ""
+        self._services.metrics.count("gateway_calls_total", outcome=outcome)
+        self._services.metrics.observe("gateway_call_ms", took_ms)
+        self._services.log.write(
+            "call answered",
+            call_id=call.call_id,
+            program_id=call.turn.program_id if call.turn is not None else "",
+            route=route,
+            service=decision.service.name if decision is not None else "",
+            configuration_version=decision.version if decision is not None else 0,
+            served_by=served_by,
+            outcome=outcome,
+            status=reply.status,
+            took_ms=took_ms,
+            left_ms=call.left_ms,
+        )
+
+
+class _ConnectionReply:
+    """Writes an answer to a caller's connection.
+
+    Attributes:
+      outcome: How it ended; empty if it has not.
+      status: Sent to the caller; 0 if nothing was.
+    """
+
+    def __init__(self, connection: Connection, call: Call, services: Services) -> None:
+        self.outcome = ""
+        self.status = 0
+        self._connection = connection
+        self._call = call
+        self._services = services
+
+    def head(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self._connection.start_stream(status, list(headers))
+
+    def piece(self, data: bytes) -> None:
+        if data:
+            self._connection.send_piece(data)
+
+    def end(self) -> None:
+        self.outcome = "whole"
+        self._connection.end_stream()
+
+    def whole(self, answer: Whole | Refusal) -> None:
+        if not isinstance(answer, Whole):
+            self.refuse(answer)
+            return
+        self.status = answer.status
+        self.outcome = "whole"
+        response = HttpResponse(answer.status, list(answer.headers), answer.body)
+        self._connection.respond(response)
+
+    def refuse(self, refusal: Refusal) -> None:
+        self.outcome = refusal.reason
+        if self.status:
+            # The caller must not take what it has for a whole answer.
+            self._connection.abort()
+            return
+        self.status = refusal.status
+        self._connection.respond(_refusal_response(self._services, refusal, self._call.call_id))
+
+
+def _refusal_response(services: Services, refusal: Refusal, call_id: str) -> HttpResponse:
+    body = msgspec.json.encode(
+        {"error": refusal.reason, "may_have_run": refusal.verdict is not Verdict.NOT_RUN}
+    )
+    headers = services.wire.write_refusal_headers(refusal, call_id)
+    return HttpResponse(refusal.status, list(headers), body)
--- /dev/null
+++ b/src/quincespool/gateway/http_port.py
@@ -0,0 +1,151 @@
+"""One HTTP port of the gateway: connections, memory bounds, and a handler for each request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from quincespool.net.http_connection import Connection
+from quincespool.net.http_connection import ConnectionLimits
+from quincespool.net.http_connection import HttpResponse
+from quincespool.net.listener import Listener
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+    from quincespool.net.metrics import Metrics
+    from quincespool.net.requests import HttpRequest
+    from quincespool.net.requests import RequestError
+
+MAX_BODIES_BYTES = 32_000_000
+# Descriptors kept free for backend servers, other daemons and the store.
+MAX_CONNECTIONS = 6_000
+OVERLOAD_RETRY_S = "0.5"
+
+
+class Handler(Protocol):
+    """Answers the requests of one port."""
+
+    def handle(self, connection: Connection, request: HttpRequest) -> Coroutine[None, None, None]:
+        """Answers a request on its connection; cancelled if its caller leaves."""
+
+    def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
+        """Returns the answer to a request that cannot be read."""
+
+
+class HttpPort:
+    """Accepts connections and runs one task a request.
+
+    Attributes:
+      max_body_bytes: Largest request body.
+      draining: Whether answers ask callers to close their connections.
+    """
+
+    def __init__(
+        self,
+        handler: Handler,
+        *,
+        limits: Callable[[], ConnectionLimits],
+        max_body_bytes: int,
+        metrics: Metrics,
+    ) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.draining = False
+        self._handler = handler
+        self._metrics = metrics
+        self._bodies_bytes = 0
+        self._connections: set[Connection] = set()
+        self._tasks: dict[Connection, asyncio.Task[None]] = {}
+        self._listener = Listener(lambda: Connection(self, limits()))
+
+    @property
+    def busy(self) -> int:
+        """Requests under way."""
+        return sum(connection.busy for connection in self._connections)
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    @property
+    def port(self) -> int:
+        """Where it listens. Only after `start`."""
+        return self._listener.port
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens.
+
+        Raises:
+          OSError: if the port cannot be had.
+        """
+        await self._listener.start(host, port)
+
+    def stop(self) -> None:
+        """Accepts no more connections and closes the idle ones."""
+        self._listener.stop()
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Closes the connections without a request."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
+    def opened(self, connection: Connection) -> bool:
+        """See `ConnectionOwner.opened`."""
+        if len(self._connections) >= MAX_CONNECTIONS:
+            self._metrics.count("http_refused_connections_total")
+            return False
+        self._connections.add(connection)
+        return True
+
+    def closed(self, connection: Connection) -> None:
+        """See `ConnectionOwner.closed`."""
+        self._connections.discard(connection)
+        task = self._tasks.pop(connection, None)
+        if task is not None:
+            task.cancel()
+
+    def dropped(self) -> None:
+        """See `ConnectionOwner.dropped`."""
+        self._metrics.count("http_dropped_connections_total")
+
+    def reserve(self, size_bytes: int) -> bool:
+        """See `ConnectionOwner.reserve`."""
+        if self._bodies_bytes + size_bytes > MAX_BODIES_BYTES:
+            return False
+        self._bodies_bytes += size_bytes
+        return True
+
+    def release(self, size_bytes: int) -> None:
+        """See `ConnectionOwner.release`."""
+        self._bodies_bytes -= size_bytes
+
+    def handle(self, connection: Connection, request: HttpRequest) -> None:
+        """See `ConnectionOwner.handle`."""
+        work = self._handler.handle(connection, request)
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks[connection] = task
+        task.add_done_callback(lambda done: self._finish(connection, done))
+
+    def refuse(self, connection: Connection, error: RequestError) -> None:
+        """See `ConnectionOwner.refuse`."""
+        connection.respond(self._handler.refuse(None, error))
+
+    def overloaded(self, connection: Connection) -> None:
+        """See `ConnectionOwner.overloaded`."""
+        connection.respond(HttpResponse(503, [("retry-after", OVERLOAD_RETRY_S)], b""))
+
+    def _finish(self, connection: Connection, task: asyncio.Task[None]) -> None:
+        if self._tasks.get(connection) is task:
+            del self._tasks[connection]
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            # A fault of this program: the caller sees the connection end, which promises nothing.
+            connection.abort()
+            loop = asyncio.get_running_loop()
+            loop.call_exception_handler({"message": "request failed", "exception": error})
--- /dev/null
+++ b/src/quincespool/gateway/ledger.py
@@ -0,0 +1,164 @@
+"""Histories and budgets of programs: a reducer over the records of one partition.
+
+The same reducer runs at the owner while it serves and at a new owner that reads the partition, so
+both arrive at the same state from the same records.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+import msgspec
+
+
+class TurnStarted(msgspec.Struct, tag="s", array_like=True, frozen=True):
+    """Written before the first token of a turn is handed out: reserves the most it can generate."""
+
+    turn_id: str
+    program_id: str
+    most_tokens: int
+    at_ms: int
+
+
+class TurnEnded(msgspec.Struct, tag="e", array_like=True, frozen=True):
+    """Written before a caller sees the end of a whole turn: from here on it can be continued.
+
+    Attributes:
+      input: What the turn added to its history.
+      output: The data of each event, each with a line feed after it.
+    """
+
+    turn_id: str
+    program_id: str
+    previous_id: str
+    input: bytes
+    output: bytes
+    tokens: int
+    retention_ms: int
+    at_ms: int
+
+
+class TurnBroken(msgspec.Struct, tag="b", array_like=True, frozen=True):
+    """A turn that did not end whole: spends what was handed out, releases the rest."""
+
+    turn_id: str
+    program_id: str
+    tokens: int
+    at_ms: int
+
+
+Record = TurnStarted | TurnEnded | TurnBroken
+
+
+class Admission(StrEnum):
+    """Whether a turn may start."""
+
+    FINE = "fine"
+    OVER_BUDGET = "over_budget"
+    NO_SUCH_TURN = "no_such_turn"
+
+
+class _Kept(NamedTuple):
+    previous_id: str
+    text: bytes
+
+
+class Program:
+    """One program's state.
+
+    Attributes:
+      spent_tokens: Handed out by turns that are over.
+      reserved: The most that each open turn can still hand out, by turn id.
+      kept_until_ms: When the last of its turns can no longer be continued.
+    """
+
+    __slots__ = ("kept_until_ms", "reserved", "spent_tokens", "turns")
+
+    def __init__(self) -> None:
+        self.spent_tokens = 0
+        self.reserved: dict[str, int] = {}
+        self.turns: dict[str, _Kept] = {}
+        self.kept_until_ms = 0
+
+
+class Ledger:
+    """The programs of one partition, folded from its records."""
+
+    def __init__(self) -> None:
+        self.programs: dict[str, Program] = {}
+
+    def apply(self, record: Record) -> None:
+        """Folds one record in. A record that was applied already changes nothing."""
+        program = self.programs.setdefault(record.program_id, Program())
+        if isinstance(record, TurnStarted):
+            program.reserved[record.turn_id] = record.most_tokens
+            program.kept_until_ms = max(program.kept_until_ms, record.at_ms)
+            return
+        if record.turn_id in program.reserved:
+            # A turn is settled once; a second settlement, sent again after a lost answer, must not
+            # spend twice.
+            del program.reserved[record.turn_id]
+            program.spent_tokens += record.tokens
+        if isinstance(record, TurnEnded):
+            program.turns[record.turn_id] = _Kept(record.previous_id, record.input + record.output)
+            until_ms = record.at_ms + record.retention_ms
+            program.kept_until_ms = max(program.kept_until_ms, until_ms)
+
+    def admit(
+        self, *, program_id: str, previous_id: str, budget_tokens: int | None, most_tokens: int
+    ) -> Admission:
+        """Says whether a turn may start, every open turn counted at its most."""
+        program = self.programs.get(program_id)
+        if previous_id and (program is None or previous_id not in program.turns):
+            return Admission.NO_SUCH_TURN
+        if budget_tokens is None:
+            return Admission.FINE
+        used = 0 if program is None else program.spent_tokens + sum(program.reserved.values())
+        return Admission.FINE if used + most_tokens <= budget_tokens else Admission.OVER_BUDGET
+
+    def history(self, program_id: str, previous_id: str) -> bytes:
+        """Returns what a turn that continues `previous_id` is to read first, oldest turn first."""
+        texts: list[bytes] = []
+        program = self.programs.get(program_id)
+        turn_id = previous_id
+        while turn_id and program is not None:
+            kept = program.turns[turn_id]
+            texts.append(kept.text)
+            turn_id = kept.previous_id
+        return b"".join(reversed(texts))
+
+    def expire(self, now_ms: int, *, grace_ms: int) -> int:
+        """Forgets programs whose turns can no longer be continued; returns how many.
+
+        Args:
+          now_ms: Wall clock.
+          grace_ms: Longer than clocks of daemons differ and any turn takes; an open turn of a
+            daemon that has died holds its program for no longer than this.
+        """
+        over = [
+            program_id
+            for program_id, program in self.programs.items()
+            if program.kept_until_ms + grace_ms < now_ms
+        ]
+        for program_id in over:
+            del self.programs[program_id]
+        return len(over)
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
+
+
+def encode_record(record: Record) -> bytes:
+    """Returns the bytes of a record."""
+    return _ENCODER.encode(record)
+
+
+def decode_record(data: bytes) -> Record:
+    """Returns the record in some bytes.
+
+    Raises:
+      msgspec.DecodeError: if they hold none.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/quincespool/gateway/links.py
@@ -0,0 +1,164 @@
+"""TCP links between daemons: frames with one message each, in both directions."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import cast
+
+from quincespool.gateway.messages import CODEC
+from quincespool.gateway.messages import LinkProbe
+from quincespool.net.addresses import split_address
+from quincespool.net.framing import FrameError
+from quincespool.net.framing import FrameReader
+from quincespool.net.framing import frame
+from quincespool.net.listener import Listener
+from quincespool.net.socket_options import limit_silence
+from quincespool.net.struct_codec import CodecError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_LIMIT_S = 0.5
+# What is sent and not acknowledged for this long has met a dead host or a link that went silent;
+# the turns on it are given back while their callers still wait.
+UNACKNOWLEDGED_MS = 800
+PROBE_INTERVAL_S = 0.4
+MAX_UNSENT_BYTES = 8_000_000
+
+
+class Link(asyncio.Protocol):
+    """One connection to another daemon."""
+
+    def __init__(
+        self,
+        member_id: str,
+        *,
+        on_message: Callable[[Link, str, Any], None],
+        on_lost: Callable[[Link], None],
+    ) -> None:
+        self._member_id = member_id
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._frames = FrameReader()
+        self._transport: asyncio.Transport | None = None
+        self.lost = False
+
+    def send(self, message: Any) -> bool:
+        """Sends a message; returns whether the link is there to take it."""
+        if self.lost or self._transport is None:
+            return False
+        self._transport.write(frame(CODEC.encode(self._member_id, message)))
+        if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            # A daemon that does not read would make this one hold everything that is meant for it.
+            self.close()
+        return True
+
+    def close(self) -> None:
+        """Breaks the link off."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits how long silence goes unnoticed."""
+        self._transport = cast("asyncio.Transport", transport)
+        limit_silence(self._transport, unacknowledged_ms=UNACKNOWLEDGED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Hands whole messages on."""
+        self._frames.feed(data)
+        try:
+            while (message := self._frames.next_message()) is not None:
+                sender, decoded = CODEC.decode(message)
+                if not isinstance(decoded, LinkProbe):
+                    self._on_message(self, sender, decoded)
+        except (FrameError, CodecError):
+            # Not a daemon of this version; nothing that follows on this link can be read.
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells what is on the link that it is over."""
+        self.lost = True
+        self._on_lost(self)
+
+
+class Links:
+    """The links of one daemon: one outgoing link to each other one, made when it is needed."""
+
+    def __init__(
+        self,
+        member_id: str,
+        *,
+        on_message: Callable[[Link, str, Any], None],
+        on_lost: Callable[[Link], None],
+    ) -> None:
+        self._member_id = member_id
+        self._on_message = on_message
+        self._on_lost = on_lost
+        self._outgoing: dict[str, Link] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._incoming: set[Link] = set()
+        self._listener = Listener(self._make_incoming)
+
+    async def start(self, host: str, port: int) -> None:
+        """Listens.
+
+        Raises:
+          OSError: if the port cannot be had.
+        """
+        await self._listener.start(host, port)
+
+    def stop(self) -> None:
+        """Ends all links."""
+        self._listener.stop()
+        for link in [*self._outgoing.values(), *self._incoming]:
+            link.close()
+
+    async def get(self, address: str) -> Link | None:
+        """Returns the link to a daemon, None if there is none to be had."""
+        link = self._outgoing.get(address)
+        if link is not None and not link.lost:
+            return link
+        async with self._locks.setdefault(address, asyncio.Lock()):
+            link = self._outgoing.get(address)
+            if link is not None and not link.lost:
+                return link
+            return await self._connect(address)
+
+    async def probe(self) -> None:
+        """Keeps sending a little on each link, so that the kernel notices one that went silent."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            for address, link in list(self._outgoing.items()):
+                if link.lost:
+                    del self._outgoing[address]
+                else:
+                    link.send(LinkProbe(sent_ms=int(time.monotonic() * 1000)))
+
+    def drop(self, address: str) -> None:
+        """Breaks the link to a daemon that does not answer any more."""
+        link = self._outgoing.pop(address, None)
+        if link is not None:
+            link.close()
+
+    async def _connect(self, address: str) -> Link | None:
+        link = Link(self._member_id, on_message=self._on_message, on_lost=self._on_lost)
+        host, port = split_address(address)
+        try:
+            async with asyncio.timeout(CONNECT_LIMIT_S):
+                await asyncio.get_running_loop().create_connection(lambda: link, host, port)
+        except OSError:
+            return None
+        self._outgoing[address] = link
+        return link
+
+    def _make_incoming(self) -> Link:
+        link = Link(self._member_id, on_message=self._on_message, on_lost=self._lose_incoming)
+        self._incoming.add(link)
+        return link
+
+    def _lose_incoming(self, link: Link) -> None:
+        self._incoming.discard(link)
+        self._on_lost(link)
--- /dev/null
+++ b/src/quincespool/gateway/messages.py
@@ -0,0 +1,163 @@
+"""What gateway daemons send one another; `schema/gateway.capnp` has the same structs."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+from typing import get_args
+
+import quincespool.schema
+from quincespool.net.struct_codec import StructCodec
+
+
+class PartitionClaim(NamedTuple):
+    """A partition that the sender owns, and the epoch under which it writes."""
+
+    topic: str
+    number: int
+    epoch: int
+
+
+class BackendLoad(NamedTuple):
+    """Calls of the sender that are under way at a backend server."""
+
+    backend_id: str
+    in_flight: int
+
+
+class Heartbeat(NamedTuple):
+    """By datagram; each replaces the last one of its sender."""
+
+    incarnation: int
+    sequence: int
+    draining: bool
+    configuration_version: int
+    generation: int
+    claims: tuple[PartitionClaim, ...]
+    loads: tuple[BackendLoad, ...]
+    store_reachable: bool
+
+
+class HeaderPair(NamedTuple):
+    """One header."""
+
+    name: str
+    value: str
+
+
+class RelayCall(NamedTuple):
+    """A turn for the owner of its program. Numbers of -1 mean that the caller did not say."""
+
+    relay_id: int
+    call_id: str
+    method: str
+    host: str
+    target: str
+    headers: tuple[HeaderPair, ...]
+    body: bytes
+    left_ms: int
+    program_id: str
+    previous_id: str
+    budget_tokens: int
+    most_tokens: int
+    program_left_ms: int
+    configuration_version: int
+    route_name: str
+    path_prefix: str
+    kind: str
+    timeout_ms: int
+    objective_ms: int
+    rank: int
+    max_attempts: int
+    keeps_history: bool
+    retention_ms: int
+    service: str
+    max_connections: int
+    tokens_per_event: int
+    resident_tokens: int
+    max_pin_ms: int
+
+
+class RelayCancel(NamedTuple):
+    """The caller has gone, or the receiver has given the call up."""
+
+    relay_id: int
+
+
+class RelayHead(NamedTuple):
+    """The head of the answer."""
+
+    relay_id: int
+    status: int
+    headers: tuple[HeaderPair, ...]
+
+
+class RelayPiece(NamedTuple):
+    """A piece of the answer's body."""
+
+    relay_id: int
+    data: bytes
+
+
+class RelayEnd(NamedTuple):
+    """The answer is whole."""
+
+    relay_id: int
+
+
+class RelayRefused(NamedTuple):
+    """The owner's own final answer; after a head it means that the answer breaks off."""
+
+    relay_id: int
+    status: int
+    verdict: str
+    reason: str
+    retry_after_ms: int
+
+
+class SettleTurn(NamedTuple):
+    """A record of a turn whose daemon has lost the partition meanwhile."""
+
+    settle_id: int
+    topic: str
+    number: int
+    record: bytes
+
+
+class TurnSettled(NamedTuple):
+    """Whether that record is kept."""
+
+    settle_id: int
+    kept: bool
+
+
+class LinkProbe(NamedTuple):
+    """Makes the kernel notice a link that has gone silent."""
+
+    sent_ms: int
+
+
+class CrashNotice(NamedTuple):
+    """A backend server broke off while it ran a request with this fingerprint."""
+
+    fingerprint: str
+    backend_id: str
+
+
+Datagram = Heartbeat | CrashNotice
+LinkMessage = (
+    RelayCall
+    | RelayCancel
+    | RelayHead
+    | RelayPiece
+    | RelayEnd
+    | RelayRefused
+    | SettleTurn
+    | TurnSettled
+    | LinkProbe
+)
+
+CODEC = StructCodec(
+    Path(quincespool.schema.__file__).with_name("gateway.capnp"),
+    (*get_args(Datagram), *get_args(LinkMessage)),
+)
--- /dev/null
+++ b/src/quincespool/gateway/model.py
@@ -0,0 +1,190 @@
+"""What the gateway's parts tell one another: calls, routes, backend servers, answers."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from quincespool.verdict import Verdict
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class CallKind(StrEnum):
+    """What may be repeated: idempotent calls at will, others never once they may have run."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+class Turn(NamedTuple):
+    """One model call of a program.
+
+    Attributes:
+      program_id: The program.
+      previous_id: Call id of the turn that this one continues; empty for the first of its line.
+      budget_tokens: What all turns of the program together may generate; None if unlimited.
+      most_tokens: The most that this turn generates.
+      program_left_ms: Time until the program should be finished; None if it did not say.
+    """
+
+    program_id: str
+    previous_id: str
+    budget_tokens: int | None
+    most_tokens: int
+    program_left_ms: int | None
+
+
+class Call(NamedTuple):
+    """A caller's request.
+
+    Attributes:
+      call_id: Unique for each attempt of a caller.
+      host: Host name that the caller addressed; selects the route together with the path.
+      headers: Those that the backend server gets as the caller sent them.
+      left_ms: How long the caller waits, from when the request was read.
+      turn: Set if the call belongs to a program and generates tokens.
+    """
+
+    call_id: str
+    method: str
+    host: str
+    target: str
+    headers: Headers
+    body: bytes
+    left_ms: int
+    turn: Turn | None
+
+
+class Share(NamedTuple):
+    """A service and its weight among those of a route."""
+
+    service: str
+    weight: int
+
+
+class Route(NamedTuple):
+    """Where calls with a host name and a path prefix go, and how long they may take.
+
+    Attributes:
+      rank: Importance; 0 goes first.
+      objective_ms: Time in which an answer has its full value.
+      max_attempts: Backend servers that one call may be sent to.
+      keeps_history: Whether turns carry only their new input and the gateway adds what came before.
+      retention_ms: How long a whole turn can be continued from.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: CallKind
+    shares: tuple[Share, ...]
+    timeout_ms: int
+    objective_ms: int
+    rank: int
+    max_attempts: int
+    keeps_history: bool
+    retention_ms: int
+
+
+class Service(NamedTuple):
+    """A group of like backend servers.
+
+    Attributes:
+      max_connections: What one backend server accepts from all daemons together.
+      tokens_per_event: Generated tokens in each event of a stream; 0 for plain services.
+      resident_tokens: Tokens that fit into the memory of one model engine; 0 for plain services.
+      max_pin_ms: How long a finished turn's cache can be kept from eviction; 0 if never.
+    """
+
+    name: str
+    max_connections: int
+    tokens_per_event: int
+    resident_tokens: int
+    max_pin_ms: int
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what one caller may send, and how slowly."""
+
+    max_head_bytes: int = 65_536
+    max_body_bytes: int = 8_000_000
+    head_ms: int = 10_000
+    idle_ms: int = 75_000
+
+
+class Configuration(NamedTuple):
+    """Everything that operators set, as of one version."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: CallerLimits
+
+
+class BackendEntry(NamedTuple):
+    """What a backend server says of itself.
+
+    Attributes:
+      backend_id: New with each start of the backend server.
+      leaving: Whether it finishes what it has and takes nothing new.
+      cold_ms: How much longer it is slow after its start.
+    """
+
+    backend_id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    leaving: bool
+    cold_ms: int
+
+
+class Daemon(NamedTuple):
+    """Where another daemon can be reached.
+
+    Attributes:
+      incarnation: Start time of its process; a higher one replaces a lower one.
+      caller_address: For callers.
+      peer_address: For other daemons, TCP and UDP.
+    """
+
+    member_id: str
+    incarnation: int
+    zone: str
+    caller_address: str
+    peer_address: str
+
+
+class Refusal(NamedTuple):
+    """A final answer that the gateway gives by itself.
+
+    Attributes:
+      verdict: Whether the call may have run.
+      reason: Short and constant, for logs and metrics.
+      retry_after_ms: When to come back; 0 says nothing of it.
+    """
+
+    status: int
+    verdict: Verdict
+    reason: str
+    retry_after_ms: int = 0
+
+
+class Decision(NamedTuple):
+    """Where the configuration in force sends one call; travels with it to the program's owner."""
+
+    version: int
+    route: Route
+    service: Service
+
+
+def not_run(reason: str, *, retry_after_ms: int = 0, status: int = 503) -> Refusal:
+    """Returns the refusal of a call that has not run and never will."""
+    return Refusal(status, Verdict.NOT_RUN, reason, retry_after_ms)
+
+
+def may_have_run(reason: str, *, status: int = 502) -> Refusal:
+    """Returns the final answer to a call whose effect is not known."""
+    return Refusal(status, Verdict.MAY_HAVE_RUN, reason)
--- /dev/null
+++ b/src/quincespool/gateway/ownership.py
@@ -0,0 +1,162 @@
+"""Which partitions this daemon owns, as the store's group of owners assigns them."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.partition import OwnedPartition
+from quincespool.gateway.store import Partition
+from quincespool.gateway.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.store import Assignment
+    from quincespool.gateway.store import Store
+
+# Three renewals a lease, so that one lost answer does not cost the partitions.
+RENEWALS_PER_LEASE = 3
+# The generation of an assignment makes the epoch; a daemon that takes the same assignment up again
+# counts on within it.
+EPOCHS_PER_GENERATION = 1_000
+# After the assignment has changed, the next renewal lets the new owner have what it is to get.
+HAND_OVER_S = 0.01
+
+
+def partition_of(program_id: str, partitions: list[Partition]) -> Partition:
+    """Returns the partition of a program, the same at every daemon."""
+    digest = hashlib.blake2b(program_id.encode(), digest_size=8).digest()
+    return partitions[int.from_bytes(digest, "big") % len(partitions)]
+
+
+def list_partitions(topics: list[str], partition_count: int) -> list[Partition]:
+    """Returns all partitions of some topics."""
+    return [Partition(topic, number) for topic in topics for number in range(partition_count)]
+
+
+class Ownership:
+    """Keeps this daemon in the group of owners and follows its assignment.
+
+    Attributes:
+      owned: Partitions assigned to this daemon, some of them not read yet.
+      generation: Of the assignment.
+    """
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        topics: list[str],
+        lease_ms: int,
+        store: Store,
+        on_change: Callable[[OwnedPartition, str], None],
+        on_assignment: Callable[[int, int], None],
+    ) -> None:
+        self.owned: dict[Partition, OwnedPartition] = {}
+        self.generation = 0
+        self._member_id = member_id
+        self._topics = topics
+        self._renewal_s = lease_ms / 1000 / RENEWALS_PER_LEASE
+        self._store = store
+        self._on_change = on_change
+        self._on_assignment = on_assignment
+        self._poke = asyncio.Event()
+        self._wanted = True
+        self._aside = False
+        self._takes = 0
+
+    def renew_soon(self) -> None:
+        """Renews now rather than at the next interval: somebody has seen a newer generation."""
+        self._poke.set()
+
+    async def run(self) -> None:
+        """Stays in the group until `leave`."""
+        while self._wanted:
+            changed = False if self._aside else await self._renew()
+            wait_s = HAND_OVER_S if changed else self._renewal_s
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._poke.wait()
+            except TimeoutError:
+                pass
+            self._poke.clear()
+
+    async def leave(self) -> None:
+        """Gives all partitions up, what waits to be written first."""
+        self._wanted = False
+        self._poke.set()
+        for _ in range(20):
+            if all(one.idle or one.stalled for one in self.owned.values()):
+                break
+            await asyncio.sleep(0.01)
+        self._give_up(list(self.owned), "leaving")
+        try:
+            await self._store.leave(self._member_id)
+        except StoreError:
+            # The lease runs out by itself; the others wait for that long.
+            return
+
+    async def step_aside(self, reason: str) -> None:
+        """Lets others have the partitions while this daemon cannot be reached by them."""
+        self._aside = True
+        self._give_up(list(self.owned), reason)
+        try:
+            await self._store.leave(self._member_id)
+        except StoreError:
+            return
+
+    def step_back(self) -> None:
+        """Takes part again."""
+        self._aside = False
+        self._poke.set()
+
+    @property
+    def is_aside(self) -> bool:
+        """Whether it has stepped aside."""
+        return self._aside
+
+    async def _renew(self) -> bool:
+        """Renews the lease; returns whether the assignment has changed."""
+        try:
+            assignment = await self._store.join(
+                self._topics, member_id=self._member_id, generation=self.generation
+            )
+        except StoreError:
+            # Partitions are kept: whether the lease has run out only the store knows, and a write
+            # under an old epoch is refused by it.
+            return False
+        if not self._wanted or self._aside:
+            return False
+        return self._follow(assignment)
+
+    def _follow(self, assignment: Assignment) -> bool:
+        changed = assignment.generation != self.generation
+        self.generation = assignment.generation
+        lost = [one for one in self.owned if one not in assignment.partitions]
+        self._give_up(lost, "reassigned")
+        for partition in assignment.partitions:
+            known = self.owned.get(partition)
+            if known is None or known.lost:
+                self._take(partition)
+        if changed:
+            self._on_assignment(assignment.generation, len(assignment.partitions))
+        return changed
+
+    def _take(self, partition: Partition) -> None:
+        self._takes += 1
+        epoch = self.generation * EPOCHS_PER_GENERATION + self._takes % EPOCHS_PER_GENERATION
+        self.owned[partition] = OwnedPartition(
+            partition, epoch=epoch, store=self._store, on_change=self._on_change
+        )
+
+    def forget(self, lost: OwnedPartition) -> None:
+        """Takes note that a partition was lost; the next renewal tells whether it comes back."""
+        if self.owned.get(lost.partition) is lost:
+            del self.owned[lost.partition]
+            self._poke.set()
+
+    def _give_up(self, partitions: list[Partition], reason: str) -> None:
+        for partition in partitions:
+            self.owned.pop(partition).lose(reason)
--- /dev/null
+++ b/src/quincespool/gateway/partition.py
@@ -0,0 +1,199 @@
+"""One partition that this daemon owns: its ledger, and the only writer to its records."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quincespool.gateway.ledger import Ledger
+from quincespool.gateway.ledger import decode_record
+from quincespool.gateway.ledger import encode_record
+from quincespool.gateway.store import ExpiredError
+from quincespool.gateway.store import FencedError
+from quincespool.gateway.store import SequenceError
+from quincespool.gateway.store import StoreError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store import Store
+
+# An append that brought no answer is sent again after this pause, doubling up to the second figure;
+# short enough that a store that is back is noticed within a fraction of a caller's patience.
+FIRST_RETRY_S = 0.05
+MAX_RETRY_S = 0.4
+# A batch stays well under the platform's two megabytes a call.
+MAX_BATCH_BYTES = 1_000_000
+
+
+class LostPartitionError(Exception):
+    """Another daemon owns the partition now; what was not yet kept is not."""
+
+
+class OwnedPartition:
+    """Writes under one epoch, one batch at a time, in the order in which records were handed over.
+
+    Attributes:
+      partition: Which one.
+      epoch: Under which it writes; a daemon that takes the partition over uses a higher one, after
+        which nothing of this one is appended any more, however late it arrives.
+      ledger: The state after all records, those on their way included.
+      ready: Whether it has read all records and may serve.
+      lost: Whether another daemon has taken over.
+      stalled: Whether the last append was not acknowledged.
+    """
+
+    def __init__(
+        self,
+        partition: Partition,
+        *,
+        epoch: int,
+        store: Store,
+        on_change: Callable[[OwnedPartition, str], None],
+    ) -> None:
+        self.partition = partition
+        self.epoch = epoch
+        self.ledger = Ledger()
+        self.ready = False
+        self.lost = False
+        self.stalled = False
+        self.ready_event = asyncio.Event()
+        self._store = store
+        self._on_change = on_change
+        self._sequence = 0
+        self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._wake = asyncio.Event()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def keep(self, record: Record) -> None:
+        """Returns once the record is durable.
+
+        A caller that stops waiting does not take the record back.
+
+        Raises:
+          LostPartitionError: if another daemon has taken the partition over first.
+        """
+        await asyncio.shield(self.submit(record))
+
+    def submit(self, record: Record) -> asyncio.Future[None]:
+        """Hands a record over; the future tells when it is kept."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        # Nobody may wait for the outcome any more; that is no forgotten error.
+        future.add_done_callback(lambda done: done.cancelled() or done.exception())
+        if self.lost:
+            future.set_exception(LostPartitionError())
+            return future
+        # Folded in at once: two turns that come at the same moment must not both find the budget
+        # that is left for one. What follows stands behind this record in the log, so a daemon that
+        # reads it later decides alike; if this one is never kept, neither is what follows.
+        self.ledger.apply(record)
+        self._waiting.append((encode_record(record), future))
+        self._wake.set()
+        return future
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing waits to be appended."""
+        return not self._waiting
+
+    def lose(self, reason: str) -> None:
+        """Stops writing; whatever waits fails."""
+        if self.lost:
+            return
+        self.lost = True
+        self.ready = False
+        self.ready_event.set()
+        if self._task is not asyncio.current_task():
+            self._task.cancel()
+        for _, future in self._waiting:
+            if not future.done():
+                future.set_exception(LostPartitionError())
+        self._waiting.clear()
+        self._on_change(self, reason)
+
+    async def _run(self) -> None:
+        try:
+            await self._take_over()
+            while True:
+                await self._wake.wait()
+                self._wake.clear()
+                while self._waiting:
+                    await self._append_batch()
+        except FencedError:
+            self.lose("fenced")
+        except SequenceError as error:
+            # Only this task appends under this epoch, so the sequence can differ only if the store
+            # has forgotten the writer; a new take-over reads what is there.
+            self.lose(f"sequence {error.expected} expected, {self._sequence} sent")
+
+    async def _take_over(self) -> None:
+        """Shuts the last owner out, then reads everything that it has written."""
+        started_s = time.monotonic()
+        end_offset = await self._append([])
+        offset = 0
+        while offset < end_offset:
+            offset = await self._read_from(offset)
+        self.ready = True
+        self.ready_event.set()
+        took_ms = int((time.monotonic() - started_s) * 1000)
+        self._on_change(self, f"read {end_offset} records in {took_ms} ms")
+
+    async def _read_from(self, offset: int) -> int:
+        try:
+            page = await self._store.read(self.partition, offset)
+        except ExpiredError as error:
+            return max(offset + 1, error.first_offset)
+        except StoreError:
+            self.stalled = True
+            await asyncio.sleep(FIRST_RETRY_S)
+            return offset
+        self.stalled = False
+        for data in page.records:
+            try:
+                self.ledger.apply(decode_record(data))
+            except msgspec.DecodeError as error:
+                # A record of a version that this one does not know; its turn can't be continued
+                # here, and the log line is the only sign.
+                self._on_change(self, f"undecodable record: {error}")
+        return offset + len(page.records)
+
+    async def _append_batch(self) -> None:
+        batch: list[tuple[bytes, asyncio.Future[None]]] = []
+        size_bytes = 0
+        for item in self._waiting:
+            if batch and size_bytes + len(item[0]) > MAX_BATCH_BYTES:
+                break
+            batch.append(item)
+            size_bytes += len(item[0])
+        await self._append([data for data, _ in batch])
+        del self._waiting[: len(batch)]
+        for _, future in batch:
+            if not future.done():
+                future.set_result(None)
+
+    async def _append(self, records: list[bytes]) -> int:
+        """Appends until the store has answered; the same sequence number makes that harmless."""
+        pause_s = FIRST_RETRY_S
+        while True:
+            try:
+                end_offset = await self._store.append(
+                    self.partition, records, epoch=self.epoch, sequence=self._sequence
+                )
+            except (FencedError, SequenceError):
+                raise
+            except StoreError as error:
+                if not self.stalled:
+                    self._on_change(self, f"append stalled: {error}")
+                self.stalled = True
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, MAX_RETRY_S)
+                continue
+            self.stalled = False
+            if records:
+                self._sequence += 1
+            return end_offset
--- /dev/null
+++ b/src/quincespool/gateway/pool.py
@@ -0,0 +1,73 @@
+"""Kept connections to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.exchange import BackendConnection
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.model import BackendEntry
+
+
+class ConnectionPool:
+    """Connections by backend server, the one used last first."""
+
+    def __init__(self, *, on_open: Callable[[], None]) -> None:
+        self._idle: dict[str, list[BackendConnection]] = {}
+        self._on_open = on_open
+
+    async def take(self, entry: BackendEntry) -> BackendConnection:
+        """Returns a connection that nothing else uses.
+
+        Raises:
+          ConnectError: if none can be made.
+        """
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(entry.backend_id, [])
+        while idle:
+            connection = idle.pop()
+            if connection.usable and now_s < connection.idle_until_s:
+                return connection
+            connection.close()
+        connection = BackendConnection()
+        try:
+            await connection.connect(entry.address)
+        except BaseException:
+            connection.close()
+            raise
+        self._on_open()
+        return connection
+
+    def give_back(
+        self, entry: BackendEntry, connection: BackendConnection, idle_s: float | None
+    ) -> None:
+        """Takes a connection back whose answer is whole, if it may be used again."""
+        if not connection.usable:
+            connection.close()
+            return
+        connection.keep(idle_s)
+        self._idle.setdefault(entry.backend_id, []).append(connection)
+
+    def drop(self, backend_id: str) -> None:
+        """Closes the idle connections to a backend server that has gone or is suspect."""
+        for connection in self._idle.pop(backend_id, []):
+            connection.close()
+
+    def close_stale(self) -> None:
+        """Closes the connections that were idle for too long."""
+        now_s = asyncio.get_running_loop().time()
+        for backend_id, idle in list(self._idle.items()):
+            kept = []
+            for connection in idle:
+                if connection.usable and now_s < connection.idle_until_s:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle[backend_id] = kept
+            else:
+                del self._idle[backend_id]
--- /dev/null
+++ b/src/quincespool/gateway/relay.py
@@ -0,0 +1,295 @@
+"""Hands turns to the owners of their programs, and serves those that other daemons hand over."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.ledger import decode_record
+from quincespool.gateway.ledger import encode_record
+from quincespool.gateway.messages import RelayCall
+from quincespool.gateway.messages import RelayCancel
+from quincespool.gateway.messages import RelayEnd
+from quincespool.gateway.messages import RelayHead
+from quincespool.gateway.messages import RelayPiece
+from quincespool.gateway.messages import RelayRefused
+from quincespool.gateway.messages import SettleTurn
+from quincespool.gateway.messages import TurnSettled
+from quincespool.gateway.model import Refusal
+from quincespool.gateway.model import may_have_run
+from quincespool.gateway.model import not_run
+from quincespool.gateway.partition import LostPartitionError
+from quincespool.gateway.relay_codec import read_headers
+from quincespool.gateway.relay_codec import read_relay
+from quincespool.gateway.relay_codec import write_headers
+from quincespool.gateway.relay_codec import write_relay
+from quincespool.gateway.store import Partition
+from quincespool.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.links import Link
+    from quincespool.gateway.links import Links
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Decision
+    from quincespool.gateway.model import Headers
+    from quincespool.gateway.ownership import Ownership
+    from quincespool.gateway.reply import Reply
+    from quincespool.gateway.turns import TurnRunner
+
+# A partition that changes hands is back within some tens of milliseconds, after a death within the
+# lease; a turn waits for it no longer than this, since a refusal costs its caller little.
+OWNER_WAIT_MS = 500
+OWNER_POLL_S = 0.02
+OWNER_RETRY_MS = 400
+# The owner answers at the time limit; this long after it, it is not going to.
+OVERTIME_MS = 120
+NOT_OWNER = "not_owner"
+
+
+class _Pending:
+    """A turn that was handed to its owner."""
+
+    def __init__(self, reply: Reply) -> None:
+        self.reply = reply
+        self.link: Link | None = None
+        self.head_seen = False
+        self.done: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
+
+
+class _RemoteReply:
+    """Sends an answer to the daemon that relays for its caller."""
+
+    def __init__(self, link: Link, relay_id: int) -> None:
+        self._link = link
+        self._relay_id = relay_id
+
+    def head(self, status: int, headers: Headers) -> None:
+        self._link.send(RelayHead(self._relay_id, status, write_headers(headers)))
+
+    def piece(self, data: bytes) -> None:
+        self._link.send(RelayPiece(self._relay_id, data))
+
+    def end(self) -> None:
+        self._link.send(RelayEnd(self._relay_id))
+
+    def refuse(self, refusal: Refusal) -> None:
+        self._link.send(
+            RelayRefused(
+                self._relay_id,
+                refusal.status,
+                refusal.verdict.value,
+                refusal.reason,
+                refusal.retry_after_ms,
+            )
+        )
+
+
+class Relay:
+    """Brings each turn to the owner of its program, which may be this daemon."""
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        partition_for: Callable[[str], Partition],
+        members: Members,
+        ownership: Ownership,
+        links: Links,
+        turns: TurnRunner,
+    ) -> None:
+        self._member_id = member_id
+        self._partition_for = partition_for
+        self._members = members
+        self._ownership = ownership
+        self._links = links
+        self._turns = turns
+        self._ids = itertools.count(1)
+        self._pending: dict[int, _Pending] = {}
+        self._serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
+        self._settling: dict[int, asyncio.Future[bool]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def serving(self) -> int:
+        """Turns of other daemons' callers under way here."""
+        return len(self._serving)
+
+    async def run(self, call: Call, decision: Decision, reply: Reply, *, until_ms: int) -> str:
+        """Answers a turn; returns the member id of the daemon that did, empty if none."""
+        assert call.turn is not None
+        partition = self._partition_for(call.turn.program_id)
+        give_up_ms = min(until_ms, now_ms() + OWNER_WAIT_MS)
+        while True:
+            refusal: Refusal | None = None
+            owned = self._ownership.owned.get(partition)
+            owner = self._members.owner(partition, now_ms())
+            if owned is not None and owned.ready:
+                await self._turns.run(call, decision, owned, reply, until_ms=until_ms)
+                return self._member_id
+            if owned is None and owner is not None:
+                refusal = await self._hand_over(
+                    owner[0].peer_address, call, decision, reply, until_ms
+                )
+                if refusal is None:
+                    return owner[0].member_id
+                if refusal.reason != NOT_OWNER:
+                    reply.refuse(refusal)
+                    return owner[0].member_id
+            if now_ms() >= give_up_ms:
+                reply.refuse(not_run("no_owner", retry_after_ms=OWNER_RETRY_MS))
+                return ""
+            await asyncio.sleep(OWNER_POLL_S)
+
+    async def settle_elsewhere(self, partition: Partition, record: Record, left_ms: int) -> bool:
+        """Lets a partition's new owner keep a record; returns whether it has."""
+        until_ms = now_ms() + left_ms
+        while now_ms() < until_ms:
+            owned = self._ownership.owned.get(partition)
+            owner = self._members.owner(partition, now_ms())
+            kept = None
+            if owned is not None and owned.ready:
+                kept = await self._keep(partition, record)
+            elif owned is None and owner is not None:
+                kept = await self._settle_at(owner[0].peer_address, partition, record, until_ms)
+            if kept:
+                return True
+            await asyncio.sleep(OWNER_POLL_S)
+        return False
+
+    def on_message(self, link: Link, sender: str, message: Any) -> None:
+        """Takes a message from another daemon."""
+        del sender
+        if isinstance(message, RelayCall):
+            self._serve(link, message)
+        elif isinstance(message, RelayCancel):
+            task = self._serving.get((link, message.relay_id))
+            if task is not None:
+                task.cancel()
+        elif isinstance(message, SettleTurn):
+            self._spawn(self._settle_for(link, message))
+        elif isinstance(message, TurnSettled):
+            future = self._settling.pop(message.settle_id, None)
+            if future is not None and not future.done():
+                future.set_result(message.kept)
+        else:
+            self._take_answer(message)
+
+    def on_lost(self, link: Link) -> None:
+        """Ends what was on a link."""
+        for (one, _), task in list(self._serving.items()):
+            if one is link:
+                task.cancel()
+        for pending in list(self._pending.values()):
+            if pending.link is link and not pending.done.done():
+                pending.done.set_result(may_have_run("owner_lost"))
+
+    async def _hand_over(
+        self, address: str, call: Call, decision: Decision, reply: Reply, until_ms: int
+    ) -> Refusal | None:
+        """Relays a turn to its owner; returns None if it was answered, else the refusal."""
+        link = await self._links.get(address)
+        if link is None:
+            return not_run(NOT_OWNER)
+        relay_id = next(self._ids)
+        pending = _Pending(reply)
+        pending.link = link
+        self._pending[relay_id] = pending
+        left_ms = until_ms - now_ms()
+        if not link.send(write_relay(relay_id, call, decision, left_ms=left_ms)):
+            del self._pending[relay_id]
+            return not_run(NOT_OWNER)
+        try:
+            async with asyncio.timeout((left_ms + OVERTIME_MS) / 1000):
+                return await pending.done
+        except TimeoutError:
+            link.send(RelayCancel(relay_id))
+            return may_have_run("timeout", status=504)
+        except asyncio.CancelledError:
+            link.send(RelayCancel(relay_id))
+            raise
+        finally:
+            self._pending.pop(relay_id, None)
+
+    def _take_answer(self, message: RelayHead | RelayPiece | RelayEnd | RelayRefused) -> None:
+        pending = self._pending.get(message.relay_id)
+        if pending is None or pending.done.done():
+            return
+        if isinstance(message, RelayHead):
+            pending.reply.head(message.status, read_headers(message.headers))
+        elif isinstance(message, RelayPiece):
+            pending.reply.piece(message.data)
+        elif isinstance(message, RelayEnd):
+            pending.reply.end()
+            pending.done.set_result(None)
+        else:
+            refusal = Refusal(
+                message.status, Verdict(message.verdict), message.reason, message.retry_after_ms
+            )
+            pending.done.set_result(refusal)
+
+    def _serve(self, link: Link, message: RelayCall) -> None:
+        call, decision = read_relay(message)
+        reply = _RemoteReply(link, message.relay_id)
+        owned = self._ownership.owned.get(self._partition_for(message.program_id))
+        if owned is None or not owned.ready:
+            reply.refuse(not_run(NOT_OWNER))
+            return
+        until_ms = now_ms() + message.left_ms
+        task = self._spawn(self._turns.run(call, decision, owned, reply, until_ms=until_ms))
+        key = (link, message.relay_id)
+        self._serving[key] = task
+        task.add_done_callback(lambda _: self._serving.pop(key, None))
+
+    async def _settle_at(
+        self, address: str, partition: Partition, record: Record, until_ms: int
+    ) -> bool:
+        link = await self._links.get(address)
+        if link is None:
+            return False
+        settle_id = next(self._ids)
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._settling[settle_id] = future
+        data = encode_record(record)
+        link.send(SettleTurn(settle_id, partition.topic, partition.number, data))
+        try:
+            async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
+                return await future
+        except TimeoutError:
+            return False
+        finally:
+            self._settling.pop(settle_id, None)
+
+    async def _settle_for(self, link: Link, message: SettleTurn) -> None:
+        partition = Partition(message.topic, message.number)
+        try:
+            record = decode_record(message.record)
+        except msgspec.DecodeError:
+            link.send(TurnSettled(message.settle_id, kept=False))
+            return
+        kept = await self._keep(partition, record)
+        link.send(TurnSettled(message.settle_id, kept=kept))
+
+    async def _keep(self, partition: Partition, record: Record) -> bool:
+        owned = self._ownership.owned.get(partition)
+        if owned is None or not owned.ready:
+            return False
+        try:
+            await owned.keep(record)
+        except LostPartitionError:
+            return False
+        return True
+
+    def _spawn(self, work: Any) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/src/quincespool/gateway/routes.py
@@ -0,0 +1,73 @@
+"""Selects a call's route and service from the configuration in force."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from quincespool.gateway.model import Configuration
+from quincespool.gateway.model import Decision
+from quincespool.gateway.model import Refusal
+from quincespool.gateway.model import Service
+from quincespool.gateway.model import not_run
+
+if TYPE_CHECKING:
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Route
+
+# A daemon that has just started reads its configuration within a few hundred milliseconds.
+UNCONFIGURED_RETRY_MS = 500
+
+
+class RouteTable:
+    """The newest configuration known; never goes back to an older version."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = None
+        self._by_host: dict[str, list[Route]] = {}
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 before the first."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Puts a configuration in force unless it is older than the present one."""
+        if configuration.version <= self.version:
+            return False
+        by_host: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            by_host.setdefault(route.host, []).append(route)
+        for routes in by_host.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self.configuration = configuration
+        self._by_host = by_host
+        return True
+
+    def decide(self, call: Call) -> Result[Decision, Refusal]:
+        """Returns the route of the longest matching prefix and a service drawn by weight."""
+        configuration = self.configuration
+        if configuration is None:
+            return Error(not_run("no_configuration", retry_after_ms=UNCONFIGURED_RETRY_MS))
+        for route in self._by_host.get(call.host, ()):
+            if call.target.startswith(route.path_prefix):
+                service = _draw(configuration, route, call)
+                return Ok(Decision(configuration.version, route, service))
+        return Error(not_run("no_route", status=404))
+
+
+def _draw(configuration: Configuration, route: Route, call: Call) -> Service:
+    """Draws by a hash of the program, so that the turns of one program share an engine's cache."""
+    key = call.turn.program_id if call.turn is not None else call.call_id
+    total = sum(share.weight for share in route.shares)
+    digest = hashlib.blake2b(f"{route.name}|{key}".encode(), digest_size=8).digest()
+    point = int.from_bytes(digest, "big") % max(1, total)
+    for share in route.shares:
+        point -= share.weight
+        if point < 0:
+            return configuration.services[share.service]
+    return configuration.services[route.shares[0].service]
--- /dev/null
+++ b/src/quincespool/gateway/side_ports.py
@@ -0,0 +1,67 @@
+"""The ports beside the callers' one: readiness, the directory of addresses, metrics and state."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quincespool.net.http_connection import HttpResponse
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.wire import Wire
+    from quincespool.net.http_connection import Connection
+    from quincespool.net.metrics import Metrics
+    from quincespool.net.requests import HttpRequest
+    from quincespool.net.requests import RequestError
+
+_JSON = [("content-type", "application/json")]
+
+
+class SidePorts:
+    """Answers everything that is no call."""
+
+    def __init__(
+        self,
+        *,
+        wire: Wire,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+        addresses: Callable[[], list[str]],
+        addresses_valid_ms: int,
+        dump: Callable[[], dict[str, object]],
+    ) -> None:
+        self._wire = wire
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._addresses = addresses
+        self._addresses_valid_ms = addresses_valid_ms
+        self._dump = dump
+
+    async def handle(self, connection: Connection, request: HttpRequest) -> None:
+        """Answers one request."""
+        connection.respond(self._answer(request))
+
+    def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
+        """Returns the answer to a request that cannot be read."""
+        del request
+        return HttpResponse(error.status, _JSON, msgspec.json.encode({"error": error.message}))
+
+    def _answer(self, request: HttpRequest) -> HttpResponse:
+        if self._wire.is_readiness_question(request):
+            return HttpResponse(200 if self._is_ready() else 503, [], b"")
+        if self._wire.read_address_question(request) is not None:
+            addresses = self._addresses()
+            if not addresses:
+                return HttpResponse(503, [], b"")
+            body = self._wire.write_addresses(addresses, self._addresses_valid_ms)
+            return HttpResponse(200, _JSON, body)
+        path = request.target.partition("?")[0]
+        if path == "/metrics":
+            content, media_type = self._metrics.render()
+            return HttpResponse(200, [("content-type", media_type)], content)
+        if path == "/state":
+            return HttpResponse(200, _JSON, msgspec.json.encode(self._dump()))
+        return HttpResponse(404, _JSON, msgspec.json.encode({"error": "no such resource"}))
--- /dev/null
+++ b/src/quincespool/gateway/ticker.py
@@ -0,0 +1,44 @@
+"""The gateway's timer service: parts subscribe to be called at intervals."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Ticker:
+    """Calls subscribers at their intervals; a late call is not made up for."""
+
+    def __init__(self) -> None:
+        self._handles: dict[int, asyncio.TimerHandle] = {}
+        self._stopped = False
+
+    def every(self, interval_ms: Callable[[], int], call: Callable[[], None]) -> None:
+        """Calls a function again and again.
+
+        Args:
+          interval_ms: Asked before each pause.
+          call: Must not block.
+        """
+        number = len(self._handles)
+
+        def run() -> None:
+            if self._stopped:
+                return
+            arm()
+            call()
+
+        def arm() -> None:
+            loop = asyncio.get_running_loop()
+            self._handles[number] = loop.call_later(interval_ms() / 1000, run)
+
+        arm()
+
+    def stop(self) -> None:
+        """Calls nobody any more."""
+        self._stopped = True
+        for handle in self._handles.values():
+            handle.cancel()
--- a/src/quincespool/logs.py
+++ b/src/quincespool/logs.py
@@ -29,12 +29,17 @@
       zone: Its availability zone.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(_LineFormatter(member_id=member_id, zone=zone))
+    handler.setFormatter(make_formatter(member_id, zone))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
 
 
+def make_formatter(member_id: str, zone: str) -> logging.Formatter:
+    """Returns what turns a log record into one JSON object."""
+    return _LineFormatter(member_id=member_id, zone=zone)
+
+
 def write_line(level: str, message: str, fields: dict[str, object] | None = None) -> None:
     """Writes one line.
 
--- a/src/quincespool/net/codec.py
+++ b/src/quincespool/net/codec.py
@@ -1,26 +1,20 @@
-"""Messages between daemons as bytes, by the schema `schema/peer.capnp`.
-
-The mapping is by field name and knows no message by itself: the fields of a NamedTuple are those of
-the struct of the same name, `snake_case` here and `camelCase` there.
-"""
+"""Messages between daemons as bytes, by the schema `schema/peer.capnp`."""
 
 from __future__ import annotations
 
 from pathlib import Path
-from typing import Any
 from typing import NamedTuple
 from typing import get_args
-from typing import get_origin
-from typing import get_type_hints
-
-import capnp
 
 import quincespool.schema
 from quincespool.core.messages import Datagram
 from quincespool.core.messages import Message
+from quincespool.net.struct_codec import MAX_MESSAGE_BYTES
+from quincespool.net.struct_codec import PROTOCOL_VERSION
+from quincespool.net.struct_codec import CodecError
+from quincespool.net.struct_codec import StructCodec
 
-PROTOCOL_VERSION = 1
-MAX_MESSAGE_BYTES = 32_000_000
+__all__ = ["MAX_MESSAGE_BYTES", "PROTOCOL_VERSION", "CodecError", "Envelope", "decode", "encode"]
 
 _SCHEMA_PATH = Path(quincespool.schema.__file__).with_name("peer.capnp")
 
@@ -44,111 +38,14 @@
     message: Message | Datagram | Hello
 
 
-class CodecError(Exception):
-    """Bytes that are no message of this protocol version, or a message that does not fit in it."""
-
-
 def encode(sender: str, message: Message | Datagram | Hello) -> bytes:
-    """Returns the bytes of one message.
-
-    Raises:
-      CodecError: if a value does not fit its field, such as a number beyond 64 bits.
-    """
-    plan = _PLANS[type(message)]
-    envelope = _ENVELOPE.new_message()
-    try:
-        envelope.version = PROTOCOL_VERSION
-        envelope.sender = sender
-        _write(envelope.init(plan.union_name), plan, message)
-        encoded: bytes = envelope.to_bytes()
-    except (capnp.KjException, ValueError, OverflowError, TypeError) as error:
-        raise CodecError(f"{type(message).__name__}: {error}") from error
-    if len(encoded) > MAX_MESSAGE_BYTES:
-        raise CodecError(f"{type(message).__name__}: {len(encoded)} bytes are too many")
-    return encoded
+    """Returns the bytes of one message; see `StructCodec.encode`."""
+    return _CODEC.encode(sender, message)
 
 
 def decode(data: bytes) -> Envelope:
-    """Returns the message in `data`, which must be one whole encoded message.
+    """Returns the message in `data`; see `StructCodec.decode`."""
+    return Envelope(*_CODEC.decode(data))
 
-    Raises:
-      CodecError: if it is damaged, of another protocol version or of an unknown kind.
-    """
-    try:
-        with _ENVELOPE.from_bytes(data) as envelope:
-            return _read_envelope(envelope)
-    except (capnp.KjException, ValueError, AttributeError) as error:
-        raise CodecError(str(error).splitlines()[0]) from error
-
-
-class _Field(NamedTuple):
-    name: str
-    is_list: bool
-    element: _Plan | None
-
-
-class _Plan(NamedTuple):
-    kind: type[Any]
-    union_name: str
-    fields: tuple[_Field, ...]
-
-
-def _read_envelope(envelope: Any) -> Envelope:
-    version = envelope.version
-    if version != PROTOCOL_VERSION:
-        raise CodecError(f"protocol version {version} instead of {PROTOCOL_VERSION}")
-    union_name = envelope._which_str()
-    plan = _PLANS_BY_UNION_NAME.get(union_name)
-    if plan is None:
-        raise CodecError(f"unknown kind of message: {union_name}")
-    return Envelope(sender=envelope.sender, message=_read(getattr(envelope, union_name), plan))
-
-
-def _write(builder: Any, plan: _Plan, values: Any) -> None:
-    for field, value in zip(plan.fields, values, strict=True):
-        if field.element is not None:
-            structs = builder.init(field.name, len(value))
-            for index, element in enumerate(value):
-                _write(structs[index], field.element, element)
-        else:
-            setattr(builder, field.name, list(value) if field.is_list else value)
-
-
-def _read(reader: Any, plan: _Plan) -> Any:
-    return plan.kind(*[_read_field(reader, field) for field in plan.fields])
-
-
-def _read_field(reader: Any, field: _Field) -> Any:
-    value = getattr(reader, field.name)
-    if not field.is_list:
-        return value
-    element = field.element
-    if element is None:
-        return tuple(value)
-    return tuple(_read(item, element) for item in value)
-
-
-def _make_plan(kind: type[Any]) -> _Plan:
-    hints = get_type_hints(kind)
-    fields = tuple(_make_field(name, hints[name]) for name in kind._fields)
-    name = kind.__name__
-    return _Plan(kind=kind, union_name=name[0].lower() + name[1:], fields=fields)
-
-
-def _make_field(name: str, hint: Any) -> _Field:
-    first, *rest = name.split("_")
-    camel = first + "".join(part.capitalize() for part in rest)
-    if get_origin(hint) is not tuple:
-        return _Field(name=camel, is_list=False, element=None)
-    item = get_args(hint)[0]
-    return _Field(name=camel, is_list=True, element=None if item is str else _make_plan(item))
-
-
-# The import hook would make `import anything` look for `anything.capnp` along the whole path.
-capnp.remove_import_hook()
-# The parser owns the memory of its schemas: were it collected, the first message would crash the
-# process with a segmentation fault. So it is kept for as long as the module.
-_PARSER = capnp.SchemaParser()
-_ENVELOPE = _PARSER.load(str(_SCHEMA_PATH), imports=[]).Envelope
-_PLANS = {kind: _make_plan(kind) for kind in (*get_args(Message), *get_args(Datagram), Hello)}
-_PLANS_BY_UNION_NAME = {plan.union_name: plan for plan in _PLANS.values()}
+
+_CODEC = StructCodec(_SCHEMA_PATH, (*get_args(Message), *get_args(Datagram), Hello))
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -34,6 +34,20 @@
 Headers = list[tuple[str, str]]
 
 
+class ConnectionLimits(NamedTuple):
+    """Bounds on the size and pace of what a caller sends on one connection."""
+
+    max_head_bytes: int
+    head_s: float
+    body_s: float
+    idle_s: float
+
+
+def default_limits() -> ConnectionLimits:
+    """Returns the limits of a server that has no others configured."""
+    return ConnectionLimits(MAX_HEAD_BYTES, HEAD_LIMIT_S, BODY_LIMIT_S, IDLE_LIMIT_S)
+
+
 class HttpResponse(NamedTuple):
     """A whole response."""
 
@@ -84,9 +98,12 @@
 class Connection(asyncio.Protocol):
     """The server's side of one connection."""
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner, limits: ConnectionLimits | None = None) -> None:
         self._owner = owner
-        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self._limits = limits or default_limits()
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
+        )
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
         self._phase = _Phase.IDLE
@@ -111,7 +128,7 @@
         if not self._owner.opened(self):
             self._owner.overloaded(self)
             return
-        self._enter(_Phase.IDLE, HEAD_LIMIT_S)
+        self._enter(_Phase.IDLE, self._limits.head_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the server that the caller has gone."""
@@ -224,7 +241,7 @@
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._http.send(go_on) or b"")
         if self._phase is _Phase.IDLE and self._http.trailing_data[0]:
-            self._enter(_Phase.HEAD, HEAD_LIMIT_S)
+            self._enter(_Phase.HEAD, self._limits.head_s)
 
     def _take(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
         if isinstance(event, h11.Request):
@@ -239,7 +256,7 @@
 
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
-        self._enter(_Phase.BODY, BODY_LIMIT_S)
+        self._enter(_Phase.BODY, self._limits.body_s)
         length = dict(head.headers).get(b"content-length", b"0")
         if int(length) > self._owner.max_body_bytes:
             self._refuse_size()
@@ -273,7 +290,7 @@
             self._http.start_next_cycle()
             self._unread_bytes = 0
             self._transport.resume_reading()
-            self._enter(_Phase.IDLE, IDLE_LIMIT_S)
+            self._enter(_Phase.IDLE, self._limits.idle_s)
             self._loop.call_soon(self._advance)
             return
         self._drop_body()
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -78,4 +78,11 @@
     "commit_append_failed_total": MetricSpec("counter", "Appends of batches that failed."),
     "commit_resends_total": MetricSpec("counter", "Groups sent again to the log."),
     "ledger_void_entries_total": MetricSpec("counter", "Entries read that do not count."),
+    "gateway_calls_total": MetricSpec("counter", "Calls of callers by how they ended."),
+    "gateway_call_ms": MetricSpec("histogram", "From a whole request to the end of its answer."),
+    "gateway_record_ms": MetricSpec("histogram", "From a whole turn to its durable record."),
+    "gateway_attempts_total": MetricSpec("counter", "Attempts at backend servers by outcome."),
+    "gateway_backend_connections_total": MetricSpec("counter", "New connections to them."),
+    "gateway_store_calls_total": MetricSpec("counter", "Requests to the store by path and status."),
+    "gateway_partitions": MetricSpec("gauge", "Partitions of programs owned."),
 }
--- /dev/null
+++ b/src/quincespool/platform/entries.py
@@ -0,0 +1,158 @@
+"""What operators and backend servers write into the store: decodes their records."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from quincespool.gateway.model import BackendEntry
+from quincespool.gateway.model import CallerLimits
+from quincespool.gateway.model import CallKind
+from quincespool.gateway.model import Configuration
+from quincespool.gateway.model import Daemon
+from quincespool.gateway.model import Route
+from quincespool.gateway.model import Service
+from quincespool.gateway.model import Share
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+BACKENDS_TOPIC = "keyed.servers"
+DAEMONS_TOPIC = "keyed.status"
+
+
+class _Weighted(msgspec.Struct):
+    service: str
+    weight: int = 1
+
+
+class _Route(msgspec.Struct):
+    name: str
+    hostname: str
+    path_prefix: str
+    kind: Literal["idempotent", "non_idempotent", "streaming"]
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 5
+    service: str = ""
+    weighted_backends: list[_Weighted] = []
+    max_attempts: int = 1
+    # Turns carry only their new input; the chain that they name is to be put before it.
+    retain_context: bool = False
+    retention_s: float = 0
+
+
+class _Engine(msgspec.Struct):
+    # Tokens that one event stands for, not a distance.
+    stream_stride: int = 1
+    kv_capacity: int = 0
+    pin_ms: float = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    cold_remaining_ms: float = 0
+
+
+def read_configuration(value: bytes) -> Configuration:
+    """Returns the configuration in a record.
+
+    Raises:
+      msgspec.DecodeError: if it holds none.
+    """
+    config = msgspec.json.decode(value, type=_Config)
+    return Configuration(
+        version=config.version,
+        routes=tuple(_route(route) for route in config.routes),
+        services={service.name: _service(service) for service in config.services},
+        limits=CallerLimits(
+            max_head_bytes=config.limits.max_header_bytes,
+            max_body_bytes=config.limits.max_body_bytes,
+            head_ms=int(config.limits.header_timeout_ms),
+            idle_ms=int(config.limits.idle_timeout_ms),
+        ),
+    )
+
+
+def read_backend(backend_id: str, value: bytes) -> BackendEntry:
+    """Returns the entry of a backend server.
+
+    Raises:
+      msgspec.DecodeError: if the record holds none.
+    """
+    server = msgspec.json.decode(value, type=_Server)
+    return BackendEntry(
+        backend_id=backend_id,
+        service=server.service,
+        address=server.address,
+        zone=server.zone,
+        slots=server.slots,
+        leaving=server.state != "ready",
+        cold_ms=int(server.cold_remaining_ms),
+    )
+
+
+def read_daemon(member_id: str, value: bytes) -> Daemon:
+    """Returns the entry of a daemon.
+
+    Raises:
+      msgspec.DecodeError: if the record holds none.
+    """
+    return msgspec.json.decode(value, type=Daemon)._replace(member_id=member_id)
+
+
+def write_daemon(daemon: Daemon) -> bytes:
+    """Returns the record of a daemon's entry."""
+    return msgspec.json.encode(daemon)
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(Share(item.service, item.weight) for item in route.weighted_backends)
+    return Route(
+        name=route.name,
+        host=route.hostname.lower(),
+        path_prefix=route.path_prefix,
+        kind=CallKind(route.kind),
+        shares=shares or (Share(route.service, 1),),
+        timeout_ms=int(route.timeout_ms),
+        objective_ms=int(route.target_latency_ms),
+        rank=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        keeps_history=route.retain_context,
+        retention_ms=int(route.retention_s * 1000),
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        max_connections=service.max_connections,
+        tokens_per_event=engine.stream_stride if engine is not None else 0,
+        resident_tokens=engine.kv_capacity if engine is not None else 0,
+        max_pin_ms=int(engine.pin_ms) if engine is not None else 0,
+    )
--- /dev/null
+++ b/src/quincespool/platform/requests.py
@@ -0,0 +1,181 @@
+"""Callers' requests and backend servers' answers: headers of the platform to types and back."""
+
+from __future__ import annotations
+
+import re
+from typing import TYPE_CHECKING
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import msgspec
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from quincespool.gateway.model import Call
+from quincespool.gateway.model import Refusal
+from quincespool.gateway.model import Turn
+from quincespool.gateway.wire import AddressQuestion
+from quincespool.gateway.wire import AnswerHead
+from quincespool.net.requests import RequestError
+
+if TYPE_CHECKING:
+    from quincespool.gateway.model import Headers
+    from quincespool.net.requests import HttpRequest
+
+# Concern one connection only, or are set by the gateway for each attempt.
+_NOT_FORWARDED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "deadline-ms",
+        "expect",
+        "expect-instance",
+        "expect-version",
+        "hold",
+        "keep-alive",
+        "kv-backup",
+        "kv-fetch",
+        "kv-from",
+        "pin-ms",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "request-priority",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_NOT_RETURNED = frozenset(
+    {"connection", "content-length", "keep-alive", "proxy-connection", "transfer-encoding"}
+)
+_ID = re.compile(r"[!-~]{1,128}")
+_NUMBER = re.compile(r"[0-9]{1,12}")
+_MAX_LEFT_MS = 600_000
+
+
+def read_call(request: HttpRequest) -> Result[Call, RequestError]:
+    """Returns the call in a caller's request."""
+    headers = dict(request.headers)
+    if len(headers) != len(request.headers) and _repeats_own(request.headers):
+        return Error(RequestError(400, "a header that identifies the call is repeated"))
+    if "transfer-encoding" in headers and "content-length" in headers:
+        # Two parsers may disagree on where such a request ends; the rest would be taken for a
+        # request of its own that nobody sent.
+        return Error(RequestError(400, "both a length and chunks"))
+    call_id = headers.get("request-id", "")
+    if not _ID.fullmatch(call_id):
+        return Error(RequestError(400, "Request-Id is missing or malformed"))
+    left_text = headers.get("deadline-ms", "")
+    if left_text and not _NUMBER.fullmatch(left_text):
+        return Error(RequestError(400, "Deadline-Ms is not a number"))
+    turn = _read_turn(headers)
+    if turn.is_error():
+        return Error(turn.error)
+    return Ok(
+        Call(
+            call_id=call_id,
+            method=request.method,
+            host=headers.get("host", "").partition(":")[0].lower(),
+            target=request.target,
+            headers=tuple(pair for pair in request.headers if pair[0] not in _NOT_FORWARDED),
+            body=request.body,
+            left_ms=min(int(left_text or _MAX_LEFT_MS), _MAX_LEFT_MS),
+            turn=turn.ok,
+        )
+    )
+
+
+def read_call_id(request: HttpRequest) -> str:
+    """Returns the call id of a request, empty if it has none."""
+    return dict(request.headers).get("request-id", "")
+
+
+def read_address_question(request: HttpRequest) -> AddressQuestion | None:
+    """Returns what a caller asks of the directory, None if it is something else."""
+    parts = urlsplit(request.target)
+    if request.method != "GET" or parts.path != "/resolve":
+        return None
+    return AddressQuestion(zone=parse_qs(parts.query).get("zone", [""])[0])
+
+
+def write_addresses(addresses: list[str], valid_ms: int) -> bytes:
+    """Returns the body of the directory's answer."""
+    return msgspec.json.encode({"addresses": addresses, "ttl_s": valid_ms / 1000})
+
+
+def is_readiness_question(request: HttpRequest) -> bool:
+    """Whether the platform asks if the daemon is ready."""
+    return request.method == "GET" and request.target.partition("?")[0] == "/ready"
+
+
+def write_attempt_headers(
+    call: Call, *, backend_id: str, left_ms: int, rank: int | None, pin_ms: int
+) -> Headers:
+    """Returns the headers of one attempt at a backend server."""
+    headers = [*call.headers, ("deadline-ms", str(left_ms)), ("expect-instance", backend_id)]
+    if rank is not None:
+        headers.append(("request-priority", str(rank)))
+    if pin_ms:
+        headers.append(("pin-ms", str(pin_ms)))
+    return tuple(headers)
+
+
+def read_answer_head(status: int, pairs: Headers) -> AnswerHead:
+    """Returns what the head of a backend server's answer says."""
+    headers = dict(pairs)
+    return AnswerHead(
+        status=status,
+        call_id=headers.get("request-id", ""),
+        stamped="server-stamp" in headers and "content-encoding" not in headers,
+        # 421 comes from another backend server that has the address now.
+        not_run="not-executed" in headers or status == 421,
+        headers=tuple(pair for pair in pairs if pair[0] not in _NOT_RETURNED),
+        idle_s=_read_idle_s(headers.get("keep-alive", "")),
+    )
+
+
+def write_refusal_headers(refusal: Refusal, call_id: str) -> Headers:
+    """Returns the headers of an answer of the gateway's own."""
+    headers = [("request-id", call_id)] if call_id else []
+    headers.append(("content-type", "application/json"))
+    if refusal.retry_after_ms:
+        # In seconds on the wire, with fractions.
+        headers.append(("retry-after", f"{refusal.retry_after_ms / 1000:.3f}"))
+    return tuple(headers)
+
+
+def _read_turn(headers: dict[str, str]) -> Result[Turn | None, RequestError]:
+    # "Token-Usage" holds the prompt's tokens and the most that may be generated, not what was used.
+    usage = headers.get("token-usage")
+    program_id = headers.get("program-id")
+    if usage is None or program_id is None:
+        return Ok(None)
+    _, _, most_text = usage.partition(",")
+    budget_text = headers.get("token-budget")
+    left_text = headers.get("program-deadline-ms")
+    for text in (most_text.strip(), budget_text, left_text):
+        if text is not None and not _NUMBER.fullmatch(text):
+            return Error(RequestError(400, "Token-Usage, Token-Budget or Program-Deadline-Ms"))
+    return Ok(
+        Turn(
+            program_id=program_id,
+            previous_id=headers.get("previous-turn", ""),
+            budget_tokens=None if budget_text is None else int(budget_text),
+            most_tokens=int(most_text),
+            program_left_ms=None if left_text is None else int(left_text),
+        )
+    )
+
+
+def _repeats_own(pairs: Headers) -> bool:
+    names = [name for name, _ in pairs]
+    own = ("request-id", "deadline-ms", "program-id", "previous-turn", "token-budget", "host")
+    return any(names.count(name) > 1 for name in own)
+
+
+def _read_idle_s(text: str) -> float | None:
+    match = re.search(r"timeout=([0-9]{1,6})", text)
+    return float(match[1]) if match else None
--- /dev/null
+++ b/src/quincespool/platform/serve.py
@@ -0,0 +1,35 @@
+"""Runs a gateway daemon with the platform's store and encoding."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.daemon import GatewayDaemon
+from quincespool.gateway.decision_log import DecisionLog
+from quincespool.gateway.decision_log import configure_decision_log
+from quincespool.platform import wire
+from quincespool.platform.store import PlatformStore
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.settings import GatewaySettings
+
+
+async def serve(settings: GatewaySettings) -> None:
+    """Serves until the planned stop is complete."""
+    configure_decision_log(settings.log_level, settings.member_id, settings.zone)
+
+    def make_store(on_call: Callable[[str, str], None]) -> PlatformStore:
+        return PlatformStore(
+            address=settings.store_address,
+            lease_ms=settings.owner_lease_ms,
+            time_limit_ms=settings.store_limit_ms,
+            partition_count=settings.store_partitions,
+            on_call=on_call,
+        )
+
+    log = DecisionLog(asyncio.get_running_loop().time)
+    daemon = GatewayDaemon(settings, make_store=make_store, wire=wire, log=log)
+    await daemon.run()
--- /dev/null
+++ b/src/quincespool/platform/store.py
@@ -0,0 +1,240 @@
+"""The gateway's store on the platform's log, over HTTP.
+
+Every call maps to one request. Nothing is repeated here: the gateway knows what may be.
+"""
+
+from __future__ import annotations
+
+import base64
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+import msgspec
+
+from quincespool.gateway.store import Assignment
+from quincespool.gateway.store import ExpiredError
+from quincespool.gateway.store import FencedError
+from quincespool.gateway.store import KeyedPage
+from quincespool.gateway.store import KeyedRecord
+from quincespool.gateway.store import Page
+from quincespool.gateway.store import Partition
+from quincespool.gateway.store import SequenceError
+from quincespool.gateway.store import StoreError
+from quincespool.net.http_channel import Channel
+from quincespool.net.http_channel import ChannelError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.net.http_channel import ChannelAnswer
+
+_GROUP = "gateway"
+_PRODUCER = "owner"
+_LENGTH_BYTES = 4
+_OFFSET_BYTES = 8
+# Beyond the wait of a long read, for the way there and back.
+_WAY_MS = 700
+_MAX_PAGE_KB = 1_024
+
+
+class _Appended(msgspec.Struct):
+    end: int
+
+
+class _Conflict(msgspec.Struct):
+    # `seq` where the sequence number is wrong, `fenced` where the epoch is.
+    why: str = ""
+    expected: int = 0
+    sequence: int = 0
+
+
+class _Gone(msgspec.Struct):
+    first: int
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class _Newest(msgspec.Struct):
+    items: list[_Item]
+    more: bool
+    end: int
+
+
+class _Joined(msgspec.Struct):
+    generation: int
+    # Rows of topic, partition and committed offset; offsets are not used.
+    parts: list[tuple[str, int, int]]
+
+
+class PlatformStore:
+    """A client of the store.
+
+    Attributes:
+      calls: Requests sent so far, by path.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        lease_ms: int,
+        time_limit_ms: int,
+        partition_count: int,
+        on_call: Callable[[str, str], None],
+    ) -> None:
+        self._address = address
+        self._lease_ms = lease_ms
+        self._time_limit_ms = time_limit_ms
+        self._partition_count = partition_count
+        self._on_call = on_call
+        self._idle: list[Channel] = []
+
+    async def append(
+        self, partition: Partition, records: list[bytes], *, epoch: int, sequence: int
+    ) -> int:
+        """See `Store.append`."""
+        query = {
+            "topic": partition.topic,
+            "part": partition.number,
+            "producer": _PRODUCER,
+            "epoch": epoch,
+            "sequence": sequence,
+        }
+        body = b"".join(_framed(record) for record in records)
+        answer = await self._post("/log-append", query, body)
+        return msgspec.json.decode(answer.body, type=_Appended).end
+
+    async def append_keyed(self, topic: str, key: str, value: bytes | None) -> None:
+        """See `Store.append_keyed`."""
+        name = key.encode()
+        record = len(name).to_bytes(1, "big") + name + (value or b"")
+        await self._post("/log-append", {"topic": topic, "part": 0}, _framed(record))
+
+    async def read(self, partition: Partition, from_offset: int) -> Page:
+        """See `Store.read`."""
+        return await self._read(partition, from_offset, wait_ms=0)
+
+    async def read_keyed(self, topic: str, from_offset: int, *, wait_ms: int) -> KeyedPage:
+        """See `Store.read_keyed`."""
+        page = await self._read(Partition(topic, 0), from_offset, wait_ms=wait_ms)
+        records = [
+            _keyed(record, from_offset + position) for position, record in enumerate(page.records)
+        ]
+        return KeyedPage(from_offset + len(records), records)
+
+    async def read_newest(self, topic: str) -> KeyedPage:
+        """See `Store.read_newest`."""
+        records: list[KeyedRecord] = []
+        end_offset: int | None = None
+        query: dict[str, object] = {"topic": topic, "part": 0}
+        while True:
+            answer = await self._request("GET", "/log-newest", query, b"", self._time_limit_ms)
+            page = msgspec.json.decode(answer.body, type=_Newest)
+            # Pages are taken one after the other; what changed between them lies beyond the end
+            # that the first one names.
+            end_offset = page.end if end_offset is None else end_offset
+            records += [
+                KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
+                for item in page.items
+            ]
+            if not page.more or not page.items:
+                return KeyedPage(end_offset, records)
+            query["after"] = page.items[-1].key
+
+    async def join(self, topics: list[str], *, member_id: str, generation: int) -> Assignment:
+        """See `Store.join`."""
+        body = {
+            "group": _GROUP,
+            "member": member_id,
+            "topics": topics,
+            "ttl_ms": self._lease_ms,
+            "generation": generation,
+        }
+        answer = await self._post("/log-join", {}, msgspec.json.encode(body))
+        joined = msgspec.json.decode(answer.body, type=_Joined)
+        held = frozenset(Partition(topic, number) for topic, number, _ in joined.parts)
+        return Assignment(joined.generation, held)
+
+    async def leave(self, member_id: str) -> None:
+        """See `Store.leave`."""
+        body = {"group": _GROUP, "member": member_id}
+        await self._post("/log-leave", {}, msgspec.json.encode(body))
+
+    async def trim(self, partition: Partition, before_offset: int) -> None:
+        """See `Store.trim`."""
+        query = {"topic": partition.topic, "part": partition.number, "before": before_offset}
+        await self._post("/log-trim", query, b"")
+
+    async def _read(self, partition: Partition, from_offset: int, *, wait_ms: int) -> Page:
+        query = {
+            "topic": partition.topic,
+            "part": partition.number,
+            "from": from_offset,
+            "max_kb": _MAX_PAGE_KB,
+            "wait_ms": wait_ms,
+        }
+        limit_ms = wait_ms + _WAY_MS if wait_ms else self._time_limit_ms
+        answer = await self._request("GET", "/log-read", query, b"", limit_ms)
+        end_offset = int.from_bytes(answer.body[:_OFFSET_BYTES], "big")
+        return Page(end_offset, _unframed(answer.body[2 * _OFFSET_BYTES :]))
+
+    async def _post(self, path: str, query: dict[str, object], body: bytes) -> ChannelAnswer:
+        return await self._request("POST", path, query, body, self._time_limit_ms)
+
+    async def _request(
+        self, method: str, path: str, query: dict[str, object], body: bytes, limit_ms: int
+    ) -> ChannelAnswer:
+        if "topic" in query and not str(query["topic"]).startswith("keyed."):
+            # A topic is created by the first request for it, with the number of partitions named.
+            query = {**query, "parts": self._partition_count}
+        target = f"{path}?{urlencode(query)}" if query else path
+        channel = self._idle.pop() if self._idle else Channel(self._address)
+        try:
+            answer = await channel.request(method, target, body, time_limit_ms=limit_ms)
+        except ChannelError as error:
+            self._on_call(path, "unanswered")
+            raise StoreError(str(error), refused=not error.sent) from error
+        self._idle.append(channel)
+        self._on_call(path, str(answer.status))
+        if answer.status != 200:
+            raise _error(answer)
+        return answer
+
+
+def _error(answer: ChannelAnswer) -> StoreError:
+    """Decodes a refusal: 409 is a writer's conflict, 410 names the first record that is kept."""
+    if answer.status == 409 and answer.body:
+        conflict = msgspec.json.decode(answer.body, type=_Conflict)
+        if conflict.why == "fenced":
+            return FencedError()
+        if conflict.why == "seq":
+            return SequenceError(conflict.expected or conflict.sequence)
+    if answer.status == 410:
+        return ExpiredError(msgspec.json.decode(answer.body, type=_Gone).first)
+    detail = answer.body[:200].decode("utf-8", "replace")
+    return StoreError(f"status {answer.status}: {detail}", refused=True)
+
+
+def _framed(record: bytes) -> bytes:
+    return len(record).to_bytes(_LENGTH_BYTES, "big") + record
+
+
+def _unframed(data: bytes) -> list[bytes]:
+    records = []
+    position = 0
+    while position + _LENGTH_BYTES <= len(data):
+        start = position + _LENGTH_BYTES
+        position = start + int.from_bytes(data[position:start], "big")
+        records.append(data[start:position])
+    return records
+
+
+def _keyed(record: bytes, offset: int) -> KeyedRecord:
+    """Decodes a record of a keyed topic: a byte of length, the key, the value if there is one."""
+    size = record[0]
+    key = record[1 : 1 + size].decode()
+    return KeyedRecord(key, record[1 + size :] or None, offset)
--- /dev/null
+++ b/src/quincespool/schema/gateway.capnp
@@ -0,0 +1,137 @@
+@0xc2a97d5e4b1f8036;
+
+# What gateway daemons send one another. One struct for each message of `quincespool.gateway.messages`,
+# field for field (`snake_case` there, `camelCase` here). New fields and messages are added at the end of
+# their struct or union; a change of meaning raises the version.
+
+struct Envelope {
+  version @0 :UInt16;
+  sender @1 :Text;
+  union {
+    heartbeat @2 :Heartbeat;
+    relayCall @3 :RelayCall;
+    relayCancel @4 :RelayCancel;
+    relayHead @5 :RelayHead;
+    relayPiece @6 :RelayPiece;
+    relayEnd @7 :RelayEnd;
+    relayRefused @8 :RelayRefused;
+    settleTurn @9 :SettleTurn;
+    turnSettled @10 :TurnSettled;
+    linkProbe @11 :LinkProbe;
+    crashNotice @12 :CrashNotice;
+  }
+}
+
+struct PartitionClaim {
+  topic @0 :Text;
+  number @1 :Int64;
+  epoch @2 :Int64;
+}
+
+struct BackendLoad {
+  backendId @0 :Text;
+  inFlight @1 :Int64;
+}
+
+struct Heartbeat {
+  # By datagram; each replaces the last one of its sender.
+  incarnation @0 :Int64;
+  sequence @1 :Int64;
+  draining @2 :Bool;
+  configurationVersion @3 :Int64;
+  generation @4 :Int64;
+  claims @5 :List(PartitionClaim);
+  loads @6 :List(BackendLoad);
+  storeReachable @7 :Bool;
+}
+
+struct HeaderPair {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct RelayCall {
+  # A turn for the owner of its program, with the route that the receiver has decided on. Numbers of -1
+  # mean that the caller did not say.
+  relayId @0 :Int64;
+  callId @1 :Text;
+  method @2 :Text;
+  host @3 :Text;
+  target @4 :Text;
+  headers @5 :List(HeaderPair);
+  body @6 :Data;
+  leftMs @7 :Int64;
+  programId @8 :Text;
+  previousId @9 :Text;
+  budgetTokens @10 :Int64;
+  mostTokens @11 :Int64;
+  programLeftMs @12 :Int64;
+  configurationVersion @13 :Int64;
+  routeName @14 :Text;
+  pathPrefix @15 :Text;
+  kind @16 :Text;
+  timeoutMs @17 :Int64;
+  objectiveMs @18 :Int64;
+  rank @19 :Int64;
+  maxAttempts @20 :Int64;
+  keepsHistory @21 :Bool;
+  retentionMs @22 :Int64;
+  service @23 :Text;
+  maxConnections @24 :Int64;
+  tokensPerEvent @25 :Int64;
+  residentTokens @26 :Int64;
+  maxPinMs @27 :Int64;
+}
+
+struct RelayCancel {
+  # The caller has gone, or the receiver has given the call up.
+  relayId @0 :Int64;
+}
+
+struct RelayHead {
+  relayId @0 :Int64;
+  status @1 :Int64;
+  headers @2 :List(HeaderPair);
+}
+
+struct RelayPiece {
+  relayId @0 :Int64;
+  data @1 :Data;
+}
+
+struct RelayEnd {
+  relayId @0 :Int64;
+}
+
+struct RelayRefused {
+  # The final answer; after a head it means that the answer breaks off.
+  relayId @0 :Int64;
+  status @1 :Int64;
+  verdict @2 :Text;
+  reason @3 :Text;
+  retryAfterMs @4 :Int64;
+}
+
+struct SettleTurn {
+  # A record of a turn whose daemon has lost the partition meanwhile.
+  settleId @0 :Int64;
+  topic @1 :Text;
+  number @2 :Int64;
+  record @3 :Data;
+}
+
+struct TurnSettled {
+  settleId @0 :Int64;
+  kept @1 :Bool;
+}
+
+struct LinkProbe {
+  # Makes the kernel notice a link that has gone silent.
+  sentMs @0 :Int64;
+}
+
+struct CrashNotice {
+  # A backend server broke off while it ran a request with this fingerprint.
+  fingerprint @0 :Text;
+  backendId @1 :Text;
+}
