Owners answer 'no such turn' and 'over budget' only after the store has confirmed them

Ruled out: a lost record (its append was acknowledged 11 ms after the stream's end). Change: serve only within the lease; negative answers after an empty append under the own epoch; yield to higher epochs heard; a daemon that hears nobody owns nothing.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.exchange import Broken
 from quincespool.gateway.exchange import ConnectError
 from quincespool.gateway.exchange import End
@@ -68,11 +68,6 @@
     metrics: Metrics
 
 
-def now_ms() -> int:
-    """Returns the steady clock."""
-    return int(asyncio.get_running_loop().time() * 1000)
-
-
 class Attempt:
     """A call on its way to one backend server. Use as an asynchronous context manager.
 
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -21,7 +21,7 @@
 # Failures in a row after which a backend server is passed over. One broken answer in fifty is
 # usual on a bad day, two in a row from a sound backend server are not.
 FAILURES_TO_EJECT = 2
-# At most this part of a service is passed over at once: with more, the fault is likely our own link.
+# At most this part of a service is passed over at once: with more, the fault is likely our own.
 MAX_EJECTED_SHARE = 0.5
 # Part of its slots by which a backend server of the own zone may be busier and is still preferred:
 # traffic between zones is paid for and takes longer, but waiting for a slot takes longer still.
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -9,10 +9,10 @@
 from typing import Any
 
 from quincespool.gateway.attempt import Services
-from quincespool.gateway.attempt import now_ms
 from quincespool.gateway.backends import Backends
 from quincespool.gateway.beliefs import Beliefs
 from quincespool.gateway.beliefs import StoreHealth
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.front import Front
 from quincespool.gateway.heartbeats import Heartbeats
 from quincespool.gateway.http_port import HttpPort
@@ -30,6 +30,7 @@
 from quincespool.gateway.relay import Relay
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
+from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns import TurnRunner
@@ -40,13 +41,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.ledger import Record
     from quincespool.gateway.links import Link
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.settings import GatewaySettings
-    from quincespool.gateway.store import Partition
     from quincespool.gateway.store import Store
     from quincespool.gateway.wire import Wire
 
@@ -232,7 +233,7 @@
             self._links.probe(),
             self._register(),
         ):
-            self._tasks.append(asyncio.get_running_loop().create_task(work))
+            self._spawn(work)
         self._ticker.every(lambda: self._members.beat_interval_ms, self._beat)
         self._ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
         self._ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
@@ -263,7 +264,7 @@
         self._front_port.draining = True
         self._log.write_always("stopping", under_way=self._front_port.busy)
         self._beat()
-        self._tasks.append(asyncio.get_running_loop().create_task(self._drain()))
+        self._spawn(self._drain())
 
     async def _drain(self) -> None:
         """Lets callers and programs go elsewhere, then ends what is left."""
@@ -319,15 +320,36 @@
         if not isinstance(message, Heartbeat):
             return
         self._beliefs.hear(sender, message)
+        for claim in message.claims:
+            self._ownership.yield_to(Partition(claim.topic, claim.number), claim.epoch)
         if message.generation > self._ownership.generation:
             self._ownership.renew_soon()
 
     def _keep_up(self) -> None:
         self._beliefs.expire()
+        self._follow_isolation()
         for daemon in self._members.others:
             if not self._members.is_alive(daemon.member_id, now_ms()):
                 self._links.drop(daemon.peer_address)
 
+    def _follow_isolation(self) -> None:
+        """Owns nothing while no other daemon can reach this one.
+
+        The store alone would leave the partitions here: their programs could go on only with
+        callers that happen to be connected to this daemon.
+        """
+        isolated = self._members.is_isolated(now_ms())
+        if isolated == self._ownership.is_aside or self._draining:
+            return
+        self._log.write_always("isolated" if isolated else "no longer isolated")
+        if isolated:
+            self._spawn(self._ownership.step_aside("isolated"))
+        else:
+            self._ownership.step_back()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
     def _expire(self) -> None:
         wall_ms = time.time_ns() // 1_000_000
         for owned in self._ownership.owned.values():
--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/front.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from quincespool.gateway.attempt import Whole
-from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import not_run
 from quincespool.net.http_connection import HttpResponse
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -6,6 +6,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.partition import OwnedPartition
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
@@ -42,6 +43,8 @@
     Attributes:
       owned: Partitions assigned to this daemon, some of them not read yet.
       generation: Of the assignment.
+      confirmed_until_ms: Steady clock until which the store gives the partitions to nobody else by
+        itself. It may still take them away at any time; who must be certain asks `confirm`.
     """
 
     def __init__(
@@ -56,8 +59,10 @@
     ) -> None:
         self.owned: dict[Partition, OwnedPartition] = {}
         self.generation = 0
+        self.confirmed_until_ms = 0
         self._member_id = member_id
         self._topics = topics
+        self._lease_ms = lease_ms
         self._renewal_s = lease_ms / 1000 / RENEWALS_PER_LEASE
         self._store = store
         self._on_change = on_change
@@ -67,6 +72,27 @@
         self._aside = False
         self._takes = 0
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the lease, as far as known here, has not run out."""
+        return now_ms() < self.confirmed_until_ms
+
+    def serving(self, partition: Partition) -> OwnedPartition | None:
+        """Returns a partition that this daemon may serve now.
+
+        A daemon that the store turns away keeps its partitions in memory while others own and
+        change them; its callers would hear that a turn does not exist which another daemon has
+        just answered.
+        """
+        owned = self.owned.get(partition)
+        return owned if owned is not None and owned.ready and self.is_confirmed else None
+
+    def yield_to(self, partition: Partition, epoch: int) -> None:
+        """Gives a partition up that another daemon has taken over under a higher epoch."""
+        owned = self.owned.get(partition)
+        if owned is not None and epoch > owned.epoch:
+            owned.lose("taken over")
+
     def renew_soon(self) -> None:
         """Renews now rather than at the next interval: somebody has seen a newer generation."""
         self._poke.set()
@@ -119,6 +145,8 @@
 
     async def _renew(self) -> bool:
         """Renews the lease; returns whether the assignment has changed."""
+        # Counted from before the request: the store counts from when it arrives.
+        asked_ms = now_ms()
         try:
             assignment = await self._store.join(
                 self._topics, member_id=self._member_id, generation=self.generation
@@ -129,6 +157,7 @@
             return False
         if not self._wanted or self._aside:
             return False
+        self.confirmed_until_ms = asked_ms + self._lease_ms
         return self._follow(assignment)
 
     def _follow(self, assignment: Assignment) -> bool:
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -96,6 +96,19 @@
         self._wake.set()
         return future
 
+    async def confirm(self) -> None:
+        """Returns once the store has said that nobody has taken the partition over.
+
+        Raises:
+          LostPartitionError: if somebody has.
+          StoreError: if the store does not say.
+        """
+        try:
+            await self._store.append(self.partition, [], epoch=self.epoch, sequence=self._sequence)
+        except FencedError as error:
+            self.lose("fenced")
+            raise LostPartitionError from error
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be appended."""
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/plain.py
@@ -9,7 +9,7 @@
 from quincespool.gateway.attempt import Lost
 from quincespool.gateway.attempt import NotRun
 from quincespool.gateway.attempt import Whole
-from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.ledger import decode_record
 from quincespool.gateway.ledger import encode_record
 from quincespool.gateway.messages import RelayCall
@@ -130,12 +130,12 @@
         give_up_ms = min(until_ms, now_ms() + OWNER_WAIT_MS)
         while True:
             refusal: Refusal | None = None
-            owned = self._ownership.owned.get(partition)
+            owned = self._ownership.serving(partition)
             owner = self._members.owner(partition, now_ms())
-            if owned is not None and owned.ready:
+            if owned is not None:
                 await self._turns.run(call, decision, owned, reply, until_ms=until_ms)
                 return self._member_id
-            if owned is None and owner is not None:
+            if owner is not None:
                 refusal = await self._hand_over(
                     owner[0].peer_address, call, decision, reply, until_ms
                 )
@@ -239,8 +239,8 @@
     def _serve(self, link: Link, message: RelayCall) -> None:
         call, decision = read_relay(message)
         reply = _RemoteReply(link, message.relay_id)
-        owned = self._ownership.owned.get(self._partition_for(message.program_id))
-        if owned is None or not owned.ready:
+        owned = self._ownership.serving(self._partition_for(message.program_id))
+        if owned is None:
             reply.refuse(not_run(NOT_OWNER))
             return
         until_ms = now_ms() + message.left_ms
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -9,7 +9,7 @@
 from quincespool.gateway.attempt import Attempt
 from quincespool.gateway.attempt import Lost
 from quincespool.gateway.attempt import NotRun
-from quincespool.gateway.attempt import now_ms
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.event_stream import EventReader
 from quincespool.gateway.exchange import Broken
 from quincespool.gateway.exchange import End
@@ -21,6 +21,7 @@
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.partition import LostPartitionError
+from quincespool.gateway.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -48,6 +49,9 @@
 # While the store does not answer, nothing that a turn produces can be kept; callers come back after
 # about the time that a store needs to be replaced.
 STALLED_RETRY_MS = 600
+# The new owner of a partition has read it within some tens of milliseconds.
+OWNER_CHANGED_RETRY_MS = 100
+REFUSED_STATUS = 503
 # The end of a whole answer waits for its record at most this long, less than callers wait between
 # two events.
 RECORD_LIMIT_MS = 1_500
@@ -93,7 +97,7 @@
         assert turn is not None
         refusal = self._admit(call, turn, owned)
         if refusal is not None:
-            reply.refuse(refusal)
+            reply.refuse(await _confirmed(refusal, owned))
             return
         run = _Run(self._services, call, turn, decision, owned, reply=reply, until_ms=until_ms)
         run.engine = self._last_engine.get(turn.program_id, "")
@@ -148,6 +152,23 @@
         return not_run("no_such_turn", status=404)
 
 
+async def _confirmed(refusal: Refusal, owned: OwnedPartition) -> Refusal:
+    """Returns a refusal that is true whoever owns the partition now.
+
+    That a turn does not exist, or that a budget is spent, may have changed at a new owner; such an
+    answer ends the program, so it is given only after the store has confirmed the owner.
+    """
+    if refusal.status == REFUSED_STATUS:
+        return refusal
+    try:
+        await owned.confirm()
+    except LostPartitionError:
+        return not_run("owner_changed", retry_after_ms=OWNER_CHANGED_RETRY_MS)
+    except StoreError:
+        return not_run("store_away", retry_after_ms=STALLED_RETRY_MS)
+    return refusal
+
+
 class _Run:
     """One turn under way."""
 
