Turns of other programs are found at whichever daemon has them

Ruled out: lost records (the partition's new owner had read them: 'read 191 records'). Change: FindTurn to all owners; absent only when the store has confirmed every partition's owner; the history is copied into the new program's partition before it is used.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -13,14 +13,19 @@
 from quincespool.gateway.beliefs import Beliefs
 from quincespool.gateway.beliefs import StoreHealth
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.clock import wall_ms
+from quincespool.gateway.finder import TurnFinder
 from quincespool.gateway.front import Front
 from quincespool.gateway.heartbeats import Heartbeats
 from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.links import Links
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import BackendLoad
+from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
+from quincespool.gateway.messages import TurnAbsent
+from quincespool.gateway.messages import TurnFound
 from quincespool.gateway.model import Daemon
 from quincespool.gateway.ownership import Ownership
 from quincespool.gateway.ownership import list_partitions
@@ -153,9 +158,16 @@
             on_message=self._take_message,
             on_lost=self._lose_link,
         )
+        self._finder = TurnFinder(
+            partitions=partitions,
+            members=self._members,
+            ownership=self._ownership,
+            links=self._links,
+        )
         self._turns = TurnRunner(
             self._services,
             settle_elsewhere=self._settle_elsewhere,
+            finder=self._finder,
         )
         self._relay = Relay(
             member_id=settings.member_id,
@@ -170,7 +182,10 @@
     # The relay needs the links and the runner of turns, and both report back to it.
 
     def _take_message(self, link: Link, sender: str, message: Any) -> None:
-        self._relay.on_message(link, sender, message)
+        if isinstance(message, FindTurn | TurnFound | TurnAbsent):
+            self._finder.on_message(link, message)
+        else:
+            self._relay.on_message(link, sender, message)
 
     def _lose_link(self, link: Link) -> None:
         self._relay.on_lost(link)
@@ -351,9 +366,8 @@
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
     def _expire(self) -> None:
-        wall_ms = time.time_ns() // 1_000_000
         for owned in self._ownership.owned.values():
-            owned.ledger.expire(wall_ms, grace_ms=LEDGER_GRACE_MS)
+            owned.ledger.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
         self._turns.forget_engines()
 
     def _is_ready(self) -> bool:
--- a/src/quincespool/gateway/ledger.py
+++ b/src/quincespool/gateway/ledger.py
@@ -11,6 +11,9 @@
 
 import msgspec
 
+# Records of the store take 256 KiB; the rest is room for ids.
+MAX_PART_BYTES = 200_000
+
 
 class TurnStarted(msgspec.Struct, tag="s", array_like=True, frozen=True):
     """Written before the first token of a turn is handed out: reserves the most it can generate."""
@@ -48,7 +51,18 @@
     at_ms: int
 
 
-Record = TurnStarted | TurnEnded | TurnBroken
+class HistoryPart(msgspec.Struct, tag="h", array_like=True, frozen=True):
+    """A piece of history: of a turn of another program, or of a turn too long for one record."""
+
+    turn_id: str
+    program_id: str
+    previous_id: str
+    text: bytes
+    retention_ms: int
+    at_ms: int
+
+
+Record = TurnStarted | TurnEnded | TurnBroken | HistoryPart
 
 
 class Admission(StrEnum):
@@ -73,13 +87,14 @@
       kept_until_ms: When the last of its turns can no longer be continued.
     """
 
-    __slots__ = ("kept_until_ms", "reserved", "spent_tokens", "turns")
+    __slots__ = ("kept_until_ms", "reserved", "retention_ms", "spent_tokens", "turns")
 
     def __init__(self) -> None:
         self.spent_tokens = 0
         self.reserved: dict[str, int] = {}
         self.turns: dict[str, _Kept] = {}
         self.kept_until_ms = 0
+        self.retention_ms = 0
 
 
 class Ledger:
@@ -87,6 +102,7 @@
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
+        self._program_of: dict[str, str] = {}
 
     def apply(self, record: Record) -> None:
         """Folds one record in. A record that was applied already changes nothing."""
@@ -95,15 +111,20 @@
             program.reserved[record.turn_id] = record.most_tokens
             program.kept_until_ms = max(program.kept_until_ms, record.at_ms)
             return
+        if isinstance(record, HistoryPart):
+            self._keep(program, record, record.text)
+            return
         if record.turn_id in program.reserved:
             # A turn is settled once; a second settlement, sent again after a lost answer, must not
             # spend twice.
             del program.reserved[record.turn_id]
             program.spent_tokens += record.tokens
         if isinstance(record, TurnEnded):
-            program.turns[record.turn_id] = _Kept(record.previous_id, record.input + record.output)
-            until_ms = record.at_ms + record.retention_ms
-            program.kept_until_ms = max(program.kept_until_ms, until_ms)
+            self._keep(program, record, record.input + record.output)
+
+    def find(self, turn_id: str) -> str:
+        """Returns the id of the program with a turn, empty if there is none."""
+        return self._program_of.get(turn_id, "")
 
     def admit(
         self, *, program_id: str, previous_id: str, budget_tokens: int | None, most_tokens: int
@@ -128,6 +149,11 @@
             turn_id = kept.previous_id
         return b"".join(reversed(texts))
 
+    def retention_ms(self, program_id: str) -> int:
+        """Returns how long the turns of a program are kept after each one's end."""
+        program = self.programs.get(program_id)
+        return program.retention_ms if program is not None else 0
+
     def expire(self, now_ms: int, *, grace_ms: int) -> int:
         """Forgets programs whose turns can no longer be continued; returns how many.
 
@@ -142,9 +168,37 @@
             if program.kept_until_ms + grace_ms < now_ms
         ]
         for program_id in over:
-            del self.programs[program_id]
+            for turn_id in self.programs.pop(program_id).turns:
+                self._program_of.pop(turn_id, None)
         return len(over)
 
+    def _keep(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
+        program.turns[record.turn_id] = _Kept(record.previous_id, text)
+        # The first program with a turn is the one that made it; others only continue from it.
+        self._program_of.setdefault(record.turn_id, record.program_id)
+        program.retention_ms = record.retention_ms
+        until_ms = record.at_ms + record.retention_ms
+        program.kept_until_ms = max(program.kept_until_ms, until_ms)
+
+
+def split_history(
+    turn_id: str,
+    program_id: str,
+    text: bytes,
+    *,
+    previous_id: str = "",
+    retention_ms: int,
+    at_ms: int,
+) -> list[HistoryPart]:
+    """Returns a text as pieces that each fit into a record; the last one bears the turn's id."""
+    pieces = [text[at : at + MAX_PART_BYTES] for at in range(0, len(text), MAX_PART_BYTES)] or [b""]
+    parts = []
+    for number, piece in enumerate(pieces, start=1):
+        part_id = turn_id if number == len(pieces) else f"{turn_id}#{number}"
+        parts.append(HistoryPart(part_id, program_id, previous_id, piece, retention_ms, at_ms))
+        previous_id = part_id
+    return parts
+
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Record] = msgspec.msgpack.Decoder(Record)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -131,6 +131,28 @@
     kept: bool
 
 
+class FindTurn(NamedTuple):
+    """Whoever owns the partition with this turn is asked for its history."""
+
+    find_id: int
+    turn_id: str
+
+
+class TurnFound(NamedTuple):
+    """The texts of the turn and all before it, and how long it can be continued from now on."""
+
+    find_id: int
+    history: bytes
+    retention_ms: int
+
+
+class TurnAbsent(NamedTuple):
+    """The turn is in none of these partitions, whose ownership the store has just confirmed."""
+
+    find_id: int
+    partitions: tuple[PartitionClaim, ...]
+
+
 class LinkProbe(NamedTuple):
     """Makes the kernel notice a link that has gone silent."""
 
@@ -154,6 +176,9 @@
     | RelayRefused
     | SettleTurn
     | TurnSettled
+    | FindTurn
+    | TurnFound
+    | TurnAbsent
     | LinkProbe
 )
 
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.attempt import Attempt
 from quincespool.gateway.attempt import Lost
 from quincespool.gateway.attempt import NotRun
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.event_stream import EventReader
 from quincespool.gateway.exchange import Broken
 from quincespool.gateway.exchange import End
 from quincespool.gateway.exchange import Piece
+from quincespool.gateway.ledger import MAX_PART_BYTES
 from quincespool.gateway.ledger import Admission
 from quincespool.gateway.ledger import TurnBroken
 from quincespool.gateway.ledger import TurnEnded
 from quincespool.gateway.ledger import TurnStarted
+from quincespool.gateway.ledger import split_history
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.partition import LostPartitionError
@@ -28,6 +30,7 @@
     from collections.abc import Callable
 
     from quincespool.gateway.attempt import Services
+    from quincespool.gateway.finder import TurnFinder
     from quincespool.gateway.ledger import Record
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Call
@@ -52,6 +55,7 @@
 # The new owner of a partition has read it within some tens of milliseconds.
 OWNER_CHANGED_RETRY_MS = 100
 REFUSED_STATUS = 503
+NO_SUCH_TURN_STATUS = 404
 # The end of a whole answer waits for its record at most this long, less than callers wait between
 # two events.
 RECORD_LIMIT_MS = 1_500
@@ -75,8 +79,10 @@
         services: Services,
         *,
         settle_elsewhere: Callable[[Partition, Record, int], Awaitable[bool]],
+        finder: TurnFinder,
     ) -> None:
         self._services = services
+        self._finder = finder
         self._settle_elsewhere = settle_elsewhere
         self._last_engine: dict[str, str] = {}
         self._settling: set[asyncio.Task[None]] = set()
@@ -96,8 +102,12 @@
         turn = call.turn
         assert turn is not None
         refusal = self._admit(call, turn, owned)
+        if refusal is not None and refusal.status == NO_SUCH_TURN_STATUS:
+            refusal = await self._import(call, turn, decision, owned)
+        elif refusal is not None:
+            refusal = await _confirmed(refusal, owned)
         if refusal is not None:
-            reply.refuse(await _confirmed(refusal, owned))
+            reply.refuse(refusal)
             return
         run = _Run(self._services, call, turn, decision, owned, reply=reply, until_ms=until_ms)
         run.engine = self._last_engine.get(turn.program_id, "")
@@ -118,6 +128,34 @@
         for program_id in list(self._last_engine)[:-keep]:
             del self._last_engine[program_id]
 
+    async def _import(
+        self, call: Call, turn: Turn, decision: Decision, owned: OwnedPartition
+    ) -> Refusal | None:
+        """Brings the history of another program's turn here, so that this program can go on."""
+        found = await self._finder.find(turn.previous_id)
+        if found is None:
+            return not_run("turn_not_found_yet", retry_after_ms=STALLED_RETRY_MS)
+        self._services.log.write(
+            "turn looked for",
+            call_id=call.call_id,
+            program_id=turn.program_id,
+            previous_id=turn.previous_id,
+            found=found.history is not None,
+        )
+        if found.history is None:
+            return not_run("no_such_turn", status=NO_SUCH_TURN_STATUS)
+        parts = split_history(
+            turn.previous_id,
+            turn.program_id,
+            found.history,
+            retention_ms=max(found.retention_ms, decision.route.retention_ms),
+            at_ms=wall_ms(),
+        )
+        for part in parts:
+            owned.submit(part)
+        refusal = self._admit(call, turn, owned)
+        return None if refusal is None else await _confirmed(refusal, owned)
+
     def _remember(self, program_id: str, engine: str) -> None:
         if engine:
             self._last_engine.pop(program_id, None)
@@ -149,7 +187,7 @@
         )
         if admission is Admission.OVER_BUDGET:
             return not_run("over_budget", status=402)
-        return not_run("no_such_turn", status=404)
+        return not_run("no_such_turn", status=NO_SUCH_TURN_STATUS)
 
 
 async def _confirmed(refusal: Refusal, owned: OwnedPartition) -> Refusal:
@@ -242,7 +280,7 @@
                 turn_id=self._call.call_id,
                 program_id=self._turn.program_id,
                 tokens=min(tokens, max(self._turn.most_tokens, tokens)),
-                at_ms=_wall_ms(),
+                at_ms=wall_ms(),
             )
             self._owned.submit(record)
 
@@ -253,7 +291,7 @@
                 turn_id=self._call.call_id,
                 program_id=self._turn.program_id,
                 most_tokens=self._turn.most_tokens,
-                at_ms=_wall_ms(),
+                at_ms=wall_ms(),
             )
         )
 
@@ -317,15 +355,18 @@
 
     async def _end_whole(self, entry: BackendEntry) -> None:
         """Makes the turn last, then tells the caller that it is whole."""
+        previous_id, text = self._turn.previous_id, self._call.body
+        if len(text) + len(self._events.text) > MAX_PART_BYTES:
+            previous_id, text = self._submit_long_input(), b""
         record = TurnEnded(
             turn_id=self._call.call_id,
             program_id=self._turn.program_id,
-            previous_id=self._turn.previous_id,
-            input=self._call.body,
+            previous_id=previous_id,
+            input=text,
             output=self._events.text,
             tokens=self._handed_out * self._decision.service.tokens_per_event,
             retention_ms=self._decision.route.retention_ms,
-            at_ms=_wall_ms(),
+            at_ms=wall_ms(),
         )
         ended_ms = now_ms()
         self._settled = True
@@ -346,6 +387,24 @@
             epoch=self._owned.epoch,
         )
 
+    def _submit_long_input(self) -> str:
+        """Hands over an input that does not fit into one record; returns the id of its last part.
+
+        The store would refuse such a record for ever, and every later one of the partition with it.
+        """
+        input_id = f"{self._call.call_id}#input"
+        parts = split_history(
+            input_id,
+            self._turn.program_id,
+            self._call.body,
+            previous_id=self._turn.previous_id,
+            retention_ms=self._decision.route.retention_ms,
+            at_ms=wall_ms(),
+        )
+        for part in parts:
+            self._owned.submit(part)
+        return input_id
+
     async def _keep(self, record: Record, limit_ms: int) -> bool:
         """Returns whether the record is durable, here or at the partition's present owner."""
         until_ms = now_ms() + limit_ms
@@ -364,7 +423,3 @@
             await asyncio.shield(start)
         except LostPartitionError as error:
             raise _BrokenTurnError(may_have_run("owner_changed")) from error
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -19,6 +19,9 @@
     turnSettled @10 :TurnSettled;
     linkProbe @11 :LinkProbe;
     crashNotice @12 :CrashNotice;
+    findTurn @13 :FindTurn;
+    turnFound @14 :TurnFound;
+    turnAbsent @15 :TurnAbsent;
   }
 }
 
@@ -125,6 +128,24 @@
   kept @1 :Bool;
 }
 
+struct FindTurn {
+  # Whoever owns the partition with this turn is asked for its history.
+  findId @0 :Int64;
+  turnId @1 :Text;
+}
+
+struct TurnFound {
+  findId @0 :Int64;
+  history @1 :Data;
+  retentionMs @2 :Int64;
+}
+
+struct TurnAbsent {
+  # The turn is in none of these partitions, whose ownership the store has just confirmed.
+  findId @0 :Int64;
+  partitions @1 :List(PartitionClaim);
+}
+
 struct LinkProbe {
   # Makes the kernel notice a link that has gone silent.
   sentMs @0 :Int64;
