--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -73,7 +73,11 @@
 
 
 class GatewayDaemon:
-    """One daemon."""
+    """One daemon.
+
+    Attributes:
+      stopped: Set when a planned stop is complete.
+    """
 
     def __init__(
         self,
@@ -89,7 +93,7 @@
         self._incarnation = time.time_ns() // 1_000
         self._beat_sequence = 0
         self._draining = False
-        self._stopped = asyncio.Event()
+        self.stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
         self._ticker = Ticker()
         self._metrics = Metrics()
@@ -108,11 +112,11 @@
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._begin_stop)
+            loop.add_signal_handler(number, self.begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_reload)
-        await self._start()
-        await self._stopped.wait()
-        await self._stop()
+        await self.start()
+        await self.stopped.wait()
+        await self.close()
 
     def _make_beliefs(self) -> None:
         settings = self._settings
@@ -227,7 +231,12 @@
         self._metrics.watch("ready", lambda: float(self._is_ready()))
         self._metrics.watch("gateway_partitions", lambda: len(self._ownership.owned))
 
-    async def _start(self) -> None:
+    async def start(self) -> None:
+        """Binds the ports and begins to follow the store.
+
+        Raises:
+          OSError: if a port cannot be had.
+        """
         settings = self._settings
         await self._links.start(settings.host, settings.peer_port)
         await self._heartbeats.start(settings.host, settings.peer_port)
@@ -272,7 +281,8 @@
             else:
                 return
 
-    def _begin_stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Begins a planned stop; `stopped` is set when nothing is under way any more."""
         if self._draining:
             return
         self._draining = True
@@ -292,12 +302,13 @@
             if now_ms() - began_ms > kept_ms and not self._under_way():
                 break
             await asyncio.sleep(0.05)
-        self._stopped.set()
+        self.stopped.set()
 
     def _under_way(self) -> int:
         return self._front_port.busy + self._relay.serving
 
-    async def _stop(self) -> None:
+    async def close(self) -> None:
+        """Closes everything."""
         self._front_port.stop()
         # A request that crosses the closing of its connection is still answered.
         await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `quincespool.gateway`."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tests/gateway/gateway_cluster.py
@@ -0,0 +1,256 @@
+"""Gateway daemons on one loop, before stand-ins of the store and of backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from quincespool.gateway.daemon import GatewayDaemon
+from quincespool.gateway.decision_log import DecisionLog
+from quincespool.gateway.settings import GatewaySettings
+from quincespool.platform import wire
+from quincespool.platform.store import PlatformStore
+from tests.support.client import fetch
+from tests.support.standins.platform_engine import make_platform_engine
+from tests.support.standins.platform_store import StoreState
+from tests.support.standins.platform_store import make_platform_store
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from typing import Self
+
+    from tests.support.client import Reply
+    from tests.support.standins.platform_engine import PlatformEngine
+    from tests.support.standins.platform_store import PlatformStoreStandIn
+
+HOST_NAME = "callers.example"
+LEASE_MS = 1_000
+TOKENS_PER_EVENT = 10
+
+
+def _free_ports(count: int) -> list[int]:
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for one in sockets:
+            one.bind(("127.0.0.1", 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+class Node:
+    """One daemon and its own way to the store."""
+
+    def __init__(self, settings: GatewaySettings, store: PlatformStoreStandIn) -> None:
+        self.settings = settings
+        self.store = store
+        self.daemon = GatewayDaemon(
+            settings,
+            make_store=self._make_store,
+            wire=wire,
+            log=DecisionLog(asyncio.get_running_loop().time),
+        )
+
+    @property
+    def address(self) -> str:
+        return self.settings.caller_address
+
+    @property
+    def owned(self) -> list[str]:
+        return [str(one) for one in self.daemon._ownership.owned]
+
+    def _make_store(self, on_call: Callable[[str, str], None]) -> PlatformStore:
+        return PlatformStore(
+            address=self.store.address,
+            lease_ms=LEASE_MS,
+            time_limit_ms=300,
+            partition_count=self.settings.store_partitions,
+            on_call=on_call,
+        )
+
+
+class GatewayCluster:
+    """Daemons `a`, `b`, ...; two engines and one plain service."""
+
+    def __init__(self, count: int = 2) -> None:
+        self.state = StoreState()
+        self.nodes: dict[str, Node] = {}
+        self.engines: dict[str, PlatformEngine] = {}
+        self._count = count
+        self._ids = itertools.count(1)
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> Self:
+        for backend_id, service in (("e1", "model"), ("e2", "model"), ("s1", "plain")):
+            engine = await self._stack.enter_async_context(make_platform_engine(backend_id))
+            self.engines[backend_id] = engine
+            self.announce(backend_id, service)
+        self.configure(1)
+        for name in "abcdefgh"[: self._count]:
+            await self.add_node(name)
+        await self.until(self.is_settled)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for node in self.nodes.values():
+            await node.daemon.close()
+        await self._stack.aclose()
+
+    async def add_node(self, name: str) -> Node:
+        """Starts a daemon."""
+        store = await self._stack.enter_async_context(make_platform_store(self.state))
+        front, ready, directory, metrics, peer = _free_ports(5)
+        settings = GatewaySettings(
+            member_id=name,
+            zone="z",
+            host="127.0.0.1",
+            caller_address=f"127.0.0.1:{front}",
+            ready_address=f"127.0.0.1:{ready}",
+            directory_address=f"127.0.0.1:{directory}",
+            metrics_port=metrics,
+            peer_port=peer,
+            store_address=store.address,
+            store_partitions=8,
+            owner_topics=1,
+            owner_lease_ms=LEASE_MS,
+            backends_interval_ms=50,
+            stop_grace_ms=2_000,
+            addresses_valid_ms=100,
+        )
+        node = Node(settings, store)
+        self.nodes[name] = node
+        await node.daemon.start()
+        return node
+
+    async def lose_node(self, name: str) -> None:
+        """Ends a daemon as a crash does: nothing is handed over."""
+        node = self.nodes.pop(name)
+        for one in list(node.daemon._ownership.owned.values()):
+            one.lose("killed")
+        node.daemon._ownership._wanted = False
+        await node.daemon.close()
+
+    def announce(self, backend_id: str, service: str, *, state: str = "ready") -> None:
+        """Writes the entry of a backend server."""
+        entry = {
+            "service": service,
+            "address": self.engines[backend_id].address,
+            "zone": "z",
+            "slots": 8,
+            "state": state,
+        }
+        self.state.put("keyed.servers", backend_id, msgspec.json.encode(entry))
+
+    def configure(self, version: int, **changes: object) -> None:
+        """Writes a configuration; the changes are for the streaming route."""
+        stream = {
+            "name": "stream",
+            "hostname": HOST_NAME,
+            "path_prefix": "/stream/",
+            "kind": "streaming",
+            "timeout_ms": 3000,
+            "priority": 1,
+            "service": "model",
+            "max_attempts": 2,
+            "retain_context": True,
+            "retention_s": 60.0,
+            **changes,
+        }
+        plain = [
+            {
+                "name": kind,
+                "hostname": HOST_NAME,
+                "path_prefix": f"/{kind}/",
+                "kind": kind,
+                "timeout_ms": 1000,
+                "service": "plain",
+                "max_attempts": 2,
+            }
+            for kind in ("idempotent", "non_idempotent")
+        ]
+        services = [
+            {"name": "model", "engine": {"stream_stride": TOKENS_PER_EVENT}},
+            {"name": "plain"},
+        ]
+        body = {"version": version, "routes": [stream, *plain], "services": services}
+        self.state.put("keyed.op", "config", msgspec.json.encode(body))
+
+    def is_settled(self) -> bool:
+        """Whether every partition has one owner that all daemons know."""
+        owned = [
+            one
+            for node in self.nodes.values()
+            for one in node.daemon._ownership.owned.values()
+            if one.ready
+        ]
+        known = all(
+            len(n.daemon._members.others) == len(self.nodes) - 1 for n in self.nodes.values()
+        )
+        ready = all(node.daemon._is_ready() for node in self.nodes.values())
+        return known and ready and len({one.partition for one in owned}) == 8 == len(owned)
+
+    async def until(self, condition: Callable[[], object], limit_s: float = 10.0) -> None:
+        """Waits for a condition.
+
+        Raises:
+          TimeoutError: if it does not come true.
+        """
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def turn(
+        self,
+        node: str,
+        program_id: str,
+        *,
+        previous: str = "",
+        call_id: str = "",
+        body: bytes = b"hello",
+        budget: int | None = None,
+        most: int = 30,
+        on_data: Callable[[bytes], None] | None = None,
+    ) -> tuple[str, Reply]:
+        """Sends a turn; returns its id and the answer."""
+        call_id = call_id or f"turn-{next(self._ids)}"
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": call_id,
+            "Deadline-Ms": "3000",
+            "Program-Id": program_id,
+            "Token-Usage": f"5,{most}",
+        }
+        if previous:
+            headers["Previous-Turn"] = previous
+        if budget is not None:
+            headers["Token-Budget"] = str(budget)
+        address = self.nodes[node].address
+        return call_id, await fetch(
+            address, "POST", "/stream/x", headers=_lowered(headers), body=body, on_data=on_data
+        )
+
+    async def call(self, node: str, kind: str, *, body: bytes = b"") -> Reply:
+        """Sends a plain call."""
+        headers = {
+            "Host": HOST_NAME,
+            "Request-Id": f"call-{next(self._ids)}",
+            "Deadline-Ms": "1000",
+        }
+        address = self.nodes[node].address
+        return await fetch(address, "POST", f"/{kind}/x", headers=_lowered(headers), body=body)
+
+    def runs(self, call_id: str) -> list[bytes]:
+        """Returns the bodies with which backend servers ran a call."""
+        return [
+            run.body
+            for engine in self.engines.values()
+            for run in engine.runs
+            if run.call_id == call_id
+        ]
+
+
+def _lowered(headers: dict[str, str]) -> dict[str, str]:
+    return {name.lower(): value for name, value in headers.items()}
--- /dev/null
+++ b/tests/gateway/test_plain_calls.py
@@ -0,0 +1,73 @@
+"""Plain calls: sent once or, if idempotent, again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.gateway.gateway_cluster import GatewayCluster
+
+
+async def test_a_plain_call_is_answered() -> None:
+    async with GatewayCluster(1) as cluster:
+        reply = await cluster.call("a", "idempotent")
+
+        assert reply.status == 200
+        assert reply.headers["server-stamp"] == "s1"
+
+
+async def test_a_refused_call_is_truthfully_not_run() -> None:
+    async with GatewayCluster(1) as cluster:
+        cluster.engines["s1"].knobs.full = True
+        reply = await cluster.call("a", "non_idempotent")
+
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+        assert cluster.engines["s1"].runs == []
+
+
+async def test_an_answer_without_receipt_is_no_success() -> None:
+    async with GatewayCluster(1) as cluster:
+        cluster.engines["s1"].knobs.without_receipt = True
+        reply = await cluster.call("a", "non_idempotent")
+
+        assert reply.status == 502
+        assert len(cluster.engines["s1"].runs) == 1
+
+
+async def test_a_leaving_backend_server_gets_nothing_new() -> None:
+    async with GatewayCluster(1) as cluster:
+        cluster.announce("s1", "plain", state="draining")
+        await asyncio.sleep(0.3)
+        reply = await cluster.call("a", "idempotent")
+
+        assert reply.status == 503
+        assert cluster.engines["s1"].runs == []
+
+
+async def test_a_configuration_is_in_force_at_every_daemon_and_stays() -> None:
+    async with GatewayCluster() as cluster:
+        cluster.configure(5, path_prefix="/other/")
+        await cluster.until(
+            lambda: all(n.daemon._routes.version == 5 for n in cluster.nodes.values()), limit_s=1
+        )
+        cluster.configure(4)
+        await asyncio.sleep(0.2)
+
+        for name in cluster.nodes:
+            _, reply = await cluster.turn(name, "p1")
+            assert reply.status == 404
+
+
+async def test_the_directory_names_the_daemons_that_serve() -> None:
+    async with GatewayCluster() as cluster:
+        from tests.support.client import fetch
+
+        address = cluster.nodes["a"].settings.directory_address
+        reply = await fetch(address, "GET", "/resolve?name=x&region=r&zone=z")
+        addresses = {node.address for node in cluster.nodes.values()}
+        assert set(reply.json()["addresses"]) == addresses
+
+        cluster.nodes["b"].daemon.begin_stop()
+        await asyncio.sleep(0.1)
+        reply = await fetch(address, "GET", "/resolve?name=x&region=r&zone=z")
+        assert reply.json()["addresses"] == [cluster.nodes["a"].address]
--- /dev/null
+++ b/tests/gateway/test_programs.py
@@ -0,0 +1,183 @@
+"""Programs through several daemons: histories, budgets, owners, with real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.gateway.gateway_cluster import TOKENS_PER_EVENT
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+
+
+async def test_a_turn_is_continued_at_another_daemon() -> None:
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        second, reply = await cluster.turn("b", "p1", previous=first, body=b"two|")
+
+        assert reply.status == 200
+        outputs = b"".join(f"{first}.{number}\n".encode() for number in (1, 2, 3))
+        assert cluster.runs(second) == [b"one|" + outputs + b"two|"]
+
+
+async def test_a_turn_that_does_not_exist_is_not_found() -> None:
+    async with GatewayCluster() as cluster:
+        call_id, reply = await cluster.turn("a", "p1", previous="nowhere")
+
+        assert reply.status == 404
+        assert cluster.runs(call_id) == []
+
+
+async def test_a_program_continues_a_turn_of_another_program() -> None:
+    """Symptom: 404 for turns that had been answered whole.
+
+    Events: programs end; new programs name their turns as the previous ones.
+    Cause: a turn lies in the partition of the program that made it, and only the partition of the
+    program that asks was looked at.
+    """
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "old", body=b"one|")
+        for number in range(6):
+            call_id, reply = await cluster.turn("b", f"new-{number}", previous=first, body=b"two")
+            assert reply.status == 200
+            assert cluster.runs(call_id)[0].startswith(b"one|" + first.encode())
+
+
+async def test_parallel_turns_share_one_budget() -> None:
+    """Symptom: a program spends several times its budget.
+
+    Events: many turns of one program come at once, before any of them has generated a token.
+    Cause: each would be admitted against what was spent, not against what is reserved.
+    """
+    async with GatewayCluster() as cluster:
+        turns = [cluster.turn("ab"[number % 2], "p1", budget=90, most=30) for number in range(12)]
+        statuses = sorted([reply.status for _, reply in await asyncio.gather(*turns)])
+
+        assert statuses == [200] * 3 + [402] * 9
+
+
+async def test_a_budget_outlasts_the_owner() -> None:
+    """Symptom: a program that spent its budget goes on after a crash.
+
+    Events: turns are answered, their owner dies, the next turn comes to the daemon that takes over.
+    Cause: what was spent was only known to the dead owner.
+    """
+    async with GatewayCluster() as cluster:
+        for _ in range(2):
+            await cluster.turn("a", "p1", budget=60, most=3 * TOKENS_PER_EVENT)
+        owner = next(name for name in ("a", "b") if _owns(cluster, name, "p1"))
+        await cluster.lose_node(owner)
+        left = "b" if owner == "a" else "a"
+        await cluster.until(cluster.is_settled)
+
+        _, reply = await cluster.turn(left, "p1", budget=60, most=3 * TOKENS_PER_EVENT)
+        assert reply.status == 402
+
+
+async def test_history_outlasts_all_daemons() -> None:
+    """Symptom: 404 for a turn that was answered whole before the power went.
+
+    Events: a turn is answered; all daemons die at once; new ones start.
+    Cause: its end was told before its record was durable.
+    """
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        for name in ("a", "b"):
+            await cluster.lose_node(name)
+        await cluster.add_node("c")
+        await cluster.until(cluster.is_settled)
+
+        _, reply = await cluster.turn("c", "p1", previous=first, body=b"two|")
+        assert reply.status == 200
+
+
+async def test_an_owner_that_the_store_turns_away_gives_no_false_answer() -> None:
+    """Symptom: 404 for a turn that another daemon has just answered.
+
+    Events: the store turns one daemon away; its partitions go to another one, which answers a turn;
+    the next turn reaches the first daemon, which still has the partitions in memory.
+    Cause: it believed to own what it could not renew.
+    """
+    async with GatewayCluster() as cluster:
+        program = next(f"p{n}" for n in range(100) if _owns(cluster, "a", f"p{n}"))
+        cluster.nodes["a"].store.knobs.down = True
+        await cluster.until(lambda: len(cluster.nodes["b"].owned) == 8)
+        first, reply = await cluster.turn("b", program, body=b"one|")
+        assert reply.status == 200
+
+        second, reply = await cluster.turn("a", program, previous=first, body=b"two|")
+        assert reply.status == 200
+        assert len(cluster.runs(second)) == 1
+
+
+async def test_a_turn_is_refused_as_not_run_while_the_store_is_away() -> None:
+    async with GatewayCluster() as cluster:
+        for node in cluster.nodes.values():
+            node.store.knobs.down = True
+        await asyncio.sleep(1.2)
+        call_id, reply = await cluster.turn("a", "p1")
+
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) > 0
+        assert cluster.runs(call_id) == []
+
+
+@pytest.mark.parametrize("program", ["p1", "p2", "p3"])
+async def test_a_stream_that_breaks_off_is_not_taken_for_whole(program: str) -> None:
+    async with GatewayCluster() as cluster:
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.cut_after = 2
+        pieces: list[bytes] = []
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", program, on_data=pieces.append)
+
+        assert b"".join(pieces).count(b"data:") == 2
+
+
+async def test_a_lost_answer_of_the_store_keeps_the_turn_once() -> None:
+    """Symptom: a turn's history twice, or its end never told.
+
+    Events: the store does an append and its answer is lost; the daemon appends again.
+    Cause: an append without an answer may have been done; the sequence number tells it apart.
+    """
+    async with GatewayCluster() as cluster:
+        for node in cluster.nodes.values():
+            node.store.knobs.lose_writes = 2
+        first, reply = await cluster.turn("a", "p1", body=b"one|")
+        assert reply.status == 200
+        second, _ = await cluster.turn("b", "p1", previous=first, body=b"two|")
+
+        assert cluster.runs(second)[0].count(b"one|") == 1
+
+
+async def test_an_engine_stops_when_the_caller_leaves() -> None:
+    """Symptom: engines work on turns whose callers have gone.
+
+    Events: a caller closes its connection in the middle of a stream, at a daemon that relays it.
+    Cause: the owner would go on relaying to nobody.
+    """
+    async with GatewayCluster() as cluster:
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.gap_ms = 300
+        task = asyncio.create_task(cluster.turn("a", "p1"))
+        await cluster.until(lambda: sum(e.under_way for e in cluster.engines.values()) == 1)
+        task.cancel()
+        await cluster.until(
+            lambda: sum(e.under_way for e in cluster.engines.values()) == 0, limit_s=0.5
+        )
+
+
+async def test_a_planned_stop_hands_programs_over() -> None:
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        cluster.nodes["a"].daemon.begin_stop()
+        await cluster.until(lambda: len(cluster.nodes["b"].owned) == 8, limit_s=1.0)
+        _, reply = await cluster.turn("a", "p1", previous=first)
+        assert reply.status == 200
+        await asyncio.wait_for(cluster.nodes["a"].daemon.stopped.wait(), 3)
+
+
+def _owns(cluster: GatewayCluster, name: str, program: str) -> bool:
+    daemon = cluster.nodes[name].daemon
+    return daemon._relay._partition_for(program) in daemon._ownership.owned
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of `quincespool.platform`."""
+
+from __future__ import annotations
--- a/tests/support/standins/http.py
+++ b/tests/support/standins/http.py
@@ -53,6 +53,7 @@
         super().__init__(detail)
         self.status = status
         self.headers = headers
+        self.body: dict[str, object] = {"error": detail}
 
 
 class Exchange:
@@ -213,7 +214,7 @@
         try:
             await self._route(exchange)
         except RefusedError as refusal:
-            await exchange.reply(refusal.status, {"error": str(refusal)}, **refusal.headers)
+            await exchange.reply(refusal.status, refusal.body, **refusal.headers)
         except msgspec.MsgspecError as error:
             await exchange.reply(400, {"error": str(error)})
         except ConnectionError:
