--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -145,6 +145,7 @@
         settings = self._settings
         topics = [f"{OWNER_TOPIC}.{number}" for number in range(settings.owner_topics)]
         partitions = list_partitions(topics, settings.store_partitions)
+        self._partition_count = len(partitions)
         self._ownership = Ownership(
             member_id=f"{settings.member_id}.{self._incarnation}",
             topics=topics,
@@ -365,6 +366,9 @@
         callers that happen to be connected to this daemon.
         """
         isolated = self._members.is_isolated(now_ms())
+        if isolated and len(self._ownership.owned) == self._partition_count:
+            # Nobody else is there to own anything.
+            isolated = False
         if isolated == self._ownership.is_aside or self._draining:
             return
         self._log.write_always("isolated" if isolated else "no longer isolated")
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -22,6 +22,8 @@
 # The generation of an assignment makes the epoch; a daemon that takes the same assignment up again
 # counts on within it.
 EPOCHS_PER_GENERATION = 1_000
+# How often a daemon that stepped aside looks whether anybody else is there.
+ASIDE_CHECK_S = 0.5
 # After the assignment has changed, the next renewal lets the new owner have what it is to get.
 HAND_OVER_S = 0.01
 
@@ -125,13 +127,23 @@
             return
 
     async def step_aside(self, reason: str) -> None:
-        """Lets others have the partitions while this daemon cannot be reached by them."""
+        """Lets others have the partitions while this daemon cannot be reached by them.
+
+        Comes back by itself when nobody else has them: the others are gone, not cut off.
+        """
         self._aside = True
         self._give_up(list(self.owned), reason)
         try:
             await self._store.leave(self._member_id)
         except StoreError:
             return
+        while self._aside and self._wanted:
+            await asyncio.sleep(ASIDE_CHECK_S)
+            try:
+                if not await self._store.owners():
+                    self.step_back()
+            except StoreError:
+                continue
 
     def step_back(self) -> None:
         """Takes part again."""
--- a/src/quincespool/gateway/store.py
+++ b/src/quincespool/gateway/store.py
@@ -118,5 +118,8 @@
     async def leave(self, member_id: str) -> None:
         """Leaves the group, so that others get its partitions at once."""
 
+    async def owners(self) -> frozenset[str]:
+        """Returns the member ids of the group that hold partitions."""
+
     async def trim(self, partition: Partition, before_offset: int) -> None:
         """Deletes the records before an offset."""
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -70,6 +70,11 @@
     parts: list[tuple[str, int, int]]
 
 
+class _Owners(msgspec.Struct):
+    # Rows of topic, partition, member and committed offset.
+    parts: list[tuple[str, int, str | None, int]]
+
+
 class PlatformStore:
     """A client of the store.
 
@@ -164,6 +169,14 @@
         body = {"group": _GROUP, "member": member_id}
         await self._post("/log-leave", {}, msgspec.json.encode(body))
 
+    async def owners(self) -> frozenset[str]:
+        """See `Store.owners`."""
+        answer = await self._request(
+            "GET", "/log-owners", {"group": _GROUP}, b"", self._time_limit_ms
+        )
+        rows = msgspec.json.decode(answer.body, type=_Owners).parts
+        return frozenset(member for _, _, member, _ in rows if member)
+
     async def trim(self, partition: Partition, before_offset: int) -> None:
         """See `Store.trim`."""
         query = {"topic": partition.topic, "part": partition.number, "before": before_offset}
--- a/tests/gateway/test_programs.py
+++ b/tests/gateway/test_programs.py
@@ -181,3 +181,20 @@
 def _owns(cluster: GatewayCluster, name: str, program: str) -> bool:
     daemon = cluster.nodes[name].daemon
     return daemon._relay._partition_for(program) in daemon._ownership.owned
+
+
+async def test_a_daemon_that_outlives_all_others_serves_alone() -> None:
+    """Symptom: after all other hosts are lost, the last one refuses every turn.
+
+    Events: a daemon hears nobody any more and gives its partitions up, as one that is cut off does.
+    Cause: being the last one and being cut off look alike; only the store tells them apart.
+    """
+    async with GatewayCluster(3) as cluster:
+        for name in ("a", "b"):
+            await cluster.lose_node(name)
+        await asyncio.sleep(1.5)
+        await cluster.until(cluster.is_settled, limit_s=3)
+
+        for number in range(4):
+            _, reply = await cluster.turn("c", f"p{number}")
+            assert reply.status == 200
--- a/tests/support/standins/platform_store.py
+++ b/tests/support/standins/platform_store.py
@@ -175,6 +175,11 @@
             body = request.json()
             self.state.groups.setdefault(body["group"], _Group()).remove(body["member"])
             return {}
+        if request.path == "/log-owners":
+            group = self.state.groups.setdefault(request.query["group"], _Group())
+            group.expire()
+            rows = [[*part, member, 0] for part, member in group.holders.items()]
+            return {"parts": rows}
         if request.path == "/log-trim":
             return {}
         raise RefusedError(404, "no such call")
