While the store is away turns are refused at once, to come back after a third of their time

Change: refuse at once while the store does not answer; wait at most 1.7 s for a record; retry after 1.3 s; renew a lease that has run out every 100 ms.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -173,6 +173,7 @@
             self._services,
             settle_elsewhere=self._settle_elsewhere,
             finder=self._finder,
+            store_reachable=lambda: self._store_health.reachable,
         )
         self._relay = Relay(
             member_id=settings.member_id,
@@ -181,6 +182,7 @@
             ownership=self._ownership,
             links=self._links,
             turns=self._turns,
+            store_reachable=lambda: self._store_health.reachable,
         )
         self._heartbeats = Heartbeats(settings.member_id, on_datagram=self._take_datagram)
 
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -22,6 +22,8 @@
 # The generation of an assignment makes the epoch; a daemon that takes the same assignment up again
 # counts on within it.
 EPOCHS_PER_GENERATION = 1_000
+# Pause between attempts to renew a lease that has run out.
+UNCONFIRMED_RETRY_S = 0.1
 # How often a daemon that stepped aside looks whether anybody else is there.
 ASIDE_CHECK_S = 0.5
 # After the assignment has changed, the next renewal lets the new owner have what it is to get.
@@ -104,6 +106,9 @@
         while self._wanted:
             changed = False if self._aside else await self._renew()
             wait_s = HAND_OVER_S if changed else self._renewal_s
+            if not self.is_confirmed and not self._aside:
+                # Everything waits for the lease; the store's return must be seen at once.
+                wait_s = UNCONFIRMED_RETRY_S
             try:
                 async with asyncio.timeout(wait_s):
                     await self._poke.wait()
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -50,6 +50,8 @@
 OWNER_WAIT_MS = 500
 OWNER_POLL_S = 0.02
 OWNER_RETRY_MS = 400
+# As for a turn whose owner cannot write: the store gives nobody the partition before it is back.
+STORE_AWAY_RETRY_MS = 1_300
 # The owner answers at the time limit; this long after it, it is not going to.
 OVERTIME_MS = 120
 NOT_OWNER = "not_owner"
@@ -105,6 +107,7 @@
         ownership: Ownership,
         links: Links,
         turns: TurnRunner,
+        store_reachable: Callable[[], bool],
     ) -> None:
         self._member_id = member_id
         self._partition_for = partition_for
@@ -112,6 +115,7 @@
         self._ownership = ownership
         self._links = links
         self._turns = turns
+        self._store_reachable = store_reachable
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
@@ -144,6 +148,9 @@
                 if refusal.reason != NOT_OWNER:
                     reply.refuse(refusal)
                     return owner[0].member_id
+            if not self._store_reachable():
+                reply.refuse(not_run("store_away", retry_after_ms=STORE_AWAY_RETRY_MS))
+                return ""
             if now_ms() >= give_up_ms:
                 reply.refuse(not_run("no_owner", retry_after_ms=OWNER_RETRY_MS))
                 return ""
--- a/src/quincespool/gateway/routes.py
+++ b/src/quincespool/gateway/routes.py
@@ -19,8 +19,9 @@
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Route
 
-# A daemon that has just started reads its configuration within a few hundred milliseconds.
-UNCONFIGURED_RETRY_MS = 500
+# A daemon that has just started reads its configuration within a few hundred milliseconds, unless
+# the store is away.
+UNCONFIGURED_RETRY_MS = 1_000
 
 
 class RouteTable:
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -49,16 +49,16 @@
 NO_BACKEND_RETRY_MS = 400
 # Handed on with the deadline: the way back of the answer.
 WAY_MS = 15
-# While the store does not answer, nothing that a turn produces can be kept; callers come back after
-# about the time that a store needs to be replaced.
-STALLED_RETRY_MS = 600
+# While the store does not answer, nothing that a turn produces can be kept. Callers have few
+# retries; spread over a third of the usual four seconds they outlast an outage of about four.
+STALLED_RETRY_MS = 1_300
 # The new owner of a partition has read it within some tens of milliseconds.
 OWNER_CHANGED_RETRY_MS = 100
 REFUSED_STATUS = 503
 NO_SUCH_TURN_STATUS = 404
-# The end of a whole answer waits for its record at most this long, less than callers wait between
-# two events.
-RECORD_LIMIT_MS = 1_500
+# A record is waited for at most this long, before the first token and at the end: callers leave
+# after two seconds without an event.
+RECORD_LIMIT_MS = 1_700
 # Ranks that engines know; the least urgent one.
 LOWEST_RANK = 9
 
@@ -80,9 +80,11 @@
         *,
         settle_elsewhere: Callable[[Partition, Record, int], Awaitable[bool]],
         finder: TurnFinder,
+        store_reachable: Callable[[], bool],
     ) -> None:
         self._services = services
         self._finder = finder
+        self._store_reachable = store_reachable
         self._settle_elsewhere = settle_elsewhere
         self._last_engine: dict[str, str] = {}
         self._settling: set[asyncio.Task[None]] = set()
@@ -162,7 +164,7 @@
             self._last_engine[program_id] = engine
 
     def _admit(self, call: Call, turn: Turn, owned: OwnedPartition) -> Refusal | None:
-        if owned.stalled:
+        if owned.stalled or not self._store_reachable():
             return not_run("store_away", retry_after_ms=STALLED_RETRY_MS)
         admission = owned.ledger.admit(
             program_id=turn.program_id,
@@ -420,6 +422,9 @@
 
     async def _durable(self, start: asyncio.Future[None]) -> None:
         try:
-            await asyncio.shield(start)
+            async with asyncio.timeout(RECORD_LIMIT_MS / 1000):
+                await asyncio.shield(start)
         except LostPartitionError as error:
             raise _BrokenTurnError(may_have_run("owner_changed")) from error
+        except TimeoutError as error:
+            raise _BrokenTurnError(may_have_run("record_not_kept")) from error
