More daemons beat and read less often each; an owner that can't be reached is suspect at once

Change: entries are read every 10 ms x daemons at least, heartbeats come every 6 ms x daemons; a failed connection suspends an owner until its next heartbeat.

--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -29,6 +29,9 @@
 # noticed after it.
 CONFIGURATION_WAIT_MS = 2_000
 DAEMONS_WAIT_MS = 5_000
+# With more daemons each one reads the entries of backend servers less often: at a hundred daemons
+# once a second, a third of the shortest time that a leaving one still serves.
+BACKENDS_MS_PER_DAEMON = 10
 # After the store has failed, entries of backend servers that are missing may have lapsed meanwhile.
 SHAKY_MS = 2_500
 # Requests to the store that fail in a row before it counts as lost.
@@ -110,7 +113,9 @@
             on_records=self._take_backends,
             on_listing=self._list_backends,
             wait_ms=0,
-            pause_ms=lambda: backends_interval_ms,
+            pause_ms=lambda: max(
+                backends_interval_ms, BACKENDS_MS_PER_DAEMON * len(members.entries)
+            ),
         )
         self.daemon_entries = Follower(
             wire.DAEMONS_TOPIC,
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -14,11 +14,15 @@
 MISSED_BEATS = 5
 # With more daemons each one beats less often, so that what a daemon receives stays the same.
 BEAT_MS = 200
-BEAT_MS_PER_DAEMON = 12
+BEAT_MS_PER_DAEMON = 6
 # A daemon whose entry is fresh counts as alive until its first heartbeats should have come.
 ARRIVAL_GRACE_MS = 3_000
 
 
+# Longer than any time for which a silent daemon counts as alive.
+SUSPICION_MS = 3_600_000
+
+
 class _Seen(NamedTuple):
     heard_ms: int
     beat: Heartbeat
@@ -74,6 +78,16 @@
             return now_ms - seen.heard_ms < MISSED_BEATS * self.beat_interval_ms
         return now_ms - self._entered_ms.get(member_id, 0) < ARRIVAL_GRACE_MS
 
+    def suspect(self, member_id: str) -> None:
+        """Takes note that a daemon could not be reached; its next heartbeat clears it.
+
+        With many daemons heartbeats are rare; a turn for a dead owner would meet the same dead
+        address again and again until enough of them are missed.
+        """
+        seen = self._seen.get(member_id)
+        if seen is not None:
+            self._seen[member_id] = seen._replace(heard_ms=-SUSPICION_MS)
+
     def is_draining(self, member_id: str) -> bool:
         """Whether a daemon has said that it is stopping."""
         seen = self._seen.get(member_id)
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -39,6 +39,7 @@
     from quincespool.gateway.links import Links
     from quincespool.gateway.members import Members
     from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Daemon
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Headers
     from quincespool.gateway.ownership import Ownership
@@ -140,9 +141,7 @@
                 await self._turns.run(call, decision, owned, reply, until_ms=until_ms)
                 return self._member_id
             if owner is not None:
-                refusal = await self._hand_over(
-                    owner[0].peer_address, call, decision, reply, until_ms
-                )
+                refusal = await self._hand_over(owner[0], call, decision, reply, until_ms)
                 if refusal is None:
                     return owner[0].member_id
                 if refusal.reason != NOT_OWNER:
@@ -200,11 +199,12 @@
                 pending.done.set_result(may_have_run("owner_lost"))
 
     async def _hand_over(
-        self, address: str, call: Call, decision: Decision, reply: Reply, until_ms: int
+        self, owner: Daemon, call: Call, decision: Decision, reply: Reply, until_ms: int
     ) -> Refusal | None:
         """Relays a turn to its owner; returns None if it was answered, else the refusal."""
-        link = await self._links.get(address)
+        link = await self._links.get(owner.peer_address)
         if link is None:
+            self._members.suspect(owner.member_id)
             return not_run(NOT_OWNER)
         relay_id = next(self._ids)
         pending = _Pending(reply)
