Looking for a turn no longer storms the store; a rate refusal is no lost store

Ruled out: an outage (others were served in the same milliseconds). Change: owners without the turn answer only in a second round; confirmations are shared; the store counts as lost after 300 ms without any success.

--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -34,8 +34,10 @@
 BACKENDS_MS_PER_DAEMON = 10
 # After the store has failed, entries of backend servers that are missing may have lapsed meanwhile.
 SHAKY_MS = 2_500
-# Requests to the store that fail in a row before it counts as lost.
+# Requests to the store that fail in a row, and time without any success, before it counts as lost:
+# a burst beyond its rate is refused in part while it serves the rest.
 FAILURES_TO_LOSE = 3
+SILENCE_TO_LOSE_MS = 300
 
 
 class StoreHealth:
@@ -50,6 +52,7 @@
         self._log = log
         self._now_ms = now_ms
         self._failures = 0
+        self._succeeded_ms = now_ms()
         self._failed_ms: int | None = None
 
     def note(self, status: str) -> None:
@@ -57,11 +60,17 @@
         if status in ("unanswered", "503", "429"):
             self._failures += 1
             self._failed_ms = self._now_ms()
-            if self._failures == FAILURES_TO_LOSE:
+            silent_ms = self._now_ms() - self._succeeded_ms
+            if (
+                self.reachable
+                and self._failures >= FAILURES_TO_LOSE
+                and silent_ms > SILENCE_TO_LOSE_MS
+            ):
                 self.reachable = False
                 self._log.write_always("store lost", status=status)
             return
         self._failures = 0
+        self._succeeded_ms = self._now_ms()
         if not self.reachable:
             self.reachable = True
             self._log.write_always("store regained")
--- a/src/quincespool/gateway/finder.py
+++ b/src/quincespool/gateway/finder.py
@@ -27,6 +27,8 @@
 # are asked for again until then.
 FIND_LIMIT_MS = 800
 ROUND_LIMIT_MS = 250
+# The one daemon that has the turn answers without the store, in a round trip.
+FIRST_ROUND_MS = 60
 
 
 class FoundTurn(NamedTuple):
@@ -71,8 +73,10 @@
         self._searches[find_id] = search
         until_ms = now_ms() + FIND_LIMIT_MS
         try:
+            certain = False
             while now_ms() < until_ms:
-                await self._ask(search, find_id, turn_id)
+                await self._ask(search, FindTurn(find_id, turn_id, certain))
+                certain = True
                 if search.found is not None:
                     return search.found
                 if search.absent >= self._partitions:
@@ -97,17 +101,22 @@
             search.absent.update(Partition(one.topic, one.number) for one in message.partitions)
         search.news.set()
 
-    async def _ask(self, search: _Search, find_id: int, turn_id: str) -> None:
-        """Asks everybody once and waits until all have answered or the round is over."""
+    async def _ask(self, search: _Search, question: FindTurn) -> None:
+        """Asks everybody once and waits until all have answered or the round is over.
+
+        Only from the second round on do those without the turn make sure that they would have it:
+        after a loss of all hosts many programs look for their turns at once, and a request to the
+        store for each partition each time was more than the store takes.
+        """
         for daemon in self._members.others:
             if self._members.is_alive(daemon.member_id, now_ms()):
                 link = await self._links.get(daemon.peer_address)
                 if link is not None:
-                    link.send(FindTurn(find_id, turn_id))
-        search.found = search.found or self._look(turn_id)
-        if search.found is None:
+                    link.send(question)
+        search.found = search.found or self._look(question.turn_id)
+        if search.found is None and question.certain:
             search.absent.update(await self._confirmed())
-        round_ends_ms = now_ms() + ROUND_LIMIT_MS
+        round_ends_ms = now_ms() + (ROUND_LIMIT_MS if question.certain else FIRST_ROUND_MS)
         while search.found is None and not search.absent >= self._partitions:
             left_ms = round_ends_ms - now_ms()
             if left_ms <= 0:
@@ -124,6 +133,8 @@
         if found is not None and found.history is not None:
             link.send(TurnFound(message.find_id, found.history, found.retention_ms))
             return
+        if not message.certain:
+            return
         claims = tuple(PartitionClaim(*one, epoch=0) for one in await self._confirmed())
         if claims:
             link.send(TurnAbsent(message.find_id, claims))
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -132,10 +132,15 @@
 
 
 class FindTurn(NamedTuple):
-    """Whoever owns the partition with this turn is asked for its history."""
+    """Whoever owns the partition with this turn is asked for its history.
+
+    Attributes:
+      certain: Whether the others, too, are to answer, for the partitions that they surely own.
+    """
 
     find_id: int
     turn_id: str
+    certain: bool
 
 
 class TurnFound(NamedTuple):
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -66,6 +66,8 @@
         self._store = store
         self._on_change = on_change
         self._sequence = 0
+        self._check: asyncio.Task[None] | None = None
+        self._next_check: asyncio.Task[None] | None = None
         self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
@@ -84,7 +86,7 @@
         """Hands a record over; the future tells when it is kept."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
-        future.add_done_callback(lambda done: done.cancelled() or done.exception())
+        future.add_done_callback(_forget_error)
         if self.lost:
             future.set_exception(LostPartitionError())
             return future
@@ -103,6 +105,17 @@
           LostPartitionError: if somebody has.
           StoreError: if the store does not say.
         """
+        # Whoever asks while one request is under way shares the next one.
+        if self._next_check is None:
+            check = self._check_after(self._check)
+            self._next_check = asyncio.get_running_loop().create_task(check)
+            self._next_check.add_done_callback(_forget_error)
+        await asyncio.shield(self._next_check)
+
+    async def _check_after(self, running: asyncio.Task[None] | None) -> None:
+        if running is not None:
+            await asyncio.wait({running})
+        self._check, self._next_check = self._next_check, None
         try:
             await self._store.append(self.partition, [], epoch=self.epoch, sequence=self._sequence)
         except FencedError as error:
@@ -210,3 +223,9 @@
             if records:
                 self._sequence += 1
             return end_offset
+
+
+def _forget_error(done: asyncio.Future[None]) -> None:
+    """Marks an error as seen that perhaps nobody waits for."""
+    if not done.cancelled():
+        done.exception()
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -132,6 +132,7 @@
   # Whoever owns the partition with this turn is asked for its history.
   findId @0 :Int64;
   turnId @1 :Text;
+  certain @2 :Bool;
 }
 
 struct TurnFound {
--- /dev/null
+++ b/tests/gateway/test_partition.py
@@ -0,0 +1,96 @@
+"""The one writer to a partition: order, fencing, lost answers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
+
+from quincespool.gateway.ledger import TurnStarted
+from quincespool.gateway.partition import LostPartitionError
+from quincespool.gateway.partition import OwnedPartition
+from quincespool.gateway.store import Partition
+from quincespool.platform.store import PlatformStore
+from tests.support.standins.platform_store import make_platform_store
+
+if TYPE_CHECKING:
+    from tests.support.standins.platform_store import PlatformStoreStandIn
+
+PARTITION = Partition("programs.0", 3)
+
+
+def _client(store: PlatformStoreStandIn) -> PlatformStore:
+    return PlatformStore(
+        address=store.address,
+        lease_ms=1_000,
+        time_limit_ms=200,
+        partition_count=8,
+        on_call=lambda path, status: None,
+    )
+
+
+def _own(store: PlatformStoreStandIn, epoch: int) -> OwnedPartition:
+    return OwnedPartition(
+        PARTITION, epoch=epoch, store=_client(store), on_change=lambda owned, detail: None
+    )
+
+
+def _record(number: int) -> TurnStarted:
+    return TurnStarted(f"t{number}", "p", 10, 0)
+
+
+async def test_records_stand_in_order_and_once() -> None:
+    """Symptom: a program's records twice in the log.
+
+    Events: answers of the store are lost after the append was done.
+    Cause: an append without an answer must be repeated under the same number.
+    """
+    async with make_platform_store(lose_writes=3) as store:
+        owned = _own(store, 1)
+        await asyncio.gather(*[owned.keep(_record(number)) for number in range(20)])
+
+        again = _own(store, 2)
+        await again.ready_event.wait()
+        assert list(again.ledger.programs["p"].reserved) == [f"t{n}" for n in range(20)]
+        assert len(store.state.partition(*PARTITION).records) == 20
+
+
+async def test_an_old_owner_writes_nothing_more() -> None:
+    async with make_platform_store() as store:
+        old = _own(store, 1)
+        await old.keep(_record(1))
+        new = _own(store, 2)
+        await new.ready_event.wait()
+
+        with pytest.raises(LostPartitionError):
+            await old.keep(_record(2))
+        assert old.lost
+        assert len(store.state.partition(*PARTITION).records) == 1
+
+
+async def test_an_old_owner_cannot_confirm_itself() -> None:
+    async with make_platform_store() as store:
+        old = _own(store, 1)
+        await old.ready_event.wait()
+        await old.confirm()
+        new = _own(store, 2)
+        await new.ready_event.wait()
+
+        with pytest.raises(LostPartitionError):
+            await old.confirm()
+
+
+async def test_many_confirmations_share_requests() -> None:
+    """Symptom: the store refuses requests beyond its rate after all hosts have come back.
+
+    Events: many programs look for turns at once; each owner confirms each partition each time.
+    Cause: a request to the store for every question.
+    """
+    async with make_platform_store() as store:
+        owned = _own(store, 1)
+        await owned.ready_event.wait()
+        before = store.state.calls
+        await asyncio.gather(*[owned.confirm() for _ in range(50)])
+
+        assert store.state.calls - before <= 2
