Requests that crash backend servers are refused at every daemon; records follow a partition that moves

Cause: (1) PROTOCOL: a request may crash each engine that runs it and comes again under other ids; nothing counted. Ruled out: a refused repeat of the append (its sequence number answers alike). Change: CrashWatch and CrashNotice; records of a start settle at the new owner; the store's order decides which entry of a daemon is newest; the steady clock counts suspended time.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.crashes import fingerprint
+from quincespool.gateway.exchange import BackendConnection
 from quincespool.gateway.exchange import Broken
 from quincespool.gateway.exchange import ConnectError
 from quincespool.gateway.exchange import End
@@ -13,9 +16,11 @@
 from quincespool.gateway.exchange import Piece
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.gateway.backends import Backends
+    from quincespool.gateway.crashes import CrashWatch
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.exchange import BackendConnection
     from quincespool.gateway.exchange import ExchangeEvent
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Call
@@ -26,6 +31,11 @@
     from quincespool.net.metrics import Metrics
 
 MAX_ANSWER_BYTES = 16_000_000
+# A process that has crashed refuses connections by now; one that is replaced takes seconds.
+CRASH_CHECK_S = 0.1
+
+# The loop keeps only weak references to tasks.
+_checks: set[asyncio.Task[None]] = set()
 
 
 class NotRun(NamedTuple):
@@ -40,14 +50,9 @@
 
 
 class Lost(NamedTuple):
-    """The call may have run; there will be no answer.
-
-    Attributes:
-      crashed: Whether the backend server ended or reset the connection before it answered.
-    """
+    """The call may have run; there will be no answer."""
 
     reason: str
-    crashed: bool
 
 
 class Whole(NamedTuple):
@@ -66,6 +71,8 @@
     wire: Wire
     log: DecisionLog
     metrics: Metrics
+    crashes: CrashWatch
+    tell_crash: Callable[[str, str], None]
 
 
 class Attempt:
@@ -129,7 +136,7 @@
         """Returns the head of the answer, or why there is none that counts."""
         event = await self.next_event()
         if isinstance(event, Broken):
-            return self._lose(event)
+            return self.lose(event)
         assert isinstance(event, Head)
         head = self._services.wire.read_answer_head(event.status, event.headers)
         self._idle_s = head.idle_s
@@ -138,7 +145,7 @@
             return self._refused(head.status)
         if head.status < 300 and not head.stamped:
             # Whatever answers without the receipt is not the backend server of the call, or broken.
-            return self._lose(Broken(f"status {head.status} without receipt", closed=False))
+            return self.lose(Broken(f"status {head.status} without receipt", closed=False))
         return head
 
     async def body(self) -> bytes | Lost:
@@ -150,12 +157,12 @@
             if isinstance(event, End):
                 return b"".join(pieces)
             if isinstance(event, Broken):
-                return self._lose(event)
+                return self.lose(event)
             if isinstance(event, Piece):
                 pieces.append(event.data)
                 size_bytes += len(event.data)
             if size_bytes > MAX_ANSWER_BYTES:
-                return self._lose(Broken("the answer is too large", closed=False))
+                return self.lose(Broken("the answer is too large", closed=False))
 
     def settle(self, *, sound: bool, latency_ms: float | None = None) -> None:
         """The answer is whole: the connection may be used again.
@@ -172,10 +179,11 @@
         else:
             self._services.backends.failed(backend_id, now_ms())
         self._services.metrics.count("gateway_attempts_total", outcome="answered")
+        self._services.crashes.clear(fingerprint(self._call))
 
     def timed_out(self) -> Lost:
         """Takes note that no answer came in time."""
-        return self._lose(Broken("no answer in time", closed=False))
+        return self.lose(Broken("no answer in time", closed=False))
 
     def _is_mine(self, headers: Headers) -> bool:
         answered = self._services.wire.read_answer_head(0, headers).call_id
@@ -201,7 +209,8 @@
         while not isinstance(await self.next_event(), End | Broken):
             pass
 
-    def _lose(self, event: Broken) -> Lost:
+    def lose(self, event: Broken) -> Lost:
+        """Takes note that there will be no whole answer."""
         services, entry = self._services, self.entry
         ejected = services.backends.failed(entry.backend_id, now_ms())
         services.metrics.count("gateway_attempts_total", outcome="lost")
@@ -213,4 +222,34 @@
             after_ms=now_ms() - self._started_ms,
             ejected=ejected,
         )
-        return Lost(event.detail, crashed=event.closed)
+        if event.closed:
+            check = self._check_crash()
+            task = asyncio.get_running_loop().create_task(check)
+            _checks.add(task)
+            task.add_done_callback(_checks.discard)
+        return Lost(event.detail)
+
+    async def _check_crash(self) -> None:
+        """Finds out whether the backend server went down with the call, and tells the others.
+
+        A lost answer looks the same at first; only a backend server that is down refuses to be
+        connected to.
+        """
+        await asyncio.sleep(CRASH_CHECK_S)
+        probe = BackendConnection()
+        try:
+            await probe.connect(self.entry.address)
+        except ConnectError:
+            mark = fingerprint(self._call)
+            backend_id = self.entry.backend_id
+            crashes = self._services.crashes.note(mark, backend_id, now_ms())
+            self._services.tell_crash(mark, backend_id)
+            self._services.log.write(
+                "backend crashed",
+                call_id=self._call.call_id,
+                backend_id=backend_id,
+                fingerprint=mark,
+                crashes=crashes,
+            )
+        finally:
+            probe.close()
--- a/src/quincespool/gateway/clock.py
+++ b/src/quincespool/gateway/clock.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 
 
 def now_ms() -> int:
-    """Returns the steady clock in milliseconds; unaffected when the time of day is set."""
-    return int(asyncio.get_running_loop().time() * 1000)
+    """Returns the steady clock in milliseconds.
+
+    It counts the time for which the host was suspended, unlike the event loop's clock: a lease that
+    ran out meanwhile must be seen to have run out. Setting the time of day does not change it.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
 def wall_ms() -> int:
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -14,6 +14,7 @@
 from quincespool.gateway.beliefs import StoreHealth
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
+from quincespool.gateway.crashes import CrashWatch
 from quincespool.gateway.finder import TurnFinder
 from quincespool.gateway.front import Front
 from quincespool.gateway.heartbeats import Heartbeats
@@ -21,6 +22,7 @@
 from quincespool.gateway.links import Links
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import BackendLoad
+from quincespool.gateway.messages import CrashNotice
 from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
@@ -126,7 +128,16 @@
             on_open=lambda: self._metrics.count("gateway_backend_connections_total")
         )
         self._members = Members(settings.member_id)
-        self._services = Services(self._backends, self._pool, self._wire, self._log, self._metrics)
+        self._crashes = CrashWatch()
+        self._services = Services(
+            self._backends,
+            self._pool,
+            self._wire,
+            self._log,
+            self._metrics,
+            self._crashes,
+            self._tell_crash,
+        )
         self._beliefs = Beliefs(
             member_id=settings.member_id,
             store=self._store,
@@ -345,7 +356,13 @@
         )
         self._heartbeats.send(self._members.others, beat)
 
+    def _tell_crash(self, mark: str, backend_id: str) -> None:
+        self._heartbeats.send(self._members.others, CrashNotice(mark, backend_id))
+
     def _take_datagram(self, sender: str, message: Any) -> None:
+        if isinstance(message, CrashNotice):
+            self._crashes.note(message.fingerprint, message.backend_id, now_ms())
+            return
         if not isinstance(message, Heartbeat):
             return
         self._beliefs.hear(sender, message)
--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -190,7 +190,8 @@
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
-                self._break(f"broken off or malformed: {error}", closed=False)
+                ended = self._http.trailing_data[1]
+                self._break(f"broken off or malformed: {error}", closed=ended)
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return
--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/front.py
@@ -8,7 +8,9 @@
 
 from quincespool.gateway.attempt import Whole
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.crashes import fingerprint
 from quincespool.gateway.model import CallKind
+from quincespool.gateway.model import Turn
 from quincespool.gateway.model import not_run
 from quincespool.net.http_connection import HttpResponse
 from quincespool.verdict import Verdict
@@ -55,8 +57,13 @@
         decision = decided.ok
         until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
         served_by = ""
+        if self._services.crashes.is_refused(fingerprint(call), now_ms()):
+            reply.refuse(not_run("crashes_backends"))
+            self._note(call, decision, reply, started_ms, served_by="")
+            return
         try:
-            if decision.route.kind is CallKind.STREAMING and call.turn is not None:
+            if decision.route.kind is CallKind.STREAMING:
+                call = _as_turn(call)
                 served_by = await self._relay.run(call, decision, reply, until_ms=until_ms)
             else:
                 reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
@@ -101,6 +108,13 @@
         )
 
 
+def _as_turn(call: Call) -> Call:
+    """Returns a streamed call as a turn; one without a program is a program of its own."""
+    if call.turn is not None:
+        return call
+    return call._replace(turn=Turn(call.call_id, "", None, 0, None))
+
+
 class _ConnectionReply:
     """Writes an answer to a caller's connection.
 
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -19,6 +19,8 @@
 ARRIVAL_GRACE_MS = 3_000
 
 
+# A process needs longer than this to end and start again.
+RESTART_MS = 500
 # Longer than any time for which a silent daemon counts as alive.
 SUSPICION_MS = 3_600_000
 
@@ -48,9 +50,12 @@
         return [one for one in self.entries.values() if one.member_id != self._member_id]
 
     def put(self, daemon: Daemon, now_ms: int) -> bool:
-        """Takes an entry in; returns whether it is news."""
-        known = self.entries.get(daemon.member_id)
-        if known is not None and known.incarnation >= daemon.incarnation:
+        """Takes an entry in; returns whether it is news.
+
+        The store's order decides which entry is the newest. Incarnations are times of day: a daemon
+        that starts again after its clock was set back has a lower one.
+        """
+        if self.entries.get(daemon.member_id) == daemon:
             return False
         self.entries[daemon.member_id] = daemon
         self._entered_ms[daemon.member_id] = now_ms
@@ -65,12 +70,19 @@
         """Takes a heartbeat in; returns whether it is newer than the last one."""
         seen = self._seen.get(member_id)
         if seen is not None:
-            last = (seen.beat.incarnation, seen.beat.sequence)
-            if (beat.incarnation, beat.sequence) <= last:
+            if beat.incarnation == seen.beat.incarnation:
+                if beat.sequence <= seen.beat.sequence:
+                    return False
+            elif not self._is_current(member_id, beat) and now_ms - seen.heard_ms < RESTART_MS:
+                # Delayed on its way, from before the daemon's restart.
                 return False
         self._seen[member_id] = _Seen(now_ms, beat)
         return True
 
+    def _is_current(self, member_id: str, beat: Heartbeat) -> bool:
+        entry = self.entries.get(member_id)
+        return entry is not None and entry.incarnation == beat.incarnation
+
     def is_alive(self, member_id: str, now_ms: int) -> bool:
         """Whether a daemon was heard of lately."""
         seen = self._seen.get(member_id)
--- a/src/quincespool/gateway/store.py
+++ b/src/quincespool/gateway/store.py
@@ -120,6 +120,3 @@
 
     async def owners(self) -> frozenset[str]:
         """Returns the member ids of the group that hold partitions."""
-
-    async def trim(self, partition: Partition, before_offset: int) -> None:
-        """Deletes the records before an offset."""
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -232,6 +232,12 @@
         self._owned = owned
         self._reply = reply
         self._until_ms = until_ms
+        self._start = TurnStarted(
+            turn_id=call.call_id,
+            program_id=turn.program_id,
+            most_tokens=turn.most_tokens,
+            at_ms=wall_ms(),
+        )
         self._events = EventReader()
         self._handed_out = 0
         self._may_have_run = False
@@ -245,7 +251,8 @@
         sent = 0
         refusals = 0
         reason = "no_backend"
-        start = self._start_record()
+        self._started = True
+        start = self._owned.submit(self._start)
         while sent < self._decision.route.max_attempts and refusals < MAX_REFUSALS:
             entry = self._services.backends.choose(
                 self._decision.service.name,
@@ -286,17 +293,6 @@
             )
             self._owned.submit(record)
 
-    def _start_record(self) -> asyncio.Future[None]:
-        self._started = True
-        return self._owned.submit(
-            TurnStarted(
-                turn_id=self._call.call_id,
-                program_id=self._turn.program_id,
-                most_tokens=self._turn.most_tokens,
-                at_ms=wall_ms(),
-            )
-        )
-
     async def _attempt(
         self, entry: BackendEntry, start: asyncio.Future[None]
     ) -> NotRun | Lost | None:
@@ -350,7 +346,7 @@
                 break
             elif isinstance(event, Broken):
                 self._handed_out += self._events.partial
-                attempt.timed_out()
+                attempt.lose(event)
                 raise _BrokenTurnError(may_have_run("stream_broken"))
         await self._end_whole(attempt.entry)
         return None
@@ -425,6 +421,9 @@
             async with asyncio.timeout(RECORD_LIMIT_MS / 1000):
                 await asyncio.shield(start)
         except LostPartitionError as error:
-            raise _BrokenTurnError(may_have_run("owner_changed")) from error
+            # The partition was dealt anew while the record was on its way.
+            record = self._start
+            if not await self.settle_elsewhere(self._owned.partition, record, RECORD_LIMIT_MS):
+                raise _BrokenTurnError(may_have_run("owner_changed")) from error
         except TimeoutError as error:
             raise _BrokenTurnError(may_have_run("record_not_kept")) from error
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -177,11 +177,6 @@
         rows = msgspec.json.decode(answer.body, type=_Owners).parts
         return frozenset(member for _, _, member, _ in rows if member)
 
-    async def trim(self, partition: Partition, before_offset: int) -> None:
-        """See `Store.trim`."""
-        query = {"topic": partition.topic, "part": partition.number, "before": before_offset}
-        await self._post("/log-trim", query, b"")
-
     async def _read(self, partition: Partition, from_offset: int, *, wait_ms: int) -> Page:
         query = {
             "topic": partition.topic,
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -142,7 +142,19 @@
             "slots": 8,
             "state": state,
         }
-        self.state.put("keyed.servers", backend_id, msgspec.json.encode(entry))
+        own_id = self.engines[backend_id].backend_id
+        self.state.put("keyed.servers", own_id, msgspec.json.encode(entry))
+
+    async def replace_engine(self, key: str, backend_id: str, service: str) -> None:
+        """Puts a new backend server in the place of one that has crashed."""
+        old_id = self.engines[key].backend_id
+        self.state.put("keyed.servers", old_id, None)
+        engine = await self._stack.enter_async_context(make_platform_engine(backend_id))
+        self.engines[key] = engine
+        self.announce(key, service)
+        await self.until(
+            lambda: all(backend_id in node.daemon._backends.entries for node in self.nodes.values())
+        )
 
     def configure(self, version: int, **changes: object) -> None:
         """Writes a configuration; the changes are for the streaming route."""
@@ -189,7 +201,7 @@
         known = all(
             len(n.daemon._members.others) >= len(self.nodes) - 1 for n in self.nodes.values()
         )
-        ready = all(node.daemon._is_ready() for node in self.nodes.values())
+        ready = all(node.daemon._is_ready() and node.owned for node in self.nodes.values())
         return known and ready and len({one.partition for one in owned}) == 8 == len(owned)
 
     async def until(self, condition: Callable[[], object], limit_s: float = 10.0) -> None:
--- a/tests/gateway/test_programs.py
+++ b/tests/gateway/test_programs.py
@@ -198,3 +198,27 @@
         for number in range(4):
             _, reply = await cluster.turn("c", f"p{number}")
             assert reply.status == 200
+
+
+async def test_turns_end_whole_while_partitions_are_dealt_anew() -> None:
+    """Symptom: streams that break off, or answers of 502, when a host is added.
+
+    Events: turns are under way, some of them before their first record is kept; a daemon joins and
+    gets some of their partitions.
+    Cause: what a daemon still has to write for a partition that it has lost was dropped.
+    """
+    async with GatewayCluster(1) as cluster:
+        cluster.nodes["a"].store.knobs.delay_ms = 30
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.gap_ms = 150
+        programs = [f"p{number}" for number in range(24)]
+        turns = [asyncio.create_task(cluster.turn("a", one, body=b"one|")) for one in programs]
+        await cluster.add_node("b")
+        later = [cluster.turn("a", f"q{number}") for number in range(24)]
+        answers = await asyncio.gather(*turns, *later)
+        assert [reply.status for _, reply in answers] == [200] * 48
+        assert len(cluster.nodes["b"].owned) == 4
+
+        for program, (first, _) in zip(programs, answers, strict=False):
+            _, reply = await cluster.turn("b", program, previous=first, body=b"two|")
+            assert reply.status == 200
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -26,6 +26,7 @@
       full: Every request is refused as not run.
       cut_after: So many events, then the connection is reset; -1 never.
       without_receipt: Answers lack the receipt.
+      crash: The next request resets all connections; new ones are refused from then on.
     """
 
     events: int = 3
@@ -33,6 +34,7 @@
     full: bool = False
     cut_after: int = -1
     without_receipt: bool = False
+    crash: bool = False
 
 
 class Run(NamedTuple):
@@ -66,6 +68,9 @@
             raise RefusedError(503, "full", not_executed="1")
         call_id = request.headers.get("request-id", "")
         self.runs.append(Run(call_id, request.path, request.body, request.headers))
+        if self.knobs.crash:
+            self.cut_all()
+            return
         self.under_way += 1
         try:
             await self._run(exchange, call_id, streams="/stream/" in request.path)
