An entry that goes after the store has been back for two seconds has not lapsed

A daemon that the store turned away until 11.5 s read the removal of a leaving engine at 13.79 s, took it for a lapse since the store had failed within 2.5 s, and used it until 16.19 s. Ruled out: a stale read (the removal was read 0.29 s after its acknowledgement). Change: grace for lapses ends 2.2 s after the store's return, whenever a removal is seen. Test: test_an_entry_that_goes_after_the_grace_is_gone_at_once.

--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -13,8 +13,6 @@
 
 # Loads that another daemon told longer ago say nothing of now: calls last some 100 ms.
 LOAD_VALID_MS = 1_500
-# An entry that lapses while the store is away is back within two seconds of its return.
-LAPSE_GRACE_MS = 2_200
 # First pause after a failure that may be the backend server's; doubles with each further one.
 FIRST_EJECTION_MS = 500
 MAX_EJECTION_MS = 4_000
@@ -69,27 +67,28 @@
         self.entries[entry.backend_id] = entry
         return known is None or known.leaving != entry.leaving or known.address != entry.address
 
-    def remove(self, backend_id: str, *, now_ms: int, store_shaky: bool) -> None:
+    def remove(self, backend_id: str, *, now_ms: int, lapses_until_ms: int) -> None:
         """Takes note that an entry is gone.
 
         Args:
           backend_id: Whose.
           now_ms: Steady clock.
-          store_shaky: Whether the store was away a moment ago, so that the entry may have lapsed
-            although the backend server lives; it is then kept until it should be back.
+          lapses_until_ms: Until when entries that lapsed while the store was away come back; until
+            then the backend server is still used. An entry that goes later has not lapsed: its
+            backend server leaves and serves for a short while only.
         """
         if backend_id not in self.entries:
             return
-        if store_shaky:
-            self._lapsing.setdefault(backend_id, now_ms + LAPSE_GRACE_MS)
+        if now_ms < lapses_until_ms:
+            self._lapsing.setdefault(backend_id, lapses_until_ms)
             return
         self._forget(backend_id)
 
-    def retain(self, backend_ids: Iterable[str], *, now_ms: int, store_shaky: bool) -> None:
+    def retain(self, backend_ids: Iterable[str], *, now_ms: int, lapses_until_ms: int) -> None:
         """Removes all entries but these, after a listing of all."""
         kept = set(backend_ids)
         for backend_id in [one for one in self.entries if one not in kept]:
-            self.remove(backend_id, now_ms=now_ms, store_shaky=store_shaky)
+            self.remove(backend_id, now_ms=now_ms, lapses_until_ms=lapses_until_ms)
 
     def expire(self, now_ms: int) -> list[str]:
         """Forgets entries that are still missing after their grace; returns their ids."""
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -32,8 +32,8 @@
 # With more daemons each one reads the entries of backend servers less often: at a hundred daemons
 # once a second, a third of the shortest time that a leaving one still serves.
 BACKENDS_MS_PER_DAEMON = 10
-# After the store has failed, entries of backend servers that are missing may have lapsed meanwhile.
-SHAKY_MS = 2_500
+# An entry that lapses while the store is away is back within two seconds of its return.
+LAPSE_GRACE_MS = 2_200
 # Requests to the store that fail in a row, and time without any success, before it counts as lost:
 # a burst beyond its rate is refused in part while it serves the rest.
 FAILURES_TO_LOSE = 3
@@ -45,21 +45,21 @@
 
     Attributes:
       reachable: Whether it did lately.
+      lapses_until_ms: Steady clock until which entries that lapsed meanwhile may be missing.
     """
 
     def __init__(self, log: DecisionLog, now_ms: Callable[[], int]) -> None:
         self.reachable = True
+        self.lapses_until_ms = 0
         self._log = log
         self._now_ms = now_ms
         self._failures = 0
         self._succeeded_ms = now_ms()
-        self._failed_ms: int | None = None
 
     def note(self, status: str) -> None:
         """Takes the outcome of a request in: a status or `unanswered`."""
         if status in ("unanswered", "503", "429"):
             self._failures += 1
-            self._failed_ms = self._now_ms()
             silent_ms = self._now_ms() - self._succeeded_ms
             if (
                 self.reachable
@@ -73,13 +73,9 @@
         self._succeeded_ms = self._now_ms()
         if not self.reachable:
             self.reachable = True
+            self.lapses_until_ms = self._now_ms() + LAPSE_GRACE_MS
             self._log.write_always("store regained")
 
-    @property
-    def shaky(self) -> bool:
-        """Whether it failed a moment ago."""
-        return self._failed_ms is not None and self._now_ms() - self._failed_ms < SHAKY_MS
-
 
 class Beliefs:
     """Follows the store's topics and the heartbeats of other daemons."""
@@ -201,13 +197,19 @@
                 )
 
     def _remove_backend(self, backend_id: str, offset: int) -> None:
-        shaky = self._store_health.shaky
-        self._backends.remove(backend_id, now_ms=self._now_ms(), store_shaky=shaky)
-        self._log.write("backend removed", backend_id=backend_id, offset=offset, store_shaky=shaky)
+        now_ms, lapses_until_ms = self._now_ms(), self._store_health.lapses_until_ms
+        self._backends.remove(backend_id, now_ms=now_ms, lapses_until_ms=lapses_until_ms)
+        self._log.write(
+            "backend removed",
+            backend_id=backend_id,
+            offset=offset,
+            may_have_lapsed=now_ms < lapses_until_ms,
+        )
 
     def _list_backends(self, keys: list[str]) -> None:
-        shaky = self._store_health.shaky
-        self._backends.retain(keys, now_ms=self._now_ms(), store_shaky=shaky)
+        self._backends.retain(
+            keys, now_ms=self._now_ms(), lapses_until_ms=self._store_health.lapses_until_ms
+        )
 
     def _take_daemons(self, records: list[KeyedRecord]) -> None:
         for record in records:
--- /dev/null
+++ b/tests/gateway/test_backends.py
@@ -0,0 +1,97 @@
+"""Which backend servers are used."""
+
+from __future__ import annotations
+
+from quincespool.gateway.backends import AFFINITY_SLACK
+from quincespool.gateway.backends import FAILURES_TO_EJECT
+from quincespool.gateway.backends import LOAD_VALID_MS
+from quincespool.gateway.backends import Backends
+from quincespool.gateway.model import BackendEntry
+
+
+def _backends(*ids: str, slots: int = 10) -> Backends:
+    backends = Backends(zone="z", seed=1)
+    for one in ids:
+        backends.put(
+            BackendEntry(one, "model", "127.0.0.1:1", "z", slots, leaving=False, cold_ms=0)
+        )
+    return backends
+
+
+def _choose(backends: Backends, now_ms: int = 0, prefer: str = "") -> str:
+    entry = backends.choose("model", now_ms=now_ms, prefer=prefer)
+    return entry.backend_id if entry is not None else ""
+
+
+def test_an_entry_that_goes_after_the_grace_is_gone_at_once() -> None:
+    """Symptom: requests reach a backend server over two seconds after it has said that it leaves.
+
+    Events: the store turns a daemon away for nine seconds and serves it again; two seconds later a
+    backend server leaves.
+    Cause: every entry that went within some seconds of a failure was taken for one that had lapsed,
+    and kept for two seconds more.
+    """
+    backends = _backends("e1", "e2")
+    regained_ms = 11_500
+    lapses_until_ms = regained_ms + 2_200
+    backends.remove("e1", now_ms=13_793, lapses_until_ms=lapses_until_ms)
+
+    assert "e1" not in backends.entries
+
+
+def test_an_entry_that_lapsed_is_used_until_it_should_be_back() -> None:
+    """Symptom: no backend server is left after the store was away.
+
+    Events: entries lapse while the store is away; it returns; the entries return a second later.
+    Cause: an entry that is missing right after the return says nothing of its backend server.
+    """
+    backends = _backends("e1", "e2")
+    backends.retain([], now_ms=1_000, lapses_until_ms=3_000)
+    assert _choose(backends, 1_500)
+    backends.put(backends.entries["e1"])
+
+    assert backends.expire(3_000) == ["e2"]
+    assert list(backends.entries) == ["e1"]
+
+
+def test_the_least_busy_is_chosen_with_the_loads_of_other_daemons() -> None:
+    backends = _backends("e1", "e2")
+    backends.hear_loads("peer", {"e1": 9}, 0)
+    assert _choose(backends) == "e2"
+
+    backends.started("e2")
+    backends.started("e2")
+    assert _choose(backends, LOAD_VALID_MS) == "e1"
+
+
+def test_a_cache_is_followed_until_its_engine_is_much_busier() -> None:
+    backends = _backends("e1", "e2")
+    for _ in range(int(AFFINITY_SLACK * 10)):
+        backends.started("e1")
+    assert _choose(backends, prefer="e1") == "e1"
+    backends.started("e1")
+    assert _choose(backends, prefer="e1") == "e2"
+
+
+def test_a_failing_backend_server_is_passed_over_for_a_while() -> None:
+    backends = _backends("e1", "e2", "e3")
+    for _ in range(FAILURES_TO_EJECT):
+        backends.failed("e1", 0)
+    assert {_choose(backends, 10) for _ in range(20)} <= {"e2", "e3"}
+    backends.started("e2")
+    backends.started("e3")
+    assert _choose(backends, 10_000) == "e1"
+
+
+def test_a_service_is_not_emptied_by_failures() -> None:
+    """Symptom: every call is refused although backend servers answer.
+
+    Events: the own link loses packets; every backend server seems to fail.
+    Cause: each was passed over for its failures until none was left.
+    """
+    backends = _backends("e1", "e2", "e3")
+    for one in ("e1", "e2", "e3"):
+        for _ in range(5):
+            backends.failed(one, 0, unreachable=True)
+
+    assert _choose(backends, 10)
