--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -125,6 +125,15 @@
             )
             services.metrics.count("gateway_attempts_total", outcome="unreachable")
             return NotRun("backend_unreachable", sent=False)
+        services.log.write(
+            "sent",
+            call_id=self._call.call_id,
+            backend_id=entry.backend_id,
+            service=entry.service,
+            load=services.backends.load(entry.backend_id, now_ms()),
+            slots=entry.slots,
+            connected_ms=now_ms() - self._started_ms,
+        )
         return None
 
     async def next_event(self) -> ExchangeEvent:
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -136,6 +136,16 @@
         """Whether calls can be routed."""
         return self._routes.configuration is not None and self.backend_entries.synced
 
+    @property
+    def configuration_version(self) -> int:
+        """Version in force here."""
+        return self._routes.version
+
+    @property
+    def store_reachable(self) -> bool:
+        """Whether the store answers this daemon."""
+        return self._store_health.reachable
+
     def hear(self, sender: str, beat: Heartbeat) -> None:
         """Takes a heartbeat in."""
         now_ms = self._now_ms()
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -17,15 +17,10 @@
 from quincespool.gateway.crashes import CrashWatch
 from quincespool.gateway.finder import TurnFinder
 from quincespool.gateway.front import Front
-from quincespool.gateway.heartbeats import Heartbeats
 from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.links import Links
 from quincespool.gateway.members import Members
-from quincespool.gateway.messages import BackendLoad
-from quincespool.gateway.messages import CrashNotice
 from quincespool.gateway.messages import FindTurn
-from quincespool.gateway.messages import Heartbeat
-from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import TurnAbsent
 from quincespool.gateway.messages import TurnFound
 from quincespool.gateway.model import Daemon
@@ -34,11 +29,10 @@
 from quincespool.gateway.ownership import partition_of
 from quincespool.gateway.plain import PlainCalls
 from quincespool.gateway.pool import ConnectionPool
+from quincespool.gateway.presence import Presence
 from quincespool.gateway.relay import Relay
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import StoreError
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns import TurnRunner
 from quincespool.net.addresses import split_address
@@ -55,6 +49,7 @@
     from quincespool.gateway.links import Link
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.settings import GatewaySettings
+    from quincespool.gateway.store import Partition
     from quincespool.gateway.store import Store
     from quincespool.gateway.wire import Wire
 
@@ -68,7 +63,6 @@
 ADDRESS_KEPT_FACTOR = 3
 # Kept of the stop's time for what is still under way after the callers should be gone.
 STOP_MARGIN_MS = 700
-REGISTER_RETRY_S = 0.3
 # Callers close idle connections a little before the limit that they know.
 IDLE_MARGIN_MS = 2_000
 MAX_BODY_BYTES = 8_000_000
@@ -93,8 +87,6 @@
         self._wire = wire
         self._log = log
         self._incarnation = time.time_ns() // 1_000
-        self._beat_sequence = 0
-        self._draining = False
         self.stopped = asyncio.Event()
         self._tasks: list[asyncio.Task[Any]] = []
         self._ticker = Ticker()
@@ -156,7 +148,6 @@
         settings = self._settings
         topics = [f"{OWNER_TOPIC}.{number}" for number in range(settings.owner_topics)]
         partitions = list_partitions(topics, settings.store_partitions)
-        self._partition_count = len(partitions)
         self._ownership = Ownership(
             member_id=f"{settings.member_id}.{self._incarnation}",
             topics=topics,
@@ -195,9 +186,28 @@
             turns=self._turns,
             store_reachable=lambda: self._store_health.reachable,
         )
-        self._heartbeats = Heartbeats(settings.member_id, on_datagram=self._take_datagram)
+        self._presence = Presence(
+            Daemon(
+                member_id=settings.member_id,
+                incarnation=self._incarnation,
+                zone=settings.zone,
+                caller_address=settings.caller_address,
+                peer_address=f"{settings.host}:{settings.peer_port}",
+            ),
+            wire=self._wire,
+            members=self._members,
+            backends=self._backends,
+            beliefs=self._beliefs,
+            ownership=self._ownership,
+            partition_count=len(partitions),
+            crashes=self._crashes,
+            log=self._log,
+        )
 
-    # The relay needs the links and the runner of turns, and both report back to it.
+    # These parts need one another; what they report goes through here.
+
+    def _tell_crash(self, mark: str, backend_id: str) -> None:
+        self._presence.tell_crash(mark, backend_id)
 
     def _take_message(self, link: Link, sender: str, message: Any) -> None:
         if isinstance(message, FindTurn | TurnFound | TurnAbsent):
@@ -253,7 +263,7 @@
         """
         settings = self._settings
         await self._links.start(settings.host, settings.peer_port)
-        await self._heartbeats.start(settings.host, settings.peer_port)
+        await self._presence.start(settings.host, settings.peer_port)
         await self._front_port.start(*split_address(settings.caller_address))
         addresses = (
             settings.ready_address,
@@ -269,47 +279,28 @@
             self._beliefs.daemon_entries.run(),
             self._ownership.run(),
             self._links.probe(),
-            self._register(),
+            self._presence.register(self._store),
         ):
             self._spawn(work)
-        self._ticker.every(lambda: self._members.beat_interval_ms, self._beat)
+        self._ticker.every(lambda: self._members.beat_interval_ms, self._presence.beat)
         self._ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
         self._ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
 
-    async def _register(self) -> None:
-        settings = self._settings
-        daemon = Daemon(
-            member_id=settings.member_id,
-            incarnation=self._incarnation,
-            zone=settings.zone,
-            caller_address=settings.caller_address,
-            peer_address=f"{settings.host}:{settings.peer_port}",
-        )
-        self._members.put(daemon, now_ms())
-        value = self._wire.write_daemon(daemon)
-        while True:
-            try:
-                await self._store.append_keyed(self._wire.DAEMONS_TOPIC, settings.member_id, value)
-            except StoreError:
-                await asyncio.sleep(REGISTER_RETRY_S)
-            else:
-                return
-
     def begin_stop(self) -> None:
         """Begins a planned stop; `stopped` is set when nothing is under way any more."""
-        if self._draining:
+        if self._presence.draining:
             return
-        self._draining = True
+        self._presence.draining = True
         self._front_port.draining = True
         self._log.write_always("stopping", under_way=self._front_port.busy)
-        self._beat()
+        self._presence.beat()
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
         """Lets callers and programs go elsewhere, then ends what is left."""
         began_ms = now_ms()
         await self._ownership.leave()
-        self._beat()
+        self._presence.beat()
         kept_ms = ADDRESS_KEPT_FACTOR * self._settings.addresses_valid_ms
         last_ms = began_ms + self._settings.stop_grace_ms - STOP_MARGIN_MS
         while now_ms() < last_ms:
@@ -332,70 +323,17 @@
         for port in self._side_ports:
             port.stop()
         self._links.stop()
-        self._heartbeats.stop()
+        self._presence.stop()
         for task in self._tasks:
             task.cancel()
 
-    def _beat(self) -> None:
-        self._beat_sequence += 1
-        claims = tuple(
-            PartitionClaim(one.partition.topic, one.partition.number, one.epoch)
-            for one in self._ownership.owned.values()
-            if one.ready
-        )
-        loads = tuple(BackendLoad(*item) for item in self._backends.in_flight.items())
-        beat = Heartbeat(
-            incarnation=self._incarnation,
-            sequence=self._beat_sequence,
-            draining=self._draining,
-            configuration_version=self._routes.version,
-            generation=self._ownership.generation,
-            claims=claims,
-            loads=loads,
-            store_reachable=self._store_health.reachable,
-        )
-        self._heartbeats.send(self._members.others, beat)
-
-    def _tell_crash(self, mark: str, backend_id: str) -> None:
-        self._heartbeats.send(self._members.others, CrashNotice(mark, backend_id))
-
-    def _take_datagram(self, sender: str, message: Any) -> None:
-        if isinstance(message, CrashNotice):
-            self._crashes.note(message.fingerprint, message.backend_id, now_ms())
-            return
-        if not isinstance(message, Heartbeat):
-            return
-        self._beliefs.hear(sender, message)
-        for claim in message.claims:
-            self._ownership.yield_to(Partition(claim.topic, claim.number), claim.epoch)
-        if message.generation > self._ownership.generation:
-            self._ownership.renew_soon()
-
     def _keep_up(self) -> None:
         self._beliefs.expire()
-        self._follow_isolation()
+        self._presence.follow_isolation()
         for daemon in self._members.others:
             if not self._members.is_alive(daemon.member_id, now_ms()):
                 self._links.drop(daemon.peer_address)
 
-    def _follow_isolation(self) -> None:
-        """Owns nothing while no other daemon can reach this one.
-
-        The store alone would leave the partitions here: their programs could go on only with
-        callers that happen to be connected to this daemon.
-        """
-        isolated = self._members.is_isolated(now_ms())
-        if isolated and len(self._ownership.owned) == self._partition_count:
-            # Nobody else is there to own anything.
-            isolated = False
-        if isolated == self._ownership.is_aside or self._draining:
-            return
-        self._log.write_always("isolated" if isolated else "no longer isolated")
-        if isolated:
-            self._spawn(self._ownership.step_aside("isolated"))
-        else:
-            self._ownership.step_back()
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
@@ -405,7 +343,7 @@
         self._turns.forget_engines()
 
     def _is_ready(self) -> bool:
-        return self._beliefs.complete and not self._draining
+        return self._beliefs.complete and not self._presence.draining
 
     def _caller_addresses(self) -> list[str]:
         return self._members.caller_addresses(now_ms(), own_serves=self._is_ready())
@@ -439,7 +377,7 @@
         )
         if owned.lost:
             self._ownership.forget(owned)
-        self._beat()
+        self._presence.beat()
 
     def _note_assignment(self, generation: int, count: int) -> None:
         self._log.write("partitions assigned", generation=generation, partitions=count)
@@ -452,18 +390,8 @@
         return {
             "member_id": self._settings.member_id,
             "incarnation": self._incarnation,
-            "draining": self._draining,
+            "draining": self._presence.draining,
             "generation": self._ownership.generation,
-            "partitions": [
-                {
-                    "topic": one.partition.topic,
-                    "number": one.partition.number,
-                    "epoch": one.epoch,
-                    "ready": one.ready,
-                    "stalled": one.stalled,
-                    "programs": len(one.ledger.programs),
-                }
-                for one in self._ownership.owned.values()
-            ],
+            "partitions": [one.dump() for one in self._ownership.owned.values()],
             **self._beliefs.dump(),
         }
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -142,6 +142,18 @@
         self._waiting.clear()
         self._on_change(self, reason)
 
+    def dump(self) -> dict[str, object]:
+        """Returns the state for people to read."""
+        return {
+            "topic": self.partition.topic,
+            "number": self.partition.number,
+            "epoch": self.epoch,
+            "ready": self.ready,
+            "stalled": self.stalled,
+            "waiting_records": len(self._waiting),
+            "programs": len(self.ledger.programs),
+        }
+
     async def _run(self) -> None:
         try:
             await self._take_over()
--- /dev/null
+++ b/src/quincespool/gateway/presence.py
@@ -0,0 +1,147 @@
+"""How a daemon makes itself known to the others, and what it concludes from them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+from typing import Any
+
+from quincespool.gateway.clock import now_ms
+from quincespool.gateway.heartbeats import Heartbeats
+from quincespool.gateway.messages import BackendLoad
+from quincespool.gateway.messages import CrashNotice
+from quincespool.gateway.messages import Heartbeat
+from quincespool.gateway.messages import PartitionClaim
+from quincespool.gateway.store import Partition
+from quincespool.gateway.store import StoreError
+
+if TYPE_CHECKING:
+    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.beliefs import Beliefs
+    from quincespool.gateway.crashes import CrashWatch
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.model import Daemon
+    from quincespool.gateway.ownership import Ownership
+    from quincespool.gateway.store import Store
+    from quincespool.gateway.wire import Wire
+
+REGISTER_RETRY_S = 0.3
+
+
+class Presence:
+    """The daemon's entry in the store, its heartbeats, and those of the others.
+
+    Attributes:
+      draining: Told to the others, who then send no callers here.
+    """
+
+    def __init__(
+        self,
+        own: Daemon,
+        *,
+        wire: Wire,
+        members: Members,
+        backends: Backends,
+        beliefs: Beliefs,
+        ownership: Ownership,
+        partition_count: int,
+        crashes: CrashWatch,
+        log: DecisionLog,
+    ) -> None:
+        self.draining = False
+        self._own = own
+        self._wire = wire
+        self._members = members
+        self._backends = backends
+        self._beliefs = beliefs
+        self._ownership = ownership
+        self._partition_count = partition_count
+        self._crashes = crashes
+        self._log = log
+        self._sequence = 0
+        self._stepping_aside: asyncio.Task[None] | None = None
+        self._heartbeats = Heartbeats(own.member_id, on_datagram=self._take_datagram)
+
+    async def start(self, host: str, port: int) -> None:
+        """Binds the port for datagrams.
+
+        Raises:
+          OSError: if it cannot be had.
+        """
+        await self._heartbeats.start(host, port)
+
+    def stop(self) -> None:
+        """Says and hears nothing any more."""
+        self._heartbeats.stop()
+        if self._stepping_aside is not None:
+            self._stepping_aside.cancel()
+
+    async def register(self, store: Store) -> None:
+        """Writes the daemon's entry, by which the others find it."""
+        self._members.put(self._own, now_ms())
+        value = self._wire.write_daemon(self._own)
+        while True:
+            try:
+                await store.append_keyed(self._wire.DAEMONS_TOPIC, self._own.member_id, value)
+            except StoreError as error:
+                self._log.write("daemon entry not written", detail=str(error))
+                await asyncio.sleep(REGISTER_RETRY_S)
+            else:
+                return
+
+    def beat(self) -> None:
+        """Sends a heartbeat."""
+        self._sequence += 1
+        claims = tuple(
+            PartitionClaim(one.partition.topic, one.partition.number, one.epoch)
+            for one in self._ownership.owned.values()
+            if one.ready
+        )
+        loads = tuple(BackendLoad(*item) for item in self._backends.in_flight.items())
+        beat = Heartbeat(
+            incarnation=self._own.incarnation,
+            sequence=self._sequence,
+            draining=self.draining,
+            configuration_version=self._beliefs.configuration_version,
+            generation=self._ownership.generation,
+            claims=claims,
+            loads=loads,
+            store_reachable=self._beliefs.store_reachable,
+        )
+        self._heartbeats.send(self._members.others, beat)
+
+    def tell_crash(self, mark: str, backend_id: str) -> None:
+        """Tells the others of a backend server that went down with a request."""
+        self._heartbeats.send(self._members.others, CrashNotice(mark, backend_id))
+
+    def follow_isolation(self) -> None:
+        """Owns nothing while no other daemon can reach this one.
+
+        The store alone would leave the partitions here: their programs could go on only with
+        callers that happen to be connected to this daemon.
+        """
+        isolated = self._members.is_isolated(now_ms())
+        if isolated and len(self._ownership.owned) == self._partition_count:
+            # Nobody else is there to own anything.
+            isolated = False
+        if isolated == self._ownership.is_aside or self.draining:
+            return
+        self._log.write_always("isolated" if isolated else "no longer isolated")
+        if isolated:
+            work = self._ownership.step_aside("isolated")
+            self._stepping_aside = asyncio.get_running_loop().create_task(work)
+        else:
+            self._ownership.step_back()
+
+    def _take_datagram(self, sender: str, message: Any) -> None:
+        if isinstance(message, CrashNotice):
+            self._crashes.note(message.fingerprint, message.backend_id, now_ms())
+            return
+        if not isinstance(message, Heartbeat):
+            return
+        self._beliefs.hear(sender, message)
+        for claim in message.claims:
+            self._ownership.yield_to(Partition(claim.topic, claim.number), claim.epoch)
+        if message.generation > self._ownership.generation:
+            self._ownership.renew_soon()
--- /dev/null
+++ b/src/quincespool/gateway/turn_run.py
@@ -0,0 +1,281 @@
+"""One turn on its way through an engine, and the records that make it last."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.attempt import Attempt
+from quincespool.gateway.attempt import Lost
+from quincespool.gateway.attempt import NotRun
+from quincespool.gateway.clock import now_ms
+from quincespool.gateway.clock import wall_ms
+from quincespool.gateway.event_stream import EventReader
+from quincespool.gateway.exchange import Broken
+from quincespool.gateway.exchange import End
+from quincespool.gateway.exchange import Piece
+from quincespool.gateway.ledger import MAX_PART_BYTES
+from quincespool.gateway.ledger import TurnBroken
+from quincespool.gateway.ledger import TurnEnded
+from quincespool.gateway.ledger import TurnStarted
+from quincespool.gateway.ledger import split_history
+from quincespool.gateway.model import may_have_run
+from quincespool.gateway.model import not_run
+from quincespool.gateway.partition import LostPartitionError
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.model import BackendEntry
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Decision
+    from quincespool.gateway.model import Refusal
+    from quincespool.gateway.model import Turn
+    from quincespool.gateway.partition import OwnedPartition
+    from quincespool.gateway.reply import Reply
+    from quincespool.gateway.store import Partition
+    from quincespool.gateway.wire import AnswerHead
+
+# Engines that refuse a turn as full before it is given back to the caller; each costs a round trip.
+MAX_REFUSALS = 3
+# A queue on an engine moves by one turn in some tens of milliseconds.
+FULL_RETRY_MS = 250
+NO_BACKEND_RETRY_MS = 400
+# Handed on with the deadline: the way back of the answer.
+WAY_MS = 15
+# A record is waited for at most this long, before the first token and at the end: callers leave
+# after two seconds without an event.
+RECORD_LIMIT_MS = 1_500
+# Ranks that engines know; the least urgent one.
+LOWEST_RANK = 9
+
+
+class BrokenTurnError(Exception):
+    """Ends a turn with the gateway's own final answer."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.reason)
+        self.refusal = refusal
+
+
+class TurnRun:
+    """One turn under way."""
+
+    def __init__(
+        self,
+        services: Services,
+        call: Call,
+        turn: Turn,
+        decision: Decision,
+        owned: OwnedPartition,
+        *,
+        reply: Reply,
+        until_ms: int,
+    ) -> None:
+        self.engine = ""
+        self.settle_elsewhere: Callable[[Partition, Record, int], Awaitable[bool]]
+        self._services = services
+        self._call = call
+        self._turn = turn
+        self._decision = decision
+        self._owned = owned
+        self._reply = reply
+        self._until_ms = until_ms
+        self._start = TurnStarted(
+            turn_id=call.call_id,
+            program_id=turn.program_id,
+            most_tokens=turn.most_tokens,
+            at_ms=wall_ms(),
+        )
+        self._events = EventReader()
+        self._handed_out = 0
+        self._may_have_run = False
+        self._settled = False
+        self._started = False
+        self._began_ms = now_ms()
+
+    async def answer(self) -> None:
+        """Finds an engine that takes the turn and relays what it generates."""
+        tried: set[str] = set()
+        sent = 0
+        refusals = 0
+        reason = "no_backend"
+        self._started = True
+        start = self._owned.submit(self._start)
+        while sent < self._decision.route.max_attempts and refusals < MAX_REFUSALS:
+            entry = self._services.backends.choose(
+                self._decision.service.name,
+                now_ms=now_ms(),
+                exclude=frozenset(tried),
+                prefer=self.engine,
+            )
+            if entry is None:
+                break
+            tried.add(entry.backend_id)
+            result = await self._attempt(entry, start)
+            if result is None:
+                return
+            if isinstance(result, Lost):
+                raise BrokenTurnError(may_have_run("answer_lost"))
+            refusals += 1
+            reason = result.reason
+            sent += result.sent
+        retry_ms = FULL_RETRY_MS if reason == "backend_full" else NO_BACKEND_RETRY_MS
+        raise BrokenTurnError(not_run(reason, retry_after_ms=retry_ms))
+
+    def timeout_refusal(self) -> Refusal:
+        """Returns the final answer for a turn whose time is up."""
+        if self._may_have_run:
+            return may_have_run("timeout", status=504)
+        return not_run("timeout", retry_after_ms=FULL_RETRY_MS)
+
+    def close(self) -> None:
+        """Settles a turn that has not ended whole."""
+        if self._started and not self._settled:
+            self._settled = True
+            tokens = self._handed_out * self._decision.service.tokens_per_event
+            record = TurnBroken(
+                turn_id=self._call.call_id,
+                program_id=self._turn.program_id,
+                tokens=min(tokens, max(self._turn.most_tokens, tokens)),
+                at_ms=wall_ms(),
+            )
+            self._owned.submit(record)
+
+    async def _attempt(
+        self, entry: BackendEntry, start: asyncio.Future[None]
+    ) -> NotRun | Lost | None:
+        call, turn = self._call, self._turn
+        history = b""
+        if self._decision.route.keeps_history:
+            history = self._owned.ledger.history(turn.program_id, turn.previous_id)
+        headers = self._services.wire.write_attempt_headers(
+            call,
+            backend_id=entry.backend_id,
+            left_ms=max(1, self._until_ms - now_ms() - WAY_MS),
+            rank=min(self._decision.route.rank, LOWEST_RANK),
+            pin_ms=0,
+        )
+        async with Attempt(self._services, entry, call) as attempt:
+            failed = await attempt.send(history + call.body, headers)
+            if failed is not None:
+                return failed
+            self._may_have_run = True
+            head = await attempt.head()
+            if isinstance(head, NotRun):
+                self._may_have_run = False
+                return head
+            if isinstance(head, Lost):
+                return head
+            self.engine = entry.backend_id
+            # The first token may only be handed out once the reservation lasts: a daemon that takes
+            # over would otherwise not know of it and let the program spend it again.
+            await self._durable(start)
+            return await self._relay(attempt, head)
+
+    async def _relay(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
+        first_ms = now_ms()
+        if head.status != 200:
+            body = await attempt.body()
+            if isinstance(body, Lost):
+                return body
+            attempt.settle(sound=head.status < 500)
+            self._reply.head(head.status, head.headers)
+            self._reply.piece(body)
+            self._reply.end()
+            return None
+        self._reply.head(head.status, head.headers)
+        while True:
+            event = await attempt.next_event()
+            if isinstance(event, Piece):
+                self._handed_out += self._events.feed(event.data)
+                self._reply.piece(event.data)
+            elif isinstance(event, End):
+                attempt.settle(sound=True, latency_ms=first_ms - self._began_ms)
+                break
+            elif isinstance(event, Broken):
+                self._handed_out += self._events.partial
+                attempt.lose(event)
+                raise BrokenTurnError(may_have_run("stream_broken"))
+        await self._end_whole(attempt.entry)
+        return None
+
+    async def _end_whole(self, entry: BackendEntry) -> None:
+        """Makes the turn last, then tells the caller that it is whole."""
+        previous_id, text = self._turn.previous_id, self._call.body
+        if len(text) + len(self._events.text) > MAX_PART_BYTES:
+            previous_id, text = self._submit_long_input(), b""
+        record = TurnEnded(
+            turn_id=self._call.call_id,
+            program_id=self._turn.program_id,
+            previous_id=previous_id,
+            input=text,
+            output=self._events.text,
+            tokens=self._handed_out * self._decision.service.tokens_per_event,
+            retention_ms=self._decision.route.retention_ms,
+            at_ms=wall_ms(),
+        )
+        ended_ms = now_ms()
+        self._settled = True
+        limit_ms = min(RECORD_LIMIT_MS, self._until_ms - ended_ms)
+        if not await self._keep(record, limit_ms):
+            raise BrokenTurnError(may_have_run("record_not_kept"))
+        self._reply.end()
+        kept_ms = now_ms()
+        self._services.metrics.observe("gateway_record_ms", kept_ms - ended_ms)
+        self._services.log.write(
+            "turn ended",
+            call_id=self._call.call_id,
+            program_id=self._turn.program_id,
+            backend_id=entry.backend_id,
+            events=self._events.event_count,
+            took_ms=kept_ms - self._began_ms,
+            record_ms=kept_ms - ended_ms,
+            epoch=self._owned.epoch,
+        )
+
+    def _submit_long_input(self) -> str:
+        """Hands over an input that does not fit into one record; returns the id of its last part.
+
+        The store would refuse such a record for ever, and every later one of the partition with it.
+        """
+        input_id = f"{self._call.call_id}#input"
+        parts = split_history(
+            input_id,
+            self._turn.program_id,
+            self._call.body,
+            previous_id=self._turn.previous_id,
+            retention_ms=self._decision.route.retention_ms,
+            at_ms=wall_ms(),
+        )
+        for part in parts:
+            self._owned.submit(part)
+        return input_id
+
+    async def _keep(self, record: Record, limit_ms: int) -> bool:
+        """Returns whether the record is durable, here or at the partition's present owner."""
+        until_ms = now_ms() + limit_ms
+        try:
+            async with asyncio.timeout(max(0, limit_ms) / 1000):
+                await self._owned.keep(record)
+            return True
+        except TimeoutError:
+            return False
+        except LostPartitionError:
+            left_ms = until_ms - now_ms()
+            return await self.settle_elsewhere(self._owned.partition, record, left_ms)
+
+    async def _durable(self, start: asyncio.Future[None]) -> None:
+        try:
+            async with asyncio.timeout(RECORD_LIMIT_MS / 1000):
+                await asyncio.shield(start)
+        except LostPartitionError as error:
+            # The partition was dealt anew while the record was on its way.
+            record = self._start
+            if not await self.settle_elsewhere(self._owned.partition, record, RECORD_LIMIT_MS):
+                raise BrokenTurnError(may_have_run("owner_changed")) from error
+        except TimeoutError as error:
+            raise BrokenTurnError(may_have_run("record_not_kept")) from error
