--- /dev/null
+++ b/tests/gateway/test_ledger_machine.py
@@ -0,0 +1,137 @@
+"""The ledger against an oracle: budgets hold and histories are whole, whoever reads the records."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+
+from quincespool.gateway.ledger import Admission
+from quincespool.gateway.ledger import Ledger
+from quincespool.gateway.ledger import TurnBroken
+from quincespool.gateway.ledger import TurnEnded
+from quincespool.gateway.ledger import TurnStarted
+from quincespool.gateway.ledger import decode_record
+from quincespool.gateway.ledger import encode_record
+from quincespool.gateway.ledger import split_history
+
+if TYPE_CHECKING:
+    from quincespool.gateway.ledger import Record
+
+BUDGET = 100
+MOST = 30
+PROGRAMS = ("p", "q")
+
+
+class LedgerMachine(RuleBasedStateMachine):
+    """Turns start, hand out tokens and end; owners change; records come twice.
+
+    The oracle knows what callers have got: tokens by program, and the text of each whole turn.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ledger = Ledger()
+        self.records: list[bytes] = []
+        self.open: dict[str, tuple[str, str]] = {}
+        self.handed_out = dict.fromkeys(PROGRAMS, 0)
+        self.texts: dict[str, dict[str, bytes]] = {program: {} for program in PROGRAMS}
+        self.count = 0
+
+    def write(self, record: Record) -> None:
+        self.records.append(encode_record(record))
+        self.ledger.apply(record)
+
+    @rule(program=st.sampled_from(PROGRAMS), pick=st.integers(0, 5))
+    def start(self, program: str, pick: int) -> None:
+        whole = list(self.texts[program])
+        previous = whole[pick] if pick < len(whole) else ""
+        admission = self.ledger.admit(
+            program_id=program, previous_id=previous, budget_tokens=BUDGET, most_tokens=MOST
+        )
+        if admission is not Admission.FINE:
+            assert admission is Admission.OVER_BUDGET
+            return
+        self.count += 1
+        turn = f"t{self.count}"
+        self.write(TurnStarted(turn, program, MOST, 0))
+        self.open[turn] = (program, previous)
+
+    @precondition(lambda self: self.open)
+    @rule(tokens=st.integers(0, MOST), whole=st.booleans(), twice=st.booleans())
+    def end(self, tokens: int, whole: bool, twice: bool) -> None:
+        turn, (program, previous) = next(iter(self.open.items()))
+        del self.open[turn]
+        self.handed_out[program] += tokens
+        record: Record
+        if whole:
+            text = turn.encode()
+            record = TurnEnded(turn, program, previous, text, b"!", tokens, 60_000, 0)
+            self.texts[program][turn] = self.texts[program].get(previous, b"") + text + b"!"
+        else:
+            record = TurnBroken(turn, program, tokens, 0)
+        for _ in range(1 + twice):
+            self.write(record)
+
+    @precondition(lambda self: self.open)
+    @rule()
+    def lose_owner(self) -> None:
+        """The owner dies: what its open turns have handed out nobody knows."""
+        for program, _ in self.open.values():
+            self.handed_out[program] += MOST
+        self.open.clear()
+        self.ledger = Ledger()
+        for data in self.records:
+            self.ledger.apply(decode_record(data))
+
+    @invariant()
+    def budgets_hold(self) -> None:
+        for program in PROGRAMS:
+            under_way = sum(MOST for one, _ in self.open.values() if one == program)
+            assert self.handed_out[program] + under_way <= BUDGET
+
+    @invariant()
+    def histories_are_whole(self) -> None:
+        for program, texts in self.texts.items():
+            for turn, text in texts.items():
+                assert self.ledger.history(program, turn) == text
+                assert self.ledger.find(turn) == program
+
+
+LedgerMachine.TestCase.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
+test_ledger_machine = LedgerMachine.TestCase
+
+
+def test_a_turn_that_does_not_exist_is_not_admitted() -> None:
+    admission = Ledger().admit(program_id="p", previous_id="x", budget_tokens=None, most_tokens=1)
+    assert admission is Admission.NO_SUCH_TURN
+
+
+def test_a_long_history_is_split_and_put_together() -> None:
+    """Symptom: one program's records stop for ever, and all of its partition's with them.
+
+    Events: an input larger than a record of the store.
+    Cause: the store refuses the record each time it is sent again.
+    """
+    text = bytes(range(256)) * 2_000
+    ledger = Ledger()
+    for part in split_history("t", "p", text, retention_ms=1_000, at_ms=0):
+        assert len(encode_record(part)) < 262_144
+        ledger.apply(part)
+
+    assert ledger.history("p", "t") == text
+
+
+def test_programs_are_forgotten_after_their_retention() -> None:
+    ledger = Ledger()
+    ledger.apply(TurnStarted("t", "p", 10, 0))
+    ledger.apply(TurnEnded("t", "p", "", b"a", b"b", 5, 60_000, 1_000))
+
+    assert ledger.expire(60_000, grace_ms=1_000) == 0
+    assert ledger.expire(62_001, grace_ms=1_000) == 1
+    assert ledger.find("t") == ""
--- /dev/null
+++ b/tests/gateway/test_routes.py
@@ -0,0 +1,62 @@
+"""Which route and service a call gets."""
+
+from __future__ import annotations
+
+from quincespool.gateway.model import Call
+from quincespool.gateway.model import CallerLimits
+from quincespool.gateway.model import CallKind
+from quincespool.gateway.model import Configuration
+from quincespool.gateway.model import Route
+from quincespool.gateway.model import Service
+from quincespool.gateway.model import Share
+from quincespool.gateway.routes import RouteTable
+
+
+def _route(prefix: str, *shares: Share) -> Route:
+    return Route(prefix, "h", prefix, CallKind.IDEMPOTENT, shares, 1000, 100, 1, 1, False, 0)
+
+
+def _configuration(version: int, *routes: Route) -> Configuration:
+    services = {name: Service(name, 10, 0, 0, 0) for name in ("s", "t")}
+    return Configuration(version, routes, services, CallerLimits())
+
+
+def _call(target: str, call_id: str = "c", host: str = "h") -> Call:
+    return Call(call_id, "GET", host, target, (), b"", 1000, None)
+
+
+def test_the_longest_prefix_wins() -> None:
+    table = RouteTable()
+    table.adopt(_configuration(1, _route("/a/", Share("s", 1)), _route("/a/b/", Share("t", 1))))
+
+    assert table.decide(_call("/a/x")).ok.service.name == "s"
+    assert table.decide(_call("/a/b/x")).ok.service.name == "t"
+    assert table.decide(_call("/b/")).error.status == 404
+    assert table.decide(_call("/a/x", host="other")).error.status == 404
+
+
+def test_without_a_configuration_nothing_is_denied() -> None:
+    """Symptom: proper requests get 404 right after a start.
+
+    Events: a daemon starts while the store is away.
+    Cause: it knows no routes yet, which says nothing of what is allowed.
+    """
+    assert RouteTable().decide(_call("/a/")).error.status == 503
+
+
+def test_a_configuration_never_goes_back() -> None:
+    table = RouteTable()
+    assert table.adopt(_configuration(7, _route("/new/", Share("s", 1))))
+    assert not table.adopt(_configuration(5, _route("/old/", Share("s", 1))))
+    assert not table.adopt(_configuration(7, _route("/old/", Share("s", 1))))
+
+    assert table.decide(_call("/new/")).is_ok()
+    assert table.decide(_call("/old/")).is_error()
+
+
+def test_shares_are_drawn_by_weight() -> None:
+    table = RouteTable()
+    table.adopt(_configuration(1, _route("/a/", Share("s", 90), Share("t", 10))))
+    drawn = [table.decide(_call("/a/", f"c{n}")).ok.service.name for n in range(2_000)]
+
+    assert 120 < drawn.count("t") < 280
--- /dev/null
+++ b/tests/gateway/test_settings.py
@@ -0,0 +1,81 @@
+"""The gateway's settings and the template that writes them."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import msgspec
+import pytest
+
+from quincespool.cli.main import run
+from quincespool.gateway.settings import GatewaySettings
+from quincespool.gateway.settings import load_gateway_settings
+from quincespool.settings import SettingsError
+
+if TYPE_CHECKING:
+    from typing import Any
+
+TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.tmpl"
+FIELDS: dict[str, Any] = {
+    "node_name": "edge-bole-1",
+    "zone": "bole",
+    "ip": "10.1.0.38",
+    "listen.front": "10.1.0.38:8149",
+    "listen.readiness": "10.1.0.38:8141",
+    "listen.directory": "10.1.0.38:8143",
+    "internal_ports.0": 7380,
+    "internal_ports.1": 7381,
+    "platform.address": "10.200.1.7:8142",
+    "platform.parts": 8,
+    "platform.min_ttl_ms": 1000,
+}
+
+
+def _render() -> str:
+    def value(match: re.Match[str]) -> str:
+        return msgspec.json.encode(FIELDS[match[1].removesuffix("|json")]).decode()
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, TEMPLATE.read_text())
+
+
+def _write(folder: Path, **changes: object) -> Path:
+    values = {**msgspec.json.decode(_render()), **changes}
+    path = folder / "settings.json"
+    path.write_bytes(msgspec.json.encode(values))
+    return path
+
+
+def test_the_template_gives_settings(tmp_path: Path) -> None:
+    settings = load_gateway_settings(_write(tmp_path))
+
+    assert isinstance(settings, GatewaySettings)
+    assert settings.caller_address == "10.1.0.38:8149"
+    assert (settings.peer_port, settings.owner_lease_ms) == (7381, 1000)
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [
+        ("peer_port", 0),
+        ("peer_port", "7381"),
+        ("store_address", "store:80"),
+        ("owner_lease_ms", 10),
+        ("log_level", "loud"),
+        ("unknown_key", 1),
+    ],
+)
+def test_a_wrong_value_is_named(tmp_path: Path, key: str, value: object) -> None:
+    with pytest.raises(SettingsError, match=key):
+        load_gateway_settings(_write(tmp_path, **{key: value}))
+
+
+def test_the_command_names_what_is_wrong(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.delenv("QUINCESPOOL_NODE_FILE", raising=False)
+    assert run(["gateway"]) == 2
+    assert "QUINCESPOOL_NODE_FILE" in capsys.readouterr().err
+    assert run(["gateway", str(_write(tmp_path, metrics_port=70_000))]) == 2
+    assert "metrics_port" in capsys.readouterr().err
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,64 @@
+"""Records of operators and backend servers, as the platform's pages spell them."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from quincespool.gateway.model import CallKind
+from quincespool.gateway.model import Daemon
+from quincespool.gateway.model import Share
+from quincespool.platform.entries import read_backend
+from quincespool.platform.entries import read_configuration
+from quincespool.platform.entries import read_daemon
+from quincespool.platform.entries import write_daemon
+
+CONFIGURATION = b"""{"version":7,"routes":[{"name":"r-2b9wu3f","hostname":"Ficu95.example",
+"path_prefix":"/pufi791/","kind":"streaming","timeout_ms":4000,"target_latency_ms":250,"priority":0,
+"service":"huvo11a","max_attempts":2,"retain_context":true,"retention_s":60.0,"sticky_sessions":true,
+"resumable":false,"target_gap_ms":200},{"name":"r-i9n73hh","hostname":"ficu95.example",
+"path_prefix":"/lohu930/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":250,"priority":1,
+"weighted_backends":[{"service":"huvo11a","weight":90},{"service":"wuno96b","weight":10}],
+"max_attempts":2}],"services":[{"name":"huvo11a","health_check":"/healthz","max_connections":150,
+"protocol":"h1","tls":false,"engine":{"slots":12,"kv_capacity":95312,"stream_stride":9,"pin_ms":4000.0}},
+{"name":"wuno96b","health_check":"/healthz","max_connections":96}],"limits":{"max_header_bytes":16384,
+"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
+
+
+def test_a_configuration_is_read() -> None:
+    configuration = read_configuration(CONFIGURATION)
+    first, second = configuration.routes
+
+    assert configuration.version == 7
+    assert (first.host, first.kind, first.keeps_history) == (
+        "ficu95.example",
+        CallKind.STREAMING,
+        True,
+    )
+    assert first.retention_ms == 60_000
+    assert first.shares == (Share("huvo11a", 1),)
+    assert second.shares == (Share("huvo11a", 90), Share("wuno96b", 10))
+    assert configuration.services["huvo11a"].tokens_per_event == 9
+    assert configuration.services["wuno96b"].tokens_per_event == 0
+    assert configuration.limits.max_head_bytes == 16_384
+
+
+@pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version":"7"}', CONFIGURATION[:-9]])
+def test_an_unreadable_configuration_is_said_to_be_so(value: bytes) -> None:
+    with pytest.raises(msgspec.MsgspecError):
+        read_configuration(value)
+
+
+def test_an_entry_of_a_backend_server_is_read() -> None:
+    value = (
+        b'{"service":"huvo11a","address":"10.128.0.9:8080","zone":"bole","version":"v1","slots":12,'
+        b'"state":"draining","cold_remaining_ms":0,"phase":"both","models":[],"sequence":4}'
+    )
+    entry = read_backend("i-7f3a91c2", value)
+
+    assert (entry.backend_id, entry.slots, entry.leaving) == ("i-7f3a91c2", 12, True)
+
+
+def test_a_daemon_reads_what_another_one_wrote() -> None:
+    daemon = Daemon("a", 7, "bole", "10.1.0.1:80", "10.1.0.1:81")
+    assert read_daemon("a", write_daemon(daemon)) == daemon
