Dead code of the gateway goes; behaviour is the same

Found in the last reading: four methods and a field that nothing calls, a branch of the final answer that gave what the next line gives, and a docstring of a field that does not exist.

--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -173,14 +173,6 @@
             return preferred if extra <= AFFINITY_SLACK else best
         return best
 
-    def room(self, service: str, now_ms: int) -> int:
-        """Returns how many more calls the service could run at once, as far as known."""
-        return sum(
-            max(0, entry.slots - self.load(entry.backend_id, now_ms))
-            for entry in self.entries.values()
-            if entry.service == service and not entry.leaving
-        )
-
     def _cost(self, entry: BackendEntry, now_ms: int) -> float:
         busy = self._busy(entry, now_ms)
         far = OTHER_ZONE_LOAD if entry.zone != self._zone else 0.0
--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -69,12 +69,10 @@
 
     Attributes:
       idle_until_s: Loop time until which it may be used again.
-      fresh: Whether it has not carried a request yet.
     """
 
     def __init__(self) -> None:
         self.idle_until_s = 0.0
-        self.fresh = True
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue()
@@ -136,7 +134,6 @@
         self._http.send(h11.EndOfMessage())
         self._is_mine = is_mine
         self._whole = False
-        self.fresh = False
         self._events = asyncio.Queue()
         self._transport.write(head + data)
 
--- a/src/quincespool/gateway/http_port.py
+++ b/src/quincespool/gateway/http_port.py
@@ -70,11 +70,6 @@
         """Open connections."""
         return len(self._connections)
 
-    @property
-    def port(self) -> int:
-        """Where it listens. Only after `start`."""
-        return self._listener.port
-
     async def start(self, host: str, port: int) -> None:
         """Listens.
 
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -137,11 +137,3 @@
             if serves:
                 addresses.append(daemon.caller_address)
         return addresses
-
-    def highest_generation(self) -> int:
-        """Returns the newest generation of owners that any daemon has told."""
-        return max((seen.beat.generation for seen in self._seen.values()), default=0)
-
-    def highest_version(self) -> int:
-        """Returns the newest configuration version that any daemon has told."""
-        return max((seen.beat.configuration_version for seen in self._seen.values()), default=0)
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/plain.py
@@ -68,7 +68,7 @@
             outcome = result
             if decision.route.kind is not CallKind.IDEMPOTENT or _is_sound(result):
                 break
-        return _final(outcome, decision, timed_out=now_ms() >= until_ms)
+        return _final(outcome, timed_out=now_ms() >= until_ms)
 
     async def _attempt(
         self, call: Call, decision: Decision, entry: BackendEntry, *, until_ms: int, last: bool
@@ -110,14 +110,10 @@
     return isinstance(result, Whole) and result.status < 500
 
 
-def _final(
-    outcome: Whole | NotRun | Lost, decision: Decision, *, timed_out: bool
-) -> Whole | Refusal:
+def _final(outcome: Whole | NotRun | Lost, *, timed_out: bool) -> Whole | Refusal:
     if isinstance(outcome, Whole):
         return outcome
     if isinstance(outcome, NotRun):
         retry_ms = FULL_RETRY_MS if outcome.sent else NO_BACKEND_RETRY_MS
         return not_run(outcome.reason, retry_after_ms=retry_ms)
-    if decision.route.kind is CallKind.IDEMPOTENT and not timed_out:
-        return may_have_run("answer_lost")
     return may_have_run("answer_lost", status=504 if timed_out else 502)
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -76,11 +76,7 @@
 
 
 class PlatformStore:
-    """A client of the store.
-
-    Attributes:
-      calls: Requests sent so far, by path.
-    """
+    """A client of the store; tells `on_call` the path and the outcome of each request."""
 
     def __init__(
         self,
