Heartbeats cost the same whatever the number of daemons

Each daemon sent every heartbeat to each other one, 12,800 datagrams a second.

Change: a heartbeat goes to ten daemons every 200 ms: three that follow in a ring of hashes, which watch its sender and tell all when it falls silent, and seven in turn. Partitions taken over, a stop and a new daemon are told at once. Groups of up to eleven hear every heartbeat as before. With old loads a daemon compares a few drawn backend servers, so that not all take the same one. Totals of loads are kept rather than summed for each choice.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -130,7 +130,7 @@
             call_id=self._call.call_id,
             backend_id=entry.backend_id,
             service=entry.service,
-            load=services.backends.load(entry.backend_id, now_ms()),
+            load=services.backends.load(entry.backend_id),
             slots=entry.slots,
             connected_ms=now_ms() - self._started_ms,
         )
@@ -206,7 +206,7 @@
             call_id=self._call.call_id,
             backend_id=self.entry.backend_id,
             status=status,
-            load=self._services.backends.load(self.entry.backend_id, now_ms()),
+            load=self._services.backends.load(self.entry.backend_id),
         )
         if status == 421:
             # Another backend server has the address: this one has gone without a word.
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -11,8 +11,13 @@
 
     from quincespool.gateway.model import BackendEntry
 
-# Loads that another daemon told longer ago say nothing of now: calls last some 100 ms.
+# Loads that another daemon told longer ago say nothing of now: calls last some 100 ms. Where each
+# daemon is heard less often than that, the last ones are better than none.
 LOAD_VALID_MS = 1_500
+# With loads older than this, all daemons would take the one backend server that was the least busy,
+# and fill it while the others idle; so each compares a few that it draws.
+FRESH_LOADS_MS = 400
+DRAWN = 3
 # First pause after a failure that may be the backend server's; doubles with each further one.
 FIRST_EJECTION_MS = 500
 MAX_EJECTION_MS = 4_000
@@ -38,7 +43,7 @@
 
 
 class _PeerLoads(NamedTuple):
-    told_ms: int
+    valid_until_ms: int
     in_flight: dict[str, int]
 
 
@@ -58,6 +63,8 @@
         self._lapsing: dict[str, int] = {}
         self._health: dict[str, _Health] = {}
         self._peer_loads: dict[str, _PeerLoads] = {}
+        self._peer_totals: dict[str, int] = {}
+        self._loads_every_ms = 0
         self._latency_ms: dict[str, float] = {}
 
     def put(self, entry: BackendEntry) -> bool:
@@ -91,7 +98,14 @@
             self.remove(backend_id, now_ms=now_ms, lapses_until_ms=lapses_until_ms)
 
     def expire(self, now_ms: int) -> list[str]:
-        """Forgets entries that are still missing after their grace; returns their ids."""
+        """Forgets entries that are still missing after their grace; returns their ids.
+
+        Also the loads that daemons told which are not heard any more.
+        """
+        for member_id, loads in list(self._peer_loads.items()):
+            if loads.valid_until_ms <= now_ms:
+                del self._peer_loads[member_id]
+                self._add_to_totals(loads.in_flight, -1)
         over = [one for one, until_ms in self._lapsing.items() if until_ms <= now_ms]
         for backend_id in over:
             self._forget(backend_id)
@@ -127,18 +141,28 @@
         self._health[backend_id] = _Health(failures, now_ms + pause_ms)
         return True
 
-    def hear_loads(self, member_id: str, in_flight: dict[str, int], now_ms: int) -> None:
-        """Takes note of another daemon's calls under way."""
-        self._peer_loads[member_id] = _PeerLoads(now_ms, in_flight)
+    def hear_loads(
+        self, member_id: str, in_flight: dict[str, int], now_ms: int, *, every_ms: int
+    ) -> None:
+        """Takes note of another daemon's calls under way.
 
-    def load(self, backend_id: str, now_ms: int) -> int:
+        Args:
+          member_id: Whose.
+          in_flight: By id of the backend server.
+          now_ms: Steady clock.
+          every_ms: How often a daemon tells its loads.
+        """
+        known = self._peer_loads.get(member_id)
+        if known is not None:
+            self._add_to_totals(known.in_flight, -1)
+        valid_ms = max(LOAD_VALID_MS, every_ms * 3 // 2)
+        self._peer_loads[member_id] = _PeerLoads(now_ms + valid_ms, in_flight)
+        self._add_to_totals(in_flight, 1)
+        self._loads_every_ms = every_ms
+
+    def load(self, backend_id: str) -> int:
         """Returns the calls under way at a backend server, as far as known."""
-        others = sum(
-            loads.in_flight.get(backend_id, 0)
-            for loads in self._peer_loads.values()
-            if now_ms - loads.told_ms < LOAD_VALID_MS
-        )
-        return self.in_flight.get(backend_id, 0) + others
+        return self.in_flight.get(backend_id, 0) + self._peer_totals.get(backend_id, 0)
 
     def choose(
         self,
@@ -166,22 +190,38 @@
         sound = [e for e in candidates if not self._is_ejected(e.backend_id, now_ms)]
         if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
             sound = candidates
-        best = min(sound, key=lambda entry: self._cost(entry, now_ms))
+        best = min(self._draw(sound), key=self._cost)
         preferred = self.entries.get(prefer)
         if preferred in sound and preferred is not None:
-            extra = self._busy(preferred, now_ms) - self._busy(best, now_ms)
+            extra = self._busy(preferred) - self._busy(best)
             return preferred if extra <= AFFINITY_SLACK else best
         return best
 
-    def _cost(self, entry: BackendEntry, now_ms: int) -> float:
-        busy = self._busy(entry, now_ms)
+    def _draw(self, sound: list[BackendEntry]) -> list[BackendEntry]:
+        """Returns those to compare: a few of the own zone and a few of all."""
+        if self._loads_every_ms <= FRESH_LOADS_MS:
+            return sound
+        near = [entry for entry in sound if entry.zone == self._zone]
+        drawn = self._random.sample(near, min(DRAWN, len(near)))
+        return drawn + self._random.sample(sound, min(DRAWN, len(sound)))
+
+    def _add_to_totals(self, in_flight: dict[str, int], sign: int) -> None:
+        for backend_id, count in in_flight.items():
+            total = self._peer_totals.get(backend_id, 0) + sign * count
+            if total:
+                self._peer_totals[backend_id] = total
+            else:
+                self._peer_totals.pop(backend_id, None)
+
+    def _cost(self, entry: BackendEntry) -> float:
+        busy = self._busy(entry)
         far = OTHER_ZONE_LOAD if entry.zone != self._zone else 0.0
         cold = 1.0 if entry.cold_ms > 0 else 0.0
         slowness = self._latency_ms.get(entry.backend_id, 0.0) / 10_000
         return busy + far + cold + slowness + self._random.random() * 0.05
 
-    def _busy(self, entry: BackendEntry, now_ms: int) -> float:
-        return self.load(entry.backend_id, now_ms) / max(1, entry.slots)
+    def _busy(self, entry: BackendEntry) -> float:
+        return self.load(entry.backend_id) / max(1, entry.slots)
 
     def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
         health = self._health.get(backend_id)
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -19,6 +19,7 @@
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.members import Members
     from quincespool.gateway.messages import Heartbeat
+    from quincespool.gateway.model import Daemon
     from quincespool.gateway.pool import ConnectionPool
     from quincespool.gateway.routes import RouteTable
     from quincespool.gateway.store import KeyedRecord
@@ -94,6 +95,7 @@
         log: DecisionLog,
         now_ms: Callable[[], int],
         backends_interval_ms: int,
+        on_new_daemon: Callable[[Daemon], None],
     ) -> None:
         self._member_id = member_id
         self._store_health = store_health
@@ -104,6 +106,7 @@
         self._members = members
         self._log = log
         self._now_ms = now_ms
+        self._on_new_daemon = on_new_daemon
         self.configuration = Follower(
             wire.CONFIGURATION_TOPIC,
             store=store,
@@ -146,18 +149,20 @@
         """Whether the store answers this daemon."""
         return self._store_health.reachable
 
-    def hear(self, sender: str, beat: Heartbeat) -> None:
-        """Takes a heartbeat in."""
+    def hear(self, sender: str, beat: Heartbeat) -> bool:
+        """Takes a heartbeat in; returns whether its sender counted as silent."""
         now_ms = self._now_ms()
         alive = self._members.is_alive(sender, now_ms)
         if sender == self._member_id or not self._members.hear(sender, beat, now_ms):
-            return
+            return False
         loads = {load.backend_id: load.in_flight for load in beat.loads}
-        self._backends.hear_loads(sender, loads, now_ms)
-        if not alive:
-            self._log.write("daemon heard", peer_id=sender, incarnation=beat.incarnation)
+        self._backends.hear_loads(sender, loads, now_ms, every_ms=self._members.round_ms)
         if beat.configuration_version > self._routes.version:
             self.configuration.read_soon()
+        if alive:
+            return False
+        self._log.write("daemon heard", peer_id=sender, incarnation=beat.incarnation)
+        return sender in self._members.entries
 
     def expire(self) -> None:
         """Forgets what was not renewed in time."""
@@ -233,6 +238,7 @@
                 self._log.write("daemon entry unreadable", key=record.key, detail=str(error))
                 continue
             if self._members.put(daemon, self._now_ms()):
+                self._on_new_daemon(daemon)
                 self._log.write(
                     "daemon entry",
                     peer_id=daemon.member_id,
@@ -249,7 +255,7 @@
             "configuration_version": self._routes.version,
             "store_reachable": self._store_health.reachable,
             "backends": {
-                one: {"load": self._backends.load(one, now_ms), **entry._asdict()}
+                one: {"load": self._backends.load(one), **entry._asdict()}
                 for one, entry in self._backends.entries.items()
             },
             "daemons": {
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -19,6 +19,7 @@
 from quincespool.gateway.front import Front
 from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.links import Links
+from quincespool.gateway.members import BEAT_MS
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import TurnAbsent
@@ -65,6 +66,8 @@
 STOP_MARGIN_MS = 700
 # Callers close idle connections a little before the limit that they know.
 IDLE_MARGIN_MS = 2_000
+# A caller that just keeps the limit counts from when it sends, not from when that arrives.
+HEAD_MARGIN_MS = 500
 MAX_BODY_BYTES = 8_000_000
 
 
@@ -142,6 +145,7 @@
             log=self._log,
             now_ms=now_ms,
             backends_interval_ms=settings.backends_interval_ms,
+            on_new_daemon=self._greet,
         )
 
     def _make_program_parts(self) -> None:
@@ -209,6 +213,9 @@
     def _tell_crash(self, mark: str, backend_id: str) -> None:
         self._presence.tell_crash(mark, backend_id)
 
+    def _greet(self, daemon: Daemon) -> None:
+        self._presence.greet(daemon)
+
     def _take_message(self, link: Link, sender: str, message: Any) -> None:
         if isinstance(message, FindTurn | TurnFound | TurnAbsent):
             self._finder.on_message(link, message)
@@ -282,7 +289,7 @@
             self._presence.register(self._store),
         ):
             self._spawn(work)
-        self._ticker.every(lambda: self._members.beat_interval_ms, self._presence.beat)
+        self._ticker.every(lambda: BEAT_MS, self._presence.beat)
         self._ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
         self._ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
 
@@ -293,14 +300,14 @@
         self._presence.draining = True
         self._front_port.draining = True
         self._log.write_always("stopping", under_way=self._front_port.busy)
-        self._presence.beat()
+        self._presence.announce()
         self._spawn(self._drain())
 
     async def _drain(self) -> None:
         """Lets callers and programs go elsewhere, then ends what is left."""
         began_ms = now_ms()
         await self._ownership.leave()
-        self._presence.beat()
+        self._presence.announce()
         kept_ms = ADDRESS_KEPT_FACTOR * self._settings.addresses_valid_ms
         last_ms = began_ms + self._settings.stop_grace_ms - STOP_MARGIN_MS
         while now_ms() < last_ms:
@@ -329,6 +336,7 @@
 
     def _keep_up(self) -> None:
         self._beliefs.expire()
+        self._presence.tell_silences()
         self._presence.follow_isolation()
         for daemon in self._members.others:
             if not self._members.is_alive(daemon.member_id, now_ms()):
@@ -356,7 +364,8 @@
         self._front_port.max_body_bytes = limits.max_body_bytes
         return ConnectionLimits(
             max_head_bytes=limits.max_head_bytes,
-            head_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
+            first_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
+            head_s=(limits.head_ms + HEAD_MARGIN_MS) / 1000,
             body_s=default_limits().body_s,
             idle_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
         )
@@ -377,7 +386,8 @@
         )
         if owned.lost:
             self._ownership.forget(owned)
-        self._presence.beat()
+        elif owned.ready:
+            self._presence.announce()
 
     def _note_assignment(self, generation: int, count: int) -> None:
         self._log.write("partitions assigned", generation=generation, partitions=count)
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -2,23 +2,34 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.stable_hash import stable_hash
+
 if TYPE_CHECKING:
     from quincespool.gateway.messages import Heartbeat
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.store import Partition
 
+# A call lasts some 100 ms; a dead owner should cost its programs no more than a few of them.
+BEAT_MS = 200
+# How many daemons each heartbeat goes to, so that what one sends and receives does not grow with
+# their number: 50 datagrams a second are received whatever the size, half a percent of a core at
+# 90 us each. Groups of up to this many and one hear every heartbeat.
+BEAT_FANOUT = 10
+# Of these, the next ones in the ring get every heartbeat, and tell all others when it stops. Three:
+# a host seldom falls silent together with all three, whose places have nothing to do with zones.
+WATCHERS = 3
 # Heartbeats are lost now and then; five missed in a row are not chance.
 MISSED_BEATS = 5
-# With more daemons each one beats less often, so that what a daemon receives stays the same.
-BEAT_MS = 200
-BEAT_MS_PER_DAEMON = 6
+SILENCE_MS = MISSED_BEATS * BEAT_MS
+# Of those who get a heartbeat only in their turn, three turns missed are not chance either. That is
+# the fallback for a silence that no watcher could tell of.
+MISSED_ROUNDS = 3
 # A daemon whose entry is fresh counts as alive until its first heartbeats should have come.
 ARRIVAL_GRACE_MS = 3_000
-
-
 # A process needs longer than this to end and start again.
 RESTART_MS = 500
 # Longer than any time for which a silent daemon counts as alive.
@@ -38,16 +49,25 @@
         self._member_id = member_id
         self._seen: dict[str, _Seen] = {}
         self._entered_ms: dict[str, int] = {}
+        # In the order in which they follow this one in the ring.
+        self._ring: list[Daemon] = []
+        self._watched: frozenset[str] = frozenset()
+        self._heard_ms = 0
+        self._next_turn = 0
+        self._told_silent: set[str] = set()
 
     @property
-    def beat_interval_ms(self) -> int:
-        """How often each daemon sends its heartbeat."""
-        return max(BEAT_MS, BEAT_MS_PER_DAEMON * len(self.entries))
+    def round_ms(self) -> int:
+        """Every other daemon gets at least one heartbeat of this one within so long."""
+        if not self._is_large:
+            return BEAT_MS
+        turns = math.ceil((len(self._ring) - WATCHERS) / (BEAT_FANOUT - WATCHERS))
+        return BEAT_MS * turns
 
     @property
     def others(self) -> list[Daemon]:
         """All daemons but this one."""
-        return [one for one in self.entries.values() if one.member_id != self._member_id]
+        return list(self._ring)
 
     def put(self, daemon: Daemon, now_ms: int) -> bool:
         """Takes an entry in; returns whether it is news.
@@ -59,12 +79,14 @@
             return False
         self.entries[daemon.member_id] = daemon
         self._entered_ms[daemon.member_id] = now_ms
+        self._order()
         return True
 
     def remove(self, member_id: str) -> None:
         """Forgets a daemon that has left for good."""
         self.entries.pop(member_id, None)
         self._seen.pop(member_id, None)
+        self._order()
 
     def hear(self, member_id: str, beat: Heartbeat, now_ms: int) -> bool:
         """Takes a heartbeat in; returns whether it is newer than the last one."""
@@ -77,6 +99,46 @@
                 # Delayed on its way, from before the daemon's restart.
                 return False
         self._seen[member_id] = _Seen(now_ms, beat)
+        self._heard_ms = max(self._heard_ms, now_ms)
+        self._told_silent.discard(member_id)
+        return True
+
+    def beat_targets(self) -> list[Daemon]:
+        """Returns who gets the next heartbeat: the watchers, and some others in their turn."""
+        if not self._is_large:
+            return self.others
+        watchers, rest = self._ring[:WATCHERS], self._ring[WATCHERS:]
+        first = self._next_turn % len(rest)
+        self._next_turn = first + BEAT_FANOUT - WATCHERS
+        turn = (rest + rest)[first : self._next_turn]
+        return watchers + turn
+
+    def fallen_silent(self, now_ms: int) -> list[tuple[str, int]]:
+        """Returns each daemon, once, that this one watches and hears no more, with its incarnation.
+
+        The others get its heartbeats too seldom to notice that soon.
+        """
+        silent = []
+        for name in self._watched:
+            seen = self._seen.get(name)
+            if seen is None or self.is_alive(name, now_ms) or name in self._told_silent:
+                continue
+            self._told_silent.add(name)
+            silent.append((name, seen.beat.incarnation))
+        return silent
+
+    def hear_silence(self, member_id: str, incarnation: int, now_ms: int) -> bool:
+        """Takes note that a watcher hears a daemon no more; returns whether that is news here.
+
+        A watcher may be cut off from a daemon that others hear. The daemon in question is told as
+        well, and answers with a heartbeat to all.
+        """
+        seen = self._seen.get(member_id)
+        if seen is None or seen.beat.incarnation != incarnation:
+            return False
+        if now_ms - seen.heard_ms < SILENCE_MS or not self.is_alive(member_id, now_ms):
+            return False
+        self.suspect(member_id)
         return True
 
     def _is_current(self, member_id: str, beat: Heartbeat) -> bool:
@@ -87,7 +149,7 @@
         """Whether a daemon was heard of lately."""
         seen = self._seen.get(member_id)
         if seen is not None:
-            return now_ms - seen.heard_ms < MISSED_BEATS * self.beat_interval_ms
+            return now_ms - seen.heard_ms < self._silence_limit_ms(member_id)
         return now_ms - self._entered_ms.get(member_id, 0) < ARRIVAL_GRACE_MS
 
     def suspect(self, member_id: str) -> None:
@@ -106,9 +168,12 @@
         return seen is not None and seen.beat.draining
 
     def is_isolated(self, now_ms: int) -> bool:
-        """Whether none of the other daemons is heard although there are some."""
+        """Whether there are other daemons and not a word comes from any of them."""
         others = self.others
-        return bool(others) and not any(self.is_alive(one.member_id, now_ms) for one in others)
+        if not others or now_ms - self._heard_ms < SILENCE_MS:
+            return False
+        unheard = [one.member_id for one in others if one.member_id not in self._seen]
+        return not any(self.is_alive(member_id, now_ms) for member_id in unheard)
 
     def owner(self, partition: Partition, now_ms: int) -> tuple[Daemon, int] | None:
         """Returns the daemon that claims a partition under the highest epoch, and that epoch."""
@@ -137,3 +202,25 @@
             if serves:
                 addresses.append(daemon.caller_address)
         return addresses
+
+    @property
+    def _is_large(self) -> bool:
+        return len(self._ring) > BEAT_FANOUT
+
+    def _order(self) -> None:
+        """Puts the others into the order of the ring, which is the same at every daemon.
+
+        It is that of hashes, so that neighbours are seldom of one zone and go down together.
+        """
+        own = stable_hash(self._member_id)
+        others = [one for one in self.entries.values() if one.member_id != self._member_id]
+        places = [(stable_hash(one.member_id), one) for one in others]
+        places.sort(key=lambda place: (place[0] <= own, place[0]))
+        self._ring = [one for _, one in places]
+        last = self._ring[-WATCHERS:] if self._is_large else []
+        self._watched = frozenset(one.member_id for one in last)
+
+    def _silence_limit_ms(self, member_id: str) -> int:
+        if not self._is_large or member_id in self._watched:
+            return SILENCE_MS
+        return max(SILENCE_MS, MISSED_ROUNDS * self.round_ms)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -171,7 +171,14 @@
     backend_id: str
 
 
-Datagram = Heartbeat | CrashNotice
+class SilenceNotice(NamedTuple):
+    """The sender gets every heartbeat of this daemon, and has heard none for a second."""
+
+    member_id: str
+    incarnation: int
+
+
+Datagram = Heartbeat | CrashNotice | SilenceNotice
 LinkMessage = (
     RelayCall
     | RelayCancel
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.partition import OwnedPartition
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,8 +32,7 @@
 
 def partition_of(program_id: str, partitions: list[Partition]) -> Partition:
     """Returns the partition of a program, the same at every daemon."""
-    digest = hashlib.blake2b(program_id.encode(), digest_size=8).digest()
-    return partitions[int.from_bytes(digest, "big") % len(partitions)]
+    return partitions[stable_hash(program_id) % len(partitions)]
 
 
 def list_partitions(topics: list[str], partition_count: int) -> list[Partition]:
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -12,6 +12,7 @@
 from quincespool.gateway.messages import CrashNotice
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
+from quincespool.gateway.messages import SilenceNotice
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
 
@@ -27,6 +28,9 @@
     from quincespool.gateway.wire import Wire
 
 REGISTER_RETRY_S = 0.3
+# A daemon that takes several partitions over has read them within some tens of milliseconds; all
+# that are read within this time are told to the others at once.
+ANNOUNCE_S = 0.02
 
 
 class Presence:
@@ -60,6 +64,7 @@
         self._crashes = crashes
         self._log = log
         self._sequence = 0
+        self._announcing: asyncio.TimerHandle | None = None
         self._stepping_aside: asyncio.Task[None] | None = None
         self._heartbeats = Heartbeats(own.member_id, on_datagram=self._take_datagram)
 
@@ -74,6 +79,8 @@
     def stop(self) -> None:
         """Says and hears nothing any more."""
         self._heartbeats.stop()
+        if self._announcing is not None:
+            self._announcing.cancel()
         if self._stepping_aside is not None:
             self._stepping_aside.cancel()
 
@@ -91,13 +98,45 @@
                 return
 
     def beat(self) -> None:
-        """Sends a heartbeat."""
-        self._sequence += 1
-        claims = tuple(
+        """Sends a heartbeat to those whose turn it is."""
+        self._send_beat(self._members.beat_targets())
+
+    def announce(self) -> None:
+        """Tells all others at once, such as that this daemon stops or owns another partition."""
+        if self._announcing is not None:
+            return
+        self._send_beat(self._members.others)
+        loop = asyncio.get_running_loop()
+        self._announcing = loop.call_later(ANNOUNCE_S, self._announce_rest, self._claims())
+
+    def greet(self, daemon: Daemon) -> None:
+        """Sends a heartbeat to a daemon that is new, which otherwise waits for its turn.
+
+        Until then it does not know who owns the programs of its callers, and turns them away.
+        """
+        if daemon.member_id != self._own.member_id:
+            self._send_beat([daemon])
+
+    def tell_silences(self) -> None:
+        """Tells all others of daemons that this one watches and hears no more."""
+        for member_id, incarnation in self._members.fallen_silent(now_ms()):
+            self._log.write("daemon silent", peer_id=member_id, incarnation=incarnation)
+            self._heartbeats.send(self._members.others, SilenceNotice(member_id, incarnation))
+
+    def _announce_rest(self, told: tuple[PartitionClaim, ...]) -> None:
+        self._announcing = None
+        if self._claims() != told:
+            self.announce()
+
+    def _claims(self) -> tuple[PartitionClaim, ...]:
+        return tuple(
             PartitionClaim(one.partition.topic, one.partition.number, one.epoch)
             for one in self._ownership.owned.values()
             if one.ready
         )
+
+    def _send_beat(self, daemons: list[Daemon]) -> None:
+        self._sequence += 1
         loads = tuple(BackendLoad(*item) for item in self._backends.in_flight.items())
         beat = Heartbeat(
             incarnation=self._own.incarnation,
@@ -105,11 +144,11 @@
             draining=self.draining,
             configuration_version=self._beliefs.configuration_version,
             generation=self._ownership.generation,
-            claims=claims,
+            claims=self._claims(),
             loads=loads,
             store_reachable=self._beliefs.store_reachable,
         )
-        self._heartbeats.send(self._members.others, beat)
+        self._heartbeats.send(daemons, beat)
 
     def tell_crash(self, mark: str, backend_id: str) -> None:
         """Tells the others of a backend server that went down with a request."""
@@ -138,10 +177,21 @@
         if isinstance(message, CrashNotice):
             self._crashes.note(message.fingerprint, message.backend_id, now_ms())
             return
+        if isinstance(message, SilenceNotice):
+            self._hear_silence(sender, message)
+            return
         if not isinstance(message, Heartbeat):
             return
-        self._beliefs.hear(sender, message)
+        if self._beliefs.hear(sender, message):
+            # It may not have heard of this daemon for as long.
+            self.greet(self._members.entries[sender])
         for claim in message.claims:
             self._ownership.yield_to(Partition(claim.topic, claim.number), claim.epoch)
         if message.generation > self._ownership.generation:
             self._ownership.renew_soon()
+
+    def _hear_silence(self, sender: str, notice: SilenceNotice) -> None:
+        if notice.member_id == self._own.member_id:
+            self.announce()
+        elif self._members.hear_silence(notice.member_id, notice.incarnation, now_ms()):
+            self._log.write("daemon said to be silent", peer_id=notice.member_id, told_by=sender)
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -22,6 +22,7 @@
     findTurn @13 :FindTurn;
     turnFound @14 :TurnFound;
     turnAbsent @15 :TurnAbsent;
+    silenceNotice @16 :SilenceNotice;
   }
 }
 
@@ -152,6 +153,12 @@
   sentMs @0 :Int64;
 }
 
+struct SilenceNotice {
+  # The sender gets every heartbeat of this daemon, and has heard none for a second.
+  memberId @0 :Text;
+  incarnation @1 :Int64;
+}
+
 struct CrashNotice {
   # A backend server broke off while it ran a request with this fingerprint.
   fingerprint @0 :Text;
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -9,8 +9,8 @@
 from quincespool.gateway.model import BackendEntry
 
 
-def _backends(*ids: str, slots: int = 10) -> Backends:
-    backends = Backends(zone="z", seed=1)
+def _backends(*ids: str, slots: int = 10, seed: int = 1) -> Backends:
+    backends = Backends(zone="z", seed=seed)
     for one in ids:
         backends.put(
             BackendEntry(one, "model", "127.0.0.1:1", "z", slots, leaving=False, cold_ms=0)
@@ -56,12 +56,44 @@
 
 def test_the_least_busy_is_chosen_with_the_loads_of_other_daemons() -> None:
     backends = _backends("e1", "e2")
-    backends.hear_loads("peer", {"e1": 9}, 0)
+    backends.hear_loads("peer", {"e1": 9}, 0, every_ms=200)
     assert _choose(backends) == "e2"
 
     backends.started("e2")
     backends.started("e2")
-    assert _choose(backends, LOAD_VALID_MS) == "e1"
+    backends.expire(LOAD_VALID_MS - 1)
+    assert _choose(backends) == "e2"
+    backends.expire(LOAD_VALID_MS)
+    assert _choose(backends) == "e1"
+
+
+def test_a_daemon_s_loads_replace_its_last_ones() -> None:
+    backends = _backends("e1", "e2")
+    backends.hear_loads("peer", {"e1": 9, "e2": 1}, 0, every_ms=200)
+    backends.hear_loads("other", {"e1": 2}, 0, every_ms=200)
+    backends.hear_loads("peer", {"e2": 4}, 10, every_ms=200)
+    assert (backends.load("e1"), backends.load("e2")) == (2, 4)
+
+    backends.expire(60_000)
+    assert (backends.load("e1"), backends.load("e2")) == (0, 0)
+
+
+def test_daemons_with_old_loads_do_not_all_take_the_same_one() -> None:
+    """Symptom: one engine is full and refuses while the others idle, a second later another one.
+
+    Events: many daemons hear of one another's loads every two seconds; one engine of twelve has
+    nothing to do at that moment.
+    Cause: all of them sent it everything that came until they heard of one another again.
+    """
+    names = [f"e{number}" for number in range(12)]
+    loads = dict.fromkeys(names[1:], 4)
+    chosen = []
+    for seed in range(60):
+        backends = _backends(*names, seed=seed)
+        backends.hear_loads("peer", loads, 0, every_ms=2_000)
+        chosen.append(_choose(backends))
+    assert 0 < chosen.count("e0") < 40
+    assert len(set(chosen)) > 6
 
 
 def test_a_cache_is_followed_until_its_engine_is_much_busier() -> None:
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 from quincespool.gateway.members import ARRIVAL_GRACE_MS
-from quincespool.gateway.members import MISSED_BEATS
+from quincespool.gateway.members import BEAT_FANOUT
+from quincespool.gateway.members import BEAT_MS
+from quincespool.gateway.members import SILENCE_MS
+from quincespool.gateway.members import WATCHERS
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
@@ -35,10 +38,9 @@
     members = _members("a")
     assert members.is_alive("a", ARRIVAL_GRACE_MS - 1)
     members.hear("a", _beat(), 10_000)
-    silent_ms = MISSED_BEATS * members.beat_interval_ms
 
-    assert members.is_alive("a", 10_000 + silent_ms - 1)
-    assert not members.is_alive("a", 10_000 + silent_ms)
+    assert members.is_alive("a", 10_000 + SILENCE_MS - 1)
+    assert not members.is_alive("a", 10_000 + SILENCE_MS)
 
 
 def test_the_highest_epoch_owns() -> None:
@@ -88,3 +90,70 @@
     members.hear("a", _beat(), 0)
     assert members.is_isolated(60_000)
     assert members.caller_addresses(60_000, own_serves=True) == ["a:1"]
+
+
+def _large_group(count: int) -> dict[str, Members]:
+    names = [f"d{number}" for number in range(count)]
+    group = {name: Members(name) for name in names}
+    for members in group.values():
+        for name in names:
+            members.put(_daemon(name), 0)
+    return group
+
+
+def test_a_small_group_hears_every_heartbeat() -> None:
+    members = _large_group(BEAT_FANOUT + 1)["d0"]
+    assert len(members.beat_targets()) == BEAT_FANOUT
+    assert members.round_ms == BEAT_MS
+
+
+def test_the_cost_of_heartbeats_does_not_grow_with_the_group() -> None:
+    """Symptom: with 78 hosts the daemons spend a fifth of their processor time on heartbeats.
+
+    Cause: each one sent every heartbeat to each other one.
+    """
+    members = _large_group(78)["d0"]
+    rounds = [members.beat_targets() for _ in range(members.round_ms // BEAT_MS)]
+    assert {len(targets) for targets in rounds} == {BEAT_FANOUT}
+    assert len({one.member_id for targets in rounds for one in targets}) == 77
+
+
+def test_a_silence_is_told_by_those_who_watch() -> None:
+    """Symptom: a large group sends turns to a dead owner for seconds.
+
+    Events: a host dies; most daemons had its last heartbeat a moment ago and expect none for long.
+    Cause: only those who get every heartbeat can tell; they have to tell the others.
+    """
+    group = _large_group(40)
+    for members in group.values():
+        members.hear("d7", _beat(), 10_000)
+    silent_ms = 10_000 + SILENCE_MS
+    told = {name: members.fallen_silent(silent_ms) for name, members in group.items()}
+    watchers = [name for name, silences in told.items() if silences == [("d7", 1)]]
+    assert len(watchers) == WATCHERS
+    assert all(members.fallen_silent(silent_ms) == [] for members in group.values())
+
+    other = next(members for name, members in group.items() if name not in [*watchers, "d7"])
+    assert other.is_alive("d7", silent_ms)
+    assert other.hear_silence("d7", 1, silent_ms)
+    assert not other.is_alive("d7", silent_ms)
+
+
+def test_a_silence_of_before_a_restart_or_of_one_watcher_only_is_not_believed() -> None:
+    """Symptom: a daemon that serves gets no turns until its next heartbeat comes round.
+
+    Events: it restarts, or one of its watchers is cut off from it, and the watcher tells of it.
+    """
+    members = _large_group(40)["d0"]
+    members.hear("d7", _beat(incarnation=2), 10_000)
+    assert not members.hear_silence("d7", 1, 10_000 + SILENCE_MS)
+    assert not members.hear_silence("d7", 2, 10_000 + SILENCE_MS - 1)
+    assert members.is_alive("d7", 10_000 + SILENCE_MS)
+
+
+def test_a_daemon_of_a_large_group_that_hears_nobody_is_isolated_within_a_second() -> None:
+    members = _large_group(40)["d0"]
+    for number in range(1, 40):
+        members.hear(f"d{number}", _beat(), 10_000)
+    assert not members.is_isolated(10_000 + SILENCE_MS - 1)
+    assert members.is_isolated(10_000 + SILENCE_MS)
