Bad input: whole heads beyond the limit, both ways of length, slow heads

Cause: new tests of bad input through the gateway. A head of 5,000 bytes that came in one piece passed a limit of 4,096 (h11 looks at incomplete heads only); content-length beside transfer-encoding was read as chunks; a slow head was bounded by the limit for idle connections.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -35,9 +35,17 @@
 
 
 class ConnectionLimits(NamedTuple):
-    """Bounds on the size and pace of what a caller sends on one connection."""
+    """Bounds on the size and pace of what a caller sends on one connection.
+
+    Attributes:
+      first_s: From the connection to the first byte on it.
+      head_s: From the first byte of a request to the end of its head.
+      body_s: From there to its end.
+      idle_s: From an answer to the first byte of the next request.
+    """
 
     max_head_bytes: int
+    first_s: float
     head_s: float
     body_s: float
     idle_s: float
@@ -45,7 +53,7 @@
 
 def default_limits() -> ConnectionLimits:
     """Returns the limits of a server that has no others configured."""
-    return ConnectionLimits(MAX_HEAD_BYTES, HEAD_LIMIT_S, BODY_LIMIT_S, IDLE_LIMIT_S)
+    return ConnectionLimits(MAX_HEAD_BYTES, HEAD_LIMIT_S, HEAD_LIMIT_S, BODY_LIMIT_S, IDLE_LIMIT_S)
 
 
 class HttpResponse(NamedTuple):
@@ -128,7 +136,7 @@
         if not self._owner.opened(self):
             self._owner.overloaded(self)
             return
-        self._enter(_Phase.IDLE, self._limits.head_s)
+        self._enter(_Phase.IDLE, self._limits.first_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the server that the caller has gone."""
@@ -257,7 +265,18 @@
     def _take_head(self, head: h11.Request) -> None:
         self._head = head
         self._enter(_Phase.BODY, self._limits.body_s)
-        length = dict(head.headers).get(b"content-length", b"0")
+        headers = dict(head.headers)
+        if _head_bytes(head) > self._limits.max_head_bytes:
+            # h11 looks at the size of a head only while it is incomplete.
+            message = f"the head is larger than {self._limits.max_head_bytes} bytes"
+            self._owner.refuse(self, RequestError(status=431, message=message))
+            return
+        if b"content-length" in headers and b"transfer-encoding" in headers:
+            # Whoever read the other one of the two would take the body for another request.
+            message = "both content-length and transfer-encoding"
+            self._owner.refuse(self, RequestError(status=400, message=message))
+            return
+        length = headers.get(b"content-length", b"0")
         if int(length) > self._owner.max_body_bytes:
             self._refuse_size()
 
@@ -347,3 +366,9 @@
         if self._owner.draining or request_unread:
             headers = [*headers, ("connection", "close")]
         return h11.Response(status_code=status, headers=list(headers))
+
+
+def _head_bytes(head: h11.Request) -> int:
+    """Returns the size of a head as sent, but for whitespace that does not count."""
+    lines = sum(len(name) + len(value) + len(b": \r\n") for name, value in head.headers)
+    return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n\r\n") + lines
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -157,7 +157,8 @@
         )
 
     def configure(self, version: int, **changes: object) -> None:
-        """Writes a configuration; the changes are for the streaming route."""
+        """Writes a configuration; the changes are for the streaming route, but for `limits`."""
+        limits = changes.pop("limits", {})
         stream = {
             "name": "stream",
             "hostname": HOST_NAME,
@@ -187,7 +188,12 @@
             {"name": "model", "engine": {"stream_stride": TOKENS_PER_EVENT}},
             {"name": "plain"},
         ]
-        body = {"version": version, "routes": [stream, *plain], "services": services}
+        body = {
+            "version": version,
+            "routes": [stream, *plain],
+            "services": services,
+            "limits": limits,
+        }
         self.state.put("keyed.op", "config", msgspec.json.encode(body))
 
     def is_settled(self) -> bool:
