Old parts: no import circles, no unread hops, one group a message

The place of a name in a ring and the partition of a program come from one hash, which policies take without core.

--- a/src/quincespool/bench/message_sizes.py
+++ b/src/quincespool/bench/message_sizes.py
@@ -13,7 +13,7 @@
 from quincespool.core.messages import AccountGranted
 from quincespool.core.messages import Ack
 from quincespool.core.messages import BackendSummary
-from quincespool.core.messages import CommitGroups
+from quincespool.core.messages import CommitGroup
 from quincespool.core.messages import DispatchText
 from quincespool.core.messages import ForwardText
 from quincespool.core.messages import MembersTold
@@ -88,8 +88,8 @@
             "account-123", fixtures.START_MS, 9, 1, 2, 3, 400, 500, 60_000
         ),
         "AccountGranted": AccountGranted("account-123", fixtures.START_MS, 9, 1, 3, 500, 90_000, 0),
-        "CommitGroups, one outcome": CommitGroups(1, "programs-1", group),
-        "CommitGroups, one outcome without its body": CommitGroups(1, "programs-1", bare_group),
+        "CommitGroup, one outcome": CommitGroup(1, "programs-1", group),
+        "CommitGroup, one outcome without its body": CommitGroup(1, "programs-1", bare_group),
         "DispatchText": DispatchText(ATTEMPT_ID, "word"),
         "ForwardText": ForwardText(1, "word"),
     }
--- a/src/quincespool/bench/one_daemon.py
+++ b/src/quincespool/bench/one_daemon.py
@@ -20,7 +20,7 @@
 from quincespool.core import reducer
 from quincespool.core.messages import AccountAsked
 from quincespool.core.messages import Ack
-from quincespool.core.messages import CommitGroups
+from quincespool.core.messages import CommitGroup
 from quincespool.core.messages import MembersTold
 from quincespool.core.messages import Ping
 
@@ -149,7 +149,7 @@
                 offset = len(self.streams[stream]) - 1
                 self._pending.append(ev.AppendDone(stream, append_id, offset))
                 self._read(stream)
-            case fx.SendMessage(_, CommitGroups() as message):
+            case fx.SendMessage(_, CommitGroup() as message):
                 self.streams[message.stream].append(b'{"groups":[' + message.group + b"]}")
                 self._read(message.stream)
             case fx.SendMessage(home, AccountAsked() as ask):
--- a/src/quincespool/bench/reducer_slopes.py
+++ b/src/quincespool/bench/reducer_slopes.py
@@ -276,7 +276,6 @@
         max_tokens=call.max_tokens,
         deadline_ms=call.deadline_ms,
         first_send=call.first_send,
-        hops=1,
     )
 
 
--- a/src/quincespool/core/catalogue/reducer.py
+++ b/src/quincespool/core/catalogue/reducer.py
@@ -35,8 +35,8 @@
 from quincespool.core.events import Woken
 from quincespool.core.messages import CatalogueAsked
 from quincespool.core.messages import CatalogueTold
-from quincespool.core.placement import stable_hash
 from quincespool.core.timers import TimerKey
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.core.catalogue.fold import EditResult
--- a/src/quincespool/core/catalogue/state.py
+++ b/src/quincespool/core/catalogue/state.py
@@ -14,9 +14,9 @@
 from quincespool.core.catalogue.index import CatalogueIndex
 
 if TYPE_CHECKING:
+    from quincespool.core.catalogue.checkpoint import CheckpointWrite
     from quincespool.core.catalogue.checkpoint import Completed
     from quincespool.core.catalogue.fold import EditResult
-    from quincespool.core.catalogue.writer import PendingWrite
     from quincespool.core.entries import AccountEntry
     from quincespool.core.entries import BackendEntry
     from quincespool.core.entries import ClassEntry
@@ -54,6 +54,22 @@
         return self.start + len(self.records)
 
 
+class PendingWrite(NamedTuple):
+    """A checkpoint under way, one part in flight at a time.
+
+    Attributes:
+      write: The parts.
+      part: The part in flight, -1 for none yet.
+      append_id: Its append.
+      retry_at_ms: When to append it again if it has not been read back by then.
+    """
+
+    write: CheckpointWrite
+    part: int
+    append_id: int
+    retry_at_ms: int
+
+
 class CatalogueState:
     """Slice of the daemon's state; a `CatalogueView` to the other parts."""
 
--- a/src/quincespool/core/catalogue/writer.py
+++ b/src/quincespool/core/catalogue/writer.py
@@ -7,13 +7,13 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from quincespool.core.catalogue.checkpoint import CheckpointWrite
 from quincespool.core.catalogue.state import ASK_AFTER_LAG_MS
+from quincespool.core.catalogue.state import PendingWrite
 from quincespool.core.effects import AppendRecord
 from quincespool.core.effects import Count
-from quincespool.core.placement import stable_hash
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.core.catalogue.checkpoint import Completed
@@ -32,22 +32,6 @@
 FIRST_APPEND_ID = -1_000_000_000
 
 
-class PendingWrite(NamedTuple):
-    """A checkpoint under way, one part in flight at a time.
-
-    Attributes:
-      write: The parts.
-      part: The part in flight, -1 for none yet.
-      append_id: Its append.
-      retry_at_ms: When to append it again if it has not been read back by then.
-    """
-
-    write: CheckpointWrite
-    part: int
-    append_id: int
-    retry_at_ms: int
-
-
 def write_checkpoint(state: CatalogueState, context: Context) -> Effects:
     """Starts a checkpoint if one is due here, or goes on with the one under way."""
     if state.write is None and _is_due(state, context):
--- a/src/quincespool/core/claims.py
+++ b/src/quincespool/core/claims.py
@@ -38,7 +38,7 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.ledger.reducer import LedgerState
+    from quincespool.core.ledger.followed import LedgerState
     from quincespool.core.ledger.state import ClaimState
     from quincespool.core.records import LedgerEntry
     from quincespool.settings import Settings
--- a/src/quincespool/core/commit.py
+++ b/src/quincespool/core/commit.py
@@ -25,7 +25,7 @@
 from quincespool.core.events import LinkDown
 from quincespool.core.events import MessageReceived
 from quincespool.core.events import TimerFired
-from quincespool.core.messages import CommitGroups
+from quincespool.core.messages import CommitGroup
 from quincespool.core.messages import CommitRefused
 from quincespool.core.placement import stream_members
 from quincespool.core.timers import TimerKey
@@ -118,7 +118,7 @@
     }
     pending = _Pending(sequence, msgspec.json.encode(group))
     commit.unapplied.append(pending)
-    effects = _hand_over(state, context, stream, [pending])
+    effects = _hand_over(state, context, stream, pending)
     if len(commit.unapplied) == 1:
         # Only for the first one that waits: moved by each that follows, the timer would never come,
         # and a group lost on its way would hold up all of them for good.
@@ -129,7 +129,7 @@
 def reduce(state: CommitState, context: Context, event: Event) -> Effects:
     """Handles appends' answers, other daemons' groups, read-back and timers."""
     match event:
-        case MessageReceived(sender, CommitGroups() as message):
+        case MessageReceived(sender, CommitGroup() as message):
             return _gather(state, context, sender, message)
         case MessageReceived(_, CommitRefused() as message):
             return _resend(state, context, message.stream)
@@ -157,18 +157,14 @@
     }
 
 
-def _hand_over(
-    state: CommitState, context: Context, stream: str, pending: list[_Pending]
-) -> Effects:
+def _hand_over(state: CommitState, context: Context, stream: str, pending: _Pending) -> Effects:
     committer = _committer(state, context, stream)
     if committer == state.member_id:
         commit = state.stream(stream)
-        commit.gathered.extend(item.group for item in pending)
+        commit.gathered.append(pending.group)
         return _append(state, context, stream)
-    return [
-        SendMessage(committer, CommitGroups(ticket=item.sequence, stream=stream, group=item.group))
-        for item in pending
-    ]
+    message = CommitGroup(ticket=pending.sequence, stream=stream, group=pending.group)
+    return [SendMessage(committer, message)]
 
 
 def _committer(state: CommitState, context: Context, stream: str) -> str:
@@ -178,7 +174,7 @@
     return ranked[0].member_id if ranked else state.member_id
 
 
-def _gather(state: CommitState, context: Context, sender: str, message: CommitGroups) -> Effects:
+def _gather(state: CommitState, context: Context, sender: str, message: CommitGroup) -> Effects:
     commit = state.stream(message.stream)
     if message.group in commit.gathered or message.group in commit.in_flight:
         return []
--- a/src/quincespool/core/event_routes.py
+++ b/src/quincespool/core/event_routes.py
@@ -69,7 +69,7 @@
     msg.DispatchDone: (OWNER,),
     msg.DispatchCancel: (KEEPER,),
     msg.KeeperElsewhere: (OWNER,),
-    msg.CommitGroups: (COMMIT,),
+    msg.CommitGroup: (COMMIT,),
     msg.CommitRefused: (COMMIT,),
     msg.BackendSummary: (OWNER,),
     msg.SummaryAsked: (KEEPER,),
--- a/src/quincespool/core/events.py
+++ b/src/quincespool/core/events.py
@@ -157,6 +157,9 @@
     detail: str
 
 
+ExchangeEvent = ExchangeHead | ExchangeData | ExchangeEnd | ExchangeFailed
+
+
 class HostsRead(NamedTuple):
     """The platform's host list: `address` (host:port) to `live` or `leaving`. It lags."""
 
--- a/src/quincespool/core/frontdoor.py
+++ b/src/quincespool/core/frontdoor.py
@@ -194,8 +194,8 @@
     subject = ticket.subject
     if isinstance(subject, str):
         if ticket.is_audit:
-            return ForwardAudit(ticket=number, outcome_id=subject, hops=ticket.hops)
-        return ForwardEnd(ticket=number, program_id=subject, hops=ticket.hops)
+            return ForwardAudit(ticket=number, outcome_id=subject)
+        return ForwardEnd(ticket=number, program_id=subject)
     return ForwardCall(
         ticket=number,
         program_id=subject.program_id,
@@ -212,7 +212,6 @@
         deadline_ms=subject.deadline_ms,
         # Passed on again, it is no longer the first time if the owner asked before may have run it.
         first_send=subject.first_send and not ticket.may_have_run,
-        hops=ticket.hops,
     )
 
 
--- a/src/quincespool/core/keeper/cache_audit.py
+++ b/src/quincespool/core/keeper/cache_audit.py
@@ -7,10 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 import msgspec
 
@@ -24,6 +21,8 @@
 from quincespool.core.events import ExchangeFailed
 from quincespool.core.events import ExchangeHead
 from quincespool.core.keeper import timers as keeper_timers
+from quincespool.core.keeper.audit_state import Asked
+from quincespool.core.keeper.audit_state import AuditExchange
 from quincespool.core.keeper.exchange import FENCING_HEADER
 from quincespool.core.messages import ProgramsAsked
 from quincespool.core.placement import backend_resource
@@ -33,7 +32,8 @@
 if TYPE_CHECKING:
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
-    from quincespool.core.keeper.run import ExchangeEvent
+    from quincespool.core.events import ExchangeEvent
+    from quincespool.core.keeper.audit_state import AuditState
     from quincespool.core.keeper.state import KeeperState
     from quincespool.core.messages import CacheRelease
     from quincespool.core.messages import ProgramsOver
@@ -57,57 +57,6 @@
     programs: list[_CachedProgram]
 
 
-class Asked(NamedTuple):
-    """One `ProgramsAsked`: who was asked about what."""
-
-    backend: str
-    owner: str
-    program_ids: frozenset[str]
-
-
-@dataclass(slots=True, eq=False)
-class AuditExchange:
-    """One request to an engine; `program_id` is empty for a listing."""
-
-    backend: str
-    program_id: str
-    status: int = 0
-    body: bytearray = field(default_factory=bytearray)
-
-
-class AuditState:
-    """What is under way.
-
-    Attributes:
-      exchanges: By exchange id.
-      asked: By ticket.
-      releases: Programs whose release waits, by backend server, in order.
-      cursors: The last program id asked for, by backend server; the next period goes on after it.
-    """
-
-    def __init__(self) -> None:
-        self.exchanges: dict[int, AuditExchange] = {}
-        self.asked: dict[int, Asked] = {}
-        self.releases: dict[str, dict[str, None]] = {}
-        self.cursors: dict[str, str] = {}
-        self.ticket = 0
-
-    def dump(self) -> dict[str, object]:
-        """Returns the state for operators."""
-        return {
-            "exchanges": len(self.exchanges),
-            "asked": len(self.asked),
-            "releases_waiting": {name: len(ids) for name, ids in self.releases.items()},
-        }
-
-    def in_flight(self, backend: str, *, listing: bool) -> int:
-        """Returns how many listings or releases are on their way to a backend server."""
-        return sum(
-            one.backend == backend and listing == (not one.program_id)
-            for one in self.exchanges.values()
-        )
-
-
 def schedule(context: Context, backend: str, *, delay_ms: int = 0) -> None:
     """Subscribes to the next audit of a backend server."""
     key = keeper_timers.timer_key(keeper_timers.AUDIT, backend)
--- a/src/quincespool/core/keeper/run.py
+++ b/src/quincespool/core/keeper/run.py
@@ -31,13 +31,12 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.entries import BackendEntry
+    from quincespool.core.events import ExchangeEvent
     from quincespool.core.keeper.queue import Attempt
     from quincespool.core.keeper.queue import BackendQueue
     from quincespool.core.keeper.state import KeeperState
     from quincespool.core.messages import DispatchDone
 
-ExchangeEvent = ExchangeHead | ExchangeData | ExchangeEnd | ExchangeFailed
-
 PUMP_AGAIN_MS = 100
 CRASH_HOLD_MS = 500
 
--- a/src/quincespool/core/keeper/state.py
+++ b/src/quincespool/core/keeper/state.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core.keeper.cache_audit import AuditState
+from quincespool.core.keeper.audit_state import AuditState
 from quincespool.core.keeper.order import ProgramOrder
 from quincespool.core.keeper.queue import BackendQueue
-from quincespool.core.keeper.summary import SummaryState
+from quincespool.core.keeper.summary_state import SummaryState
 
 if TYPE_CHECKING:
     from quincespool.core.keeper.queue import Attempt
--- a/src/quincespool/core/keeper/summary.py
+++ b/src/quincespool/core/keeper/summary.py
@@ -17,15 +17,6 @@
 INTERVAL_MS = 200
 
 
-class SummaryState:
-    """Subscriptions by backend server and member (value: when it ends), and what was sent."""
-
-    def __init__(self) -> None:
-        self.until_ms: dict[str, dict[str, int]] = {}
-        self.sent_ms: dict[str, int] = {}
-        self.scheduled: set[str] = set()
-
-
 def subscribe(state: KeeperState, context: Context, member_id: str, backend: str) -> Effects:
     """Answers an owner that asks, and tells it of changes from now on for `SUBSCRIBED_MS`."""
     if backend not in state.held:
--- a/src/quincespool/core/ledger/checkpoints.py
+++ b/src/quincespool/core/ledger/checkpoints.py
@@ -7,17 +7,12 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import Any
-from typing import NamedTuple
-
-import msgspec
 
 from quincespool.core import commit
 from quincespool.core.effects import Count
 from quincespool.core.events import Started
 from quincespool.core.events import TimerFired
 from quincespool.core.placement import stream_members
-from quincespool.core.records import Checkpoint
 from quincespool.core.timers import TimerKey
 
 if TYPE_CHECKING:
@@ -25,7 +20,7 @@
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
     from quincespool.core.events import Event
-    from quincespool.core.ledger.reducer import LedgerState
+    from quincespool.core.ledger.followed import LedgerState
     from quincespool.core.ledger.stream_ledger import StreamLedger
     from quincespool.core.records import LedgerEntry
     from quincespool.settings import Settings
@@ -36,65 +31,6 @@
 PART_BYTES = 150_000
 
 
-class FoundCheckpoint(NamedTuple):
-    """A complete checkpoint: the ledger's state after all records before `as_of`."""
-
-    as_of: int
-    state: bytes
-
-
-class _Entries(msgspec.Struct):
-    entries: list[dict[str, Any]]
-
-
-class _Groups(msgspec.Struct):
-    groups: list[_Entries]
-
-
-class CheckpointReader:
-    """Looks for a complete checkpoint whose following records are all still kept."""
-
-    def __init__(self, *, earliest_offset: int) -> None:
-        self.next_offset = earliest_offset
-        self._earliest_offset = earliest_offset
-        self._parts: dict[tuple[int, int], dict[int, str]] = {}
-
-    def take(self, offset: int, body: bytes) -> FoundCheckpoint | None:
-        """Looks at one record; returns a checkpoint once all its parts have been seen."""
-        self.next_offset = offset + 1
-        if b'"checkpoint"' not in body:
-            return None
-        try:
-            groups = msgspec.json.decode(body, type=_Groups).groups
-        except msgspec.MsgspecError:
-            return None
-        for group in groups:
-            for entry in group.entries:
-                found = self._take_entry(entry)
-                if found is not None:
-                    return found
-        return None
-
-    def _take_entry(self, entry: dict[str, Any]) -> FoundCheckpoint | None:
-        if entry.get("kind") != "checkpoint":
-            return None
-        try:
-            return self._take_part(msgspec.convert(entry, Checkpoint))
-        except msgspec.ValidationError:
-            return None
-
-    def _take_part(self, entry: Checkpoint) -> FoundCheckpoint | None:
-        # A checkpoint from before the earliest record kept leaves a gap that nothing fills.
-        if entry["as_of"] < self._earliest_offset:
-            return None
-        parts = self._parts.setdefault((entry["as_of"], entry["parts"]), {})
-        parts[entry["part"]] = entry["state"]
-        if len(parts) < entry["parts"]:
-            return None
-        text = "".join(parts[number] for number in range(entry["parts"]))
-        return FoundCheckpoint(entry["as_of"], text.encode())
-
-
 def split_state(state: bytes) -> list[str]:
     """Returns a state's JSON in parts that fit a record each."""
     text = state.decode()
--- a/src/quincespool/core/ledger/state.py
+++ b/src/quincespool/core/ledger/state.py
@@ -24,7 +24,7 @@
     sequence: int
 
 
-class LedgerState(msgspec.Struct):
+class StreamState(msgspec.Struct):
     """The whole state after a prefix; this is what a checkpoint states."""
 
     next_offset: int = 0
--- a/src/quincespool/core/ledger/stream_ledger.py
+++ b/src/quincespool/core/ledger/stream_ledger.py
@@ -22,7 +22,7 @@
 from quincespool.core.ledger.record_reader import decode_groups
 from quincespool.core.ledger.record_reader import stored_answer_of
 from quincespool.core.ledger.state import ClaimState
-from quincespool.core.ledger.state import LedgerState
+from quincespool.core.ledger.state import StreamState
 from quincespool.core.ledger.state import WriterState
 from quincespool.core.placement import BACKEND_PREFIX
 from quincespool.core.placement import PARTITION_PREFIX
@@ -66,7 +66,7 @@
     """Applies the records of one stream in order."""
 
     def __init__(self, *, partition_count: int) -> None:
-        self.state = LedgerState()
+        self.state = StreamState()
         self.checkpoint_as_of = 0
         """`as_of` of the newest checkpoint seen whole; not part of the state it states."""
         self._partition_count = partition_count
@@ -125,7 +125,7 @@
         Raises:
           msgspec.DecodeError: if the text is no such state.
         """
-        self.state = msgspec.json.decode(text, type=LedgerState)
+        self.state = msgspec.json.decode(text, type=StreamState)
         self._open_roots = {}
         for record in self.state.programs.values():
             if not record.ended:
--- a/src/quincespool/core/messages.py
+++ b/src/quincespool/core/messages.py
@@ -26,7 +26,6 @@
     max_tokens: int
     deadline_ms: int
     first_send: bool
-    hops: int
 
 
 class ForwardEnd(NamedTuple):
@@ -34,7 +33,6 @@
 
     ticket: int
     program_id: str
-    hops: int
 
 
 class ForwardAudit(NamedTuple):
@@ -42,7 +40,6 @@
 
     ticket: int
     outcome_id: str
-    hops: int
 
 
 class ForwardGone(NamedTuple):
@@ -151,7 +148,7 @@
     holder: str
 
 
-class CommitGroups(NamedTuple):
+class CommitGroup(NamedTuple):
     """Writer to committer: append this `Group` (JSON) with your next batch for the stream."""
 
     ticket: int
@@ -366,7 +363,7 @@
     | DispatchDone
     | DispatchCancel
     | KeeperElsewhere
-    | CommitGroups
+    | CommitGroup
     | CommitRefused
     | ProgramsAsked
     | ProgramsOver
--- a/src/quincespool/core/owner/dispatch.py
+++ b/src/quincespool/core/owner/dispatch.py
@@ -10,10 +10,9 @@
 from quincespool.core.messages import SummaryAsked
 from quincespool.core.owner import finish as owner_finish
 from quincespool.core.owner import permit as owner_permit
-from quincespool.core.owner.env import PART
-from quincespool.core.owner.env import finish_refused
+from quincespool.core.owner import retries as owner_retries
+from quincespool.core.owner.closing import finish_refused
 from quincespool.core.owner.program_run import Phase
-from quincespool.core.owner.retry_budget import backoff_ms
 from quincespool.core.owner.views import BYTES_PER_TOKEN
 from quincespool.core.owner.views import backend_views
 from quincespool.core.owner.views import call_view
@@ -21,7 +20,6 @@
 from quincespool.core.placement import backend_resource
 from quincespool.core.placement import desired_holder
 from quincespool.core.reasons import Reason
-from quincespool.core.timers import TimerKey
 from quincespool.policy.registry import make_policy
 
 if TYPE_CHECKING:
@@ -33,7 +31,6 @@
     from quincespool.policy.protocol import CallView
     from quincespool.policy.protocol import Policy
 
-MAX_TRIES = 4
 MAX_KEEPER_SEARCHES = 10
 SUMMARY_ASK_MS = 3_000
 DEFAULT_POLICY = "program_aware"
@@ -78,7 +75,7 @@
         # sent. Any answer to this harmless question shows that the link stands again.
         return [
             SendMessage(run.keeper, SummaryAsked(backend=run.backend)),
-            *retry_later(env, run),
+            *owner_retries.retry_later(env, run),
         ]
     return [
         *_ask_summary(env, run.backend, run.keeper),
@@ -101,7 +98,7 @@
     run.tries += 1
     if run.tries > MAX_KEEPER_SEARCHES:
         return owner_finish.give_up(env, run, Reason.NO_BACKEND, retry_after_ms=1_000)
-    return retry_later(env, run)
+    return owner_retries.retry_later(env, run)
 
 
 def on_link_down(env: OwnerEnv, member_id: str) -> Effects:
@@ -127,21 +124,6 @@
     return effects
 
 
-def retry_later(env: OwnerEnv, run: CallRun) -> Effects:
-    """Waits a little, then sends the next attempt."""
-    run.phase = Phase.BACKOFF
-    at_ms = env.context.now_ms + backoff_ms(run.tries, run.key)
-    env.context.timers.subscribe(TimerKey(PART, "retry", run.key), at_ms=at_ms)
-    return []
-
-
-def may_retry(env: OwnerEnv, run: CallRun) -> bool:
-    """Whether another attempt is allowed, by its number, its time and the retry budget."""
-    if run.tries >= MAX_TRIES or env.context.now_ms >= run.deadline_at_ms:
-        return False
-    return env.state.retries.take()
-
-
 def _choose(
     env: OwnerEnv, run: CallRun, policy: Policy, view: CallView, backends: list[BackendView]
 ) -> str:
@@ -157,20 +139,6 @@
     return policy.choose(view, backends, now_ms=env.context.now_ms)
 
 
-def may_go_elsewhere(env: OwnerEnv, run: CallRun) -> bool:
-    """Whether a call that was refused unsent may go to a backend server that has not refused it.
-
-    That costs nothing of the retry budget. Otherwise one backend server that keepers know to be
-    leaving, and this daemon does not (it has just started, and the host list has dropped it), uses
-    the budget up, and calls are refused although other backend servers would take them.
-    """
-    if run.backend not in run.avoid or run.tries >= MAX_TRIES:
-        return False
-    if env.context.now_ms >= run.deadline_at_ms:
-        return False
-    return any(view.name not in run.avoid for view in backend_views(env, run))
-
-
 def _superseded(env: OwnerEnv, run: CallRun) -> Effects:
     """Sends nothing under an epoch that may no longer be in force.
 
--- a/src/quincespool/core/owner/ending.py
+++ b/src/quincespool/core/owner/ending.py
@@ -13,10 +13,10 @@
 from quincespool.core.outcomes import OK
 from quincespool.core.outcomes import OutcomeId
 from quincespool.core.owner import finish as owner_finish
+from quincespool.core.owner.closing import finish_refused
 from quincespool.core.owner.dispatch import keeper_of
 from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import PART
-from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import tell
 from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import STATUS
--- a/src/quincespool/core/owner/env.py
+++ b/src/quincespool/core/owner/env.py
@@ -8,7 +8,6 @@
 from quincespool.core.effects import SendMessage
 from quincespool.core.outcomes import forward
 from quincespool.core.outcomes import refusal
-from quincespool.core.owner import permit as owner_permit
 from quincespool.core.owner.program_run import OwnerRuns
 from quincespool.core.owner.retry_budget import RetryBudget
 from quincespool.core.timers import TimerKey
@@ -22,8 +21,8 @@
     from quincespool.core.commit import CommitState
     from quincespool.core.context import Context
     from quincespool.core.effects import Effects
+    from quincespool.core.ledger.followed import LedgerState
     from quincespool.core.ledger.program_record import ProgramRecord
-    from quincespool.core.ledger.reducer import LedgerState
     from quincespool.core.messages import BackendSummary
     from quincespool.core.owner.program_run import Caller
     from quincespool.core.owner.program_run import CallRun
@@ -152,50 +151,3 @@
 def set_deadline(env: OwnerEnv, run: CallRun) -> None:
     """Subscribes to the end of a call's time."""
     env.context.timers.subscribe(TimerKey(PART, "deadline", run.key), at_ms=run.deadline_at_ms)
-
-
-def finish(env: OwnerEnv, run: CallRun, answer: Answer) -> Effects:
-    """Answers a call and forgets it."""
-    return [*_forget(env, run), *tell(run.callers, answer)]
-
-
-def finish_refused(
-    env: OwnerEnv,
-    run: CallRun,
-    reason: Reason,
-    *,
-    retry_after_ms: int = 0,
-    verdict: Verdict | None = None,
-) -> Effects:
-    """Refuses a call under way and forgets it."""
-    effects = _forget(env, run)
-    return effects + refuse(
-        env, run.call, run.callers, reason, retry_after_ms=retry_after_ms, verdict=verdict
-    )
-
-
-def unused_licence_verdict(env: OwnerEnv, run: CallRun) -> Verdict | None:
-    """Returns `NOT_RUN` while this daemon is surely the one whose licence stands, and unused.
-
-    A daemon that can't read the log may have been superseded, and its successor may have run the
-    call for the same caller: then only what can be proved otherwise may be said (None).
-    """
-    held = env.ledger.epoch_held(env.ledger.partition(run.call.program_id))
-    return Verdict.NOT_RUN if held == run.epoch else None
-
-
-def _forget(env: OwnerEnv, run: CallRun) -> Effects:
-    env.context.timers.cancel(TimerKey(PART, "deadline", run.key))
-    env.context.timers.cancel(TimerKey(PART, "retry", run.key))
-    free_reserve(env, run)
-    owner_permit.leave(env, run)
-    env.state.runs.drop_call(run)
-    return owner_permit.release(env, run)
-
-
-def free_reserve(env: OwnerEnv, run: CallRun) -> None:
-    """Gives back what a call had reserved of its program's slice."""
-    spending = env.state.runs.spending.get(run.call.root_id)
-    if spending is not None:
-        spending.reserved_tokens -= run.reserved_tokens
-    run.reserved_tokens = 0
--- a/src/quincespool/core/owner/finish.py
+++ b/src/quincespool/core/owner/finish.py
@@ -19,15 +19,15 @@
 from quincespool.core.outcomes import completion_body
 from quincespool.core.outcomes import encode_body
 from quincespool.core.outcomes import stored_answer
-from quincespool.core.owner import dispatch as owner_dispatch
 from quincespool.core.owner import permit as owner_permit
+from quincespool.core.owner import retries as owner_retries
+from quincespool.core.owner.closing import finish
+from quincespool.core.owner.closing import finish_refused
+from quincespool.core.owner.closing import unused_licence_verdict
 from quincespool.core.owner.env import COME_BACK_MS
 from quincespool.core.owner.env import PART
-from quincespool.core.owner.env import finish
-from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import refuse
 from quincespool.core.owner.env import tell
-from quincespool.core.owner.env import unused_licence_verdict
 from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import STATUS
 from quincespool.core.reasons import Reason
@@ -142,7 +142,7 @@
     cancel = SendMessage(run.keeper, DispatchCancel(run.attempt_id))
     owner_permit.leave(env, run)
     take_attempt(env, run.attempt_id)
-    run.tries = owner_dispatch.MAX_TRIES
+    run.tries = owner_retries.MAX_TRIES
     return [cancel, *_may_have_run(env, run, Reason.DEADLINE)]
 
 
@@ -208,8 +208,8 @@
 def _not_run(env: OwnerEnv, run: CallRun, reason: Reason) -> Effects:
     if reason != Reason.OVERLOAD:
         run.avoid.add(run.backend)
-    if owner_dispatch.may_go_elsewhere(env, run) or owner_dispatch.may_retry(env, run):
-        return owner_dispatch.retry_later(env, run)
+    if owner_retries.may_go_elsewhere(env, run) or owner_retries.may_retry(env, run):
+        return owner_retries.retry_later(env, run)
     retry_after_ms = run.retry_after_ms or COME_BACK_MS
     return give_up(env, run, reason, retry_after_ms=retry_after_ms)
 
@@ -225,11 +225,11 @@
     _count_as_spent(env, run)
     if env.quarantine.blocked(run.call.fingerprint):
         return effects + finish_refused(env, run, Reason.QUARANTINED, verdict=Verdict.MAY_HAVE_RUN)
-    if run.told_text or not owner_dispatch.may_retry(env, run):
+    if run.told_text or not owner_retries.may_retry(env, run):
         return effects + finish_refused(
             env, run, reason, retry_after_ms=COME_BACK_MS, verdict=Verdict.MAY_HAVE_RUN
         )
-    return effects + owner_dispatch.retry_later(env, run)
+    return effects + owner_retries.retry_later(env, run)
 
 
 def _count_as_spent(env: OwnerEnv, run: CallRun) -> None:
--- a/src/quincespool/core/owner/lifecycle.py
+++ b/src/quincespool/core/owner/lifecycle.py
@@ -16,8 +16,8 @@
 from quincespool.core.owner import finish as owner_finish
 from quincespool.core.owner import permit as owner_permit
 from quincespool.core.owner import start as owner_start
+from quincespool.core.owner.closing import finish_refused
 from quincespool.core.owner.env import COME_BACK_MS
-from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import tell
 from quincespool.core.owner.program_run import Phase
 from quincespool.core.placement import PARTITION_PREFIX
--- a/src/quincespool/core/owner/retry_budget.py
+++ b/src/quincespool/core/owner/retry_budget.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from quincespool.core.placement import stable_hash
+from quincespool.stable_hash import stable_hash
 
 SHARE = 0.1
 MOST_SAVED = 20.0
--- a/src/quincespool/core/owner/start.py
+++ b/src/quincespool/core/owner/start.py
@@ -17,9 +17,9 @@
 from quincespool.core.owner.budget import next_slice
 from quincespool.core.owner.checks import check_call
 from quincespool.core.owner.checks import is_idempotent
+from quincespool.core.owner.closing import finish
+from quincespool.core.owner.closing import finish_refused
 from quincespool.core.owner.env import COME_BACK_MS
-from quincespool.core.owner.env import finish
-from quincespool.core.owner.env import finish_refused
 from quincespool.core.owner.env import set_deadline
 from quincespool.core.owner.program_run import Phase
 from quincespool.core.reasons import Reason
--- a/src/quincespool/core/owner/views.py
+++ b/src/quincespool/core/owner/views.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from quincespool.core.call import CallKind
-from quincespool.core.placement import stable_hash
 from quincespool.policy.protocol import BackendView
 from quincespool.policy.protocol import CallView
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.core.owner.env import OwnerEnv
--- a/src/quincespool/core/placement.py
+++ b/src/quincespool/core/placement.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import hashlib
-from functools import lru_cache
 from typing import TYPE_CHECKING
 
+from quincespool.stable_hash import stable_hash
+
 if TYPE_CHECKING:
     from quincespool.core.members import Member
 
@@ -18,12 +19,6 @@
 STREAM_PREFIX = "programs-"
 
 
-@lru_cache(maxsize=65536)
-def stable_hash(text: str) -> int:
-    """Returns the same 64-bit number for the same text in every process."""
-    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=8).digest(), "big")
-
-
 def partition_of(program_id: str, partition_count: int) -> str:
     """Returns the resource name of a program's partition; sub-agents share their root's."""
     root_id = program_id.split("/", 1)[0]
--- a/src/quincespool/core/quarantine/outbox.py
+++ b/src/quincespool/core/quarantine/outbox.py
@@ -9,9 +9,9 @@
 
 from quincespool.core.effects import AppendRecord
 from quincespool.core.effects import Count
-from quincespool.core.placement import stable_hash
 from quincespool.core.quarantine.log import CheckpointRecord
 from quincespool.core.timers import TimerKey
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.core.context import Context
--- a/src/quincespool/core/quarantine/reducer.py
+++ b/src/quincespool/core/quarantine/reducer.py
@@ -25,7 +25,6 @@
 from quincespool.core.events import StreamExpired
 from quincespool.core.events import TimerFired
 from quincespool.core.messages import CrashSeen
-from quincespool.core.placement import stable_hash
 from quincespool.core.quarantine.log import BLOCKED_CRASHES
 from quincespool.core.quarantine.log import ClearedRecord
 from quincespool.core.quarantine.log import CrashRecord
@@ -35,6 +34,7 @@
 from quincespool.core.quarantine.outbox import RETRY
 from quincespool.core.quarantine.outbox import Outbox
 from quincespool.core.timers import TimerKey
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/quincespool/policy/experiment/driver.py
+++ b/src/quincespool/policy/experiment/driver.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.placement import stable_hash
 from quincespool.policy.experiment.engine import Engine
 from quincespool.policy.experiment.engine import Job
 from quincespool.policy.experiment.measures import Tally
@@ -22,6 +21,7 @@
 from quincespool.policy.protocol import CallView
 from quincespool.policy.protocol import Learner
 from quincespool.policy.protocol import PauseView
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/quincespool/policy/program_aware.py
+++ b/src/quincespool/policy/program_aware.py
@@ -15,11 +15,11 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.core.placement import stable_hash
 from quincespool.policy.cache_plan import plan_cache
 from quincespool.policy.estimates import PauseEstimator
 from quincespool.policy.estimates import ServiceEstimator
 from quincespool.policy.protocol import Admission
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.policy.protocol import BackendView
--- a/src/quincespool/policy/queue_bound.py
+++ b/src/quincespool/policy/queue_bound.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.core.placement import stable_hash
 from quincespool.policy.protocol import Admission
+from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
     from quincespool.policy.protocol import BackendView
--- a/src/quincespool/schema/peer.capnp
+++ b/src/quincespool/schema/peer.capnp
@@ -21,7 +21,7 @@
     dispatchDone @12 :DispatchDone;
     dispatchCancel @13 :DispatchCancel;
     keeperElsewhere @14 :KeeperElsewhere;
-    commitGroups @15 :CommitGroups;
+    commitGroup @15 :CommitGroup;
     commitRefused @16 :CommitRefused;
     programsAsked @17 :ProgramsAsked;
     programsOver @18 :ProgramsOver;
@@ -78,19 +78,16 @@
   maxTokens @11 :Int64;
   deadlineMs @12 :Int64;
   firstSend @13 :Bool;
-  hops @14 :Int64;
 }
 
 struct ForwardEnd {
   ticket @0 :Int64;
   programId @1 :Text;
-  hops @2 :Int64;
 }
 
 struct ForwardAudit {
   ticket @0 :Int64;
   outcomeId @1 :Text;
-  hops @2 :Int64;
 }
 
 struct ForwardGone {
@@ -163,7 +160,7 @@
   holder @2 :Text;
 }
 
-struct CommitGroups {
+struct CommitGroup {
   ticket @0 :Int64;
   stream @1 :Text;
   group @2 :Data;
--- a/tests/core/test_commit.py
+++ b/tests/core/test_commit.py
@@ -118,7 +118,7 @@
 
 def test_other_daemons_groups_ride_along(bench: Bench) -> None:
     group = b'{"writer":"x","incarnation":1,"sequence":7,"entries":[]}'
-    message = ms.CommitGroups(ticket=7, stream=STREAM, group=group)
+    message = ms.CommitGroup(ticket=7, stream=STREAM, group=group)
     assert appended(bench.give(ev.MessageReceived("x", message))) == [[7]]
     assert appended(bench.give(ev.MessageReceived("x", message))) == []
 
