--- /dev/null
+++ b/src/quincespool/gateway/caller_limits.py
@@ -0,0 +1,28 @@
+"""What operators allow callers, as limits of one connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.net.http_connection import ConnectionLimits
+from quincespool.net.http_connection import default_limits
+
+if TYPE_CHECKING:
+    from quincespool.gateway.model import CallerLimits
+
+# Callers close idle connections a little before the limit that they know.
+IDLE_MARGIN_MS = 2_000
+# A caller that just keeps the limit counts from when it sends, not from when that arrives.
+HEAD_MARGIN_MS = 500
+
+
+def connection_limits(limits: CallerLimits) -> ConnectionLimits:
+    """Returns the limits of a connection of a caller."""
+    idle_s = (limits.idle_ms + IDLE_MARGIN_MS) / 1000
+    return ConnectionLimits(
+        max_head_bytes=limits.max_head_bytes,
+        first_s=idle_s,
+        head_s=(limits.head_ms + HEAD_MARGIN_MS) / 1000,
+        body_s=default_limits().body_s,
+        idle_s=idle_s,
+    )
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -12,6 +12,7 @@
 from quincespool.gateway.backends import Backends
 from quincespool.gateway.beliefs import Beliefs
 from quincespool.gateway.beliefs import StoreHealth
+from quincespool.gateway.caller_limits import connection_limits
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.crashes import CrashWatch
@@ -37,7 +38,6 @@
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns import TurnRunner
 from quincespool.net.addresses import split_address
-from quincespool.net.http_connection import ConnectionLimits
 from quincespool.net.http_connection import default_limits
 from quincespool.net.metrics import Metrics
 
@@ -53,6 +53,7 @@
     from quincespool.gateway.store import Partition
     from quincespool.gateway.store import Store
     from quincespool.gateway.wire import Wire
+    from quincespool.net.http_connection import ConnectionLimits
 
 OWNER_TOPIC = "programs"
 EXPIRY_INTERVAL_MS = 2_000
@@ -64,10 +65,6 @@
 ADDRESS_KEPT_FACTOR = 3
 # Kept of the stop's time for what is still under way after the callers should be gone.
 STOP_MARGIN_MS = 700
-# Callers close idle connections a little before the limit that they know.
-IDLE_MARGIN_MS = 2_000
-# A caller that just keeps the limit counts from when it sends, not from when that arrives.
-HEAD_MARGIN_MS = 500
 MAX_BODY_BYTES = 8_000_000
 
 
@@ -362,15 +359,8 @@
         configuration = self._routes.configuration
         if configuration is None:
             return default_limits()
-        limits = configuration.limits
-        self._front_port.max_body_bytes = limits.max_body_bytes
-        return ConnectionLimits(
-            max_head_bytes=limits.max_head_bytes,
-            first_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
-            head_s=(limits.head_ms + HEAD_MARGIN_MS) / 1000,
-            body_s=default_limits().body_s,
-            idle_s=(limits.idle_ms + IDLE_MARGIN_MS) / 1000,
-        )
+        self._front_port.max_body_bytes = configuration.limits.max_body_bytes
+        return connection_limits(configuration.limits)
 
     def _note_store_call(self, path: str, status: str) -> None:
         self._metrics.count("gateway_store_calls_total", path=path, status=status)
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -26,11 +27,20 @@
 # the turns on it are given back while their callers still wait.
 UNACKNOWLEDGED_MS = 800
 PROBE_INTERVAL_S = 0.4
+# A link on which nothing is waited for is probed once in so many intervals: a daemon that is gone
+# shows by its heartbeats, and with 78 daemons probes on all links took more of the processor than
+# anything else that a daemon does when it has little to do.
+IDLE_PROBE_INTERVALS = 10
 MAX_UNSENT_BYTES = 8_000_000
 
 
 class Link(asyncio.Protocol):
-    """One connection to another daemon."""
+    """One connection to another daemon.
+
+    Attributes:
+      lost: Whether it is over.
+      waiting: Answers that are to come on it.
+    """
 
     def __init__(
         self,
@@ -45,6 +55,7 @@
         self._frames = FrameReader()
         self._transport: asyncio.Transport | None = None
         self.lost = False
+        self.waiting = 0
 
     def send(self, message: Any) -> bool:
         """Sends a message; returns whether the link is there to take it."""
@@ -129,12 +140,13 @@
 
     async def probe(self) -> None:
         """Keeps sending a little on each link, so that the kernel notices one that went silent."""
-        while True:
+        for count in itertools.count():
             await asyncio.sleep(PROBE_INTERVAL_S)
+            probe_idle = count % IDLE_PROBE_INTERVALS == 0
             for address, link in list(self._outgoing.items()):
                 if link.lost:
                     del self._outgoing[address]
-                else:
+                elif link.waiting or probe_idle:
                     link.send(LinkProbe(sent_ms=int(time.monotonic() * 1000)))
 
     def drop(self, address: str) -> None:
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -42,10 +42,16 @@
 
 
 class Members:
-    """The daemons, from their entries in the store and from their heartbeats."""
+    """The daemons, from their entries in the store and from their heartbeats.
+
+    Attributes:
+      entries: By member id, this daemon included.
+      round_ms: Every other daemon gets at least one heartbeat of this one within so long.
+    """
 
     def __init__(self, member_id: str) -> None:
         self.entries: dict[str, Daemon] = {}
+        self.round_ms = BEAT_MS
         self._member_id = member_id
         self._seen: dict[str, _Seen] = {}
         self._entered_ms: dict[str, int] = {}
@@ -56,14 +62,6 @@
         self._next_turn = 0
         self._told_silent: set[str] = set()
 
-    @property
-    def round_ms(self) -> int:
-        """Every other daemon gets at least one heartbeat of this one within so long."""
-        if not self._is_large:
-            return BEAT_MS
-        turns = math.ceil((len(self._ring) - WATCHERS) / (BEAT_FANOUT - WATCHERS))
-        return BEAT_MS * turns
-
     @property
     def others(self) -> list[Daemon]:
         """All daemons but this one."""
@@ -217,6 +215,8 @@
         places = [(stable_hash(one.member_id), one) for one in others]
         places.sort(key=lambda place: (place[0] <= own, place[0]))
         self._ring = [one for _, one in places]
+        turns = math.ceil((len(self._ring) - WATCHERS) / (BEAT_FANOUT - WATCHERS))
+        self.round_ms = BEAT_MS * (turns if self._is_large else 1)
         last = self._ring[-WATCHERS:] if self._is_large else []
         self._watched = frozenset(one.member_id for one in last)
 
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -217,6 +217,7 @@
         if not link.send(write_relay(relay_id, call, decision, left_ms=left_ms)):
             del self._pending[relay_id]
             return not_run(NOT_OWNER)
+        link.waiting += 1
         try:
             async with asyncio.timeout((left_ms + OVERTIME_MS) / 1000):
                 return await pending.done
@@ -227,6 +228,7 @@
             link.send(RelayCancel(relay_id))
             raise
         finally:
+            link.waiting -= 1
             self._pending.pop(relay_id, None)
 
     def _take_answer(self, message: RelayHead | RelayPiece | RelayEnd | RelayRefused) -> None:
--- a/tests/core/world.py
+++ b/tests/core/world.py
@@ -18,6 +18,10 @@
 from quincespool.core import events as ev
 from quincespool.core import reducer
 from quincespool.settings import Settings
+from tests.core.exchange_events import COMPLETION_TOKENS
+from tests.core.exchange_events import PROMPT_TOKENS
+from tests.core.exchange_events import completion
+from tests.core.exchange_events import whole
 from tests.core.log_stand_in import LogService
 
 if TYPE_CHECKING:
@@ -27,8 +31,6 @@
     from quincespool.core.call import Call
 
 START_MS = 1_700_000_000_000
-PROMPT_TOKENS = 10
-COMPLETION_TOKENS = 40
 
 
 class Effect(NamedTuple):
@@ -382,39 +384,14 @@
             root_id = program_id.split("/")[0]
             served = self.served_tokens.get(root_id, 0)
             self.served_tokens[root_id] = served + PROMPT_TOKENS + COMPLETION_TOKENS
-            return _completion(number, program_id, headers, self.service_delay_ms)
+            return completion(number, program_id, headers, self.service_delay_ms)
         if effect.path == "/v1/cache":
             listed = {"programs": [{"program_id": p, "tokens": 1} for p in sorted(held)]}
-            return _whole(number, json.dumps(listed).encode(), 1)
+            return whole(number, json.dumps(listed).encode(), 1)
         if effect.path == "/v1/cache/release":
             held.discard(json.loads(effect.body)["program_id"])
-            return _whole(number, b'{"released_tokens": 1}', 1)
+            return whole(number, b'{"released_tokens": 1}', 1)
         call_number = int(headers["x-call-number"])
         self.effects.append(Effect(program_id, call_number, self.now_ms))
         body = {"program": program_id, "call": call_number}
-        return _whole(number, json.dumps(body).encode(), self.service_delay_ms)
-
-
-def _whole(number: int, body: bytes, delay_ms: int) -> list[tuple[ev.Event, int]]:
-    head = ev.ExchangeHead(number, 200, {"content-type": "application/json"})
-    return [
-        (head, delay_ms),
-        (ev.ExchangeData(number, body), delay_ms),
-        (ev.ExchangeEnd(number), delay_ms),
-    ]
-
-
-def _completion(
-    number: int, program_id: str, headers: dict[str, str], delay_ms: int
-) -> list[tuple[ev.Event, int]]:
-    words = [f"{program_id}", "#", headers["x-call-number"], " done"]
-    chunks: list[dict[str, Any]] = [
-        {"choices": [{"index": 0, "delta": {"content": word}}]} for word in words
-    ]
-    chunks.append({"choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}]})
-    usage = {"prompt_tokens": PROMPT_TOKENS, "completion_tokens": COMPLETION_TOKENS}
-    chunks.append({"choices": [], "usage": usage})
-    text = "".join(f"data: {json.dumps(chunk)}\n\n" for chunk in chunks) + "data: [DONE]\n\n"
-    replies = _whole(number, text.encode(), delay_ms)
-    head = ev.ExchangeHead(number, 200, {"content-type": "text/event-stream"})
-    return [(head, delay_ms), *replies[1:]]
+        return whole(number, json.dumps(body).encode(), self.service_delay_ms)
