--- a/tests/net/conftest.py
+++ b/tests/net/conftest.py
@@ -1,9 +1,8 @@
-"""A small reducer and other fixtures for the tests of the shell; runs async tests."""
+"""A small reducer and other fixtures for the tests of the shell."""
 
 from __future__ import annotations
 
 import asyncio
-import inspect
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -23,15 +22,6 @@
     from quincespool.core.events import Event
 
 
-def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
-    """Runs a test that is a coroutine function on a loop of its own."""
-    if not inspect.iscoroutinefunction(pyfuncitem.obj):
-        return None
-    arguments = {name: pyfuncitem.funcargs[name] for name in pyfuncitem._fixtureinfo.argnames}
-    asyncio.run(pyfuncitem.obj(**arguments))
-    return True
-
-
 class FakeMembers(dict[str, Any]):
     find = dict.get
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real daemons as processes, faults from outside, promises seen by callers."""
--- /dev/null
+++ b/tests/soak/deployment.py
@@ -0,0 +1,263 @@
+"""Gateway daemons as processes, before a store and backend servers that the soak can hurt."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Self
+
+import msgspec
+
+from tests.soak.proxy import Proxy
+from tests.support.client import ConnectionLostError
+from tests.support.client import fetch
+from tests.support.standins.platform_engine import make_platform_engine
+from tests.support.standins.platform_store import StoreState
+from tests.support.standins.platform_store import make_platform_store
+
+if TYPE_CHECKING:
+    from asyncio.subprocess import Process
+    from collections.abc import Iterable
+    from pathlib import Path
+
+    from tests.support.standins.platform_engine import PlatformEngine
+    from tests.support.standins.platform_store import PlatformStoreStandIn
+
+HOST_NAME = "callers.example"
+TOKENS_PER_EVENT = 10
+ROUTE_LIMIT_MS = 3_000
+START_LIMIT_S = 30.0
+STOP_LIMIT_S = 8.0
+# Entries of backend servers are written again this often, as their own heartbeats would.
+ANNOUNCE_S = 0.5
+
+
+class Ports(NamedTuple):
+    """Where one daemon listens."""
+
+    front: int
+    ready: int
+    directory: int
+    metrics: int
+    peer: int
+
+
+class SoakDaemon:
+    """One daemon, started again and again under the same name and addresses."""
+
+    def __init__(self, name: str, folder: Path, store: PlatformStoreStandIn, way: Proxy) -> None:
+        self.name = name
+        self.store = store
+        self.way_to_store = way
+        self.ports = Ports(*_free_ports(len(Ports._fields)))
+        self._folder = folder
+        self._process: Process | None = None
+        self._settings = folder / f"{name}.json"
+        self._settings.write_bytes(msgspec.json.encode(self._make_settings()))
+
+    @property
+    def address(self) -> str:
+        """Where callers connect."""
+        return f"127.0.0.1:{self.ports.front}"
+
+    async def start(self) -> None:
+        """Starts a process if there is none."""
+        if self._process is not None and self._process.returncode is None:
+            return
+        with (self._folder / f"{self.name}.log").open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "quincespool",
+                "gateway",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the process, if there is one."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def end(self, number: int) -> None:
+        """Ends the process by a signal and waits until it is gone."""
+        self.signal(number)
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(STOP_LIMIT_S):
+                await self._process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+
+    async def is_ready(self) -> bool:
+        """Whether the daemon says that it serves."""
+        try:
+            async with asyncio.timeout(1):
+                return (await fetch(f"127.0.0.1:{self.ports.ready}", "GET", "/ready")).status == 200
+        except (ConnectionLostError, TimeoutError):
+            return False
+
+    def _make_settings(self) -> dict[str, object]:
+        return {
+            "member_id": self.name,
+            "zone": f"z{ord(self.name[-1]) % 2}",
+            "host": "127.0.0.1",
+            "caller_address": self.address,
+            "ready_address": f"127.0.0.1:{self.ports.ready}",
+            "directory_address": f"127.0.0.1:{self.ports.directory}",
+            "metrics_port": self.ports.metrics,
+            "peer_port": self.ports.peer,
+            "store_address": self.way_to_store.address,
+            "store_partitions": 8,
+            "owner_topics": 1,
+            "owner_lease_ms": 1_000,
+            "backends_interval_ms": 100,
+            "stop_grace_ms": 4_000,
+            "addresses_valid_ms": 500,
+        }
+
+
+class SoakDeployment:
+    """Some daemons, three engines and two plain services."""
+
+    def __init__(self, folder: Path, daemon_count: int) -> None:
+        self.state = StoreState()
+        self.daemons: list[SoakDaemon] = []
+        self.engines: dict[str, PlatformEngine] = {}
+        self.ways: dict[str, Proxy] = {}
+        self._folder = folder
+        self._count = daemon_count
+        self._stack = contextlib.AsyncExitStack()
+        self._announcing: asyncio.Task[None] | None = None
+
+    async def __aenter__(self) -> Self:
+        for backend_id in ("model1", "model2", "model3", "plain1", "plain2"):
+            engine = make_platform_engine(backend_id, gap_ms=10)
+            self.engines[backend_id] = await self._stack.enter_async_context(engine)
+            way = Proxy(engine.address)
+            self.ways[backend_id] = await self._stack.enter_async_context(way)
+        self._configure()
+        self._announcing = asyncio.create_task(self._announce())
+        for number in range(self._count):
+            store = await self._stack.enter_async_context(make_platform_store(self.state))
+            way = await self._stack.enter_async_context(Proxy(store.address))
+            self.daemons.append(SoakDaemon(f"d{number}", self._folder, store, way))
+        await asyncio.gather(*[one.start() for one in self.daemons])
+        await self.until_ready(START_LIMIT_S)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for daemon in self.daemons:
+            daemon.signal(signal.SIGCONT)
+        await asyncio.gather(*[one.end(signal.SIGKILL) for one in self.daemons])
+        if self._announcing is not None:
+            self._announcing.cancel()
+        await self._stack.aclose()
+
+    async def heal(self) -> None:
+        """Ends all faults and has all daemons run."""
+        for engine in self.engines.values():
+            engine.knobs.full, engine.knobs.cut_after, engine.knobs.gap_ms = False, -1, 10
+        for way in [*self.ways.values(), *(one.way_to_store for one in self.daemons)]:
+            way.heal()
+        for daemon in self.daemons:
+            knobs = daemon.store.knobs
+            knobs.down, knobs.silent, knobs.lose_writes, knobs.delay_ms = False, False, 0, 0
+            daemon.signal(signal.SIGCONT)
+            await daemon.start()
+
+    async def until_ready(self, limit_s: float) -> None:
+        """Waits until all daemons serve.
+
+        Raises:
+          TimeoutError: if they do not.
+        """
+        async with asyncio.timeout(limit_s):
+            for daemon in self.daemons:
+                while not await daemon.is_ready():
+                    await asyncio.sleep(0.05)
+
+    def runs(self) -> Iterable[tuple[str, bytes]]:
+        """Yields the id and the body of each call that a backend server ran."""
+        for engine in self.engines.values():
+            for run in engine.runs:
+                yield run.call_id, run.body
+
+    async def _announce(self) -> None:
+        while True:
+            for backend_id, way in self.ways.items():
+                entry = {
+                    "service": backend_id[:5],
+                    "address": way.address,
+                    "zone": f"z{ord(backend_id[-1]) % 2}",
+                    "slots": 8,
+                    "state": "ready",
+                }
+                self.state.put("keyed.servers", backend_id, msgspec.json.encode(entry))
+            await asyncio.sleep(ANNOUNCE_S)
+
+    def _configure(self) -> None:
+        stream = {
+            "name": "stream",
+            "hostname": HOST_NAME,
+            "path_prefix": "/stream/",
+            "kind": "streaming",
+            "timeout_ms": ROUTE_LIMIT_MS,
+            "service": "model",
+            "max_attempts": 2,
+            "retain_context": True,
+            "retention_s": 60.0,
+        }
+        plain = [
+            {
+                "name": kind,
+                "hostname": HOST_NAME,
+                "path_prefix": f"/{kind}/",
+                "kind": kind,
+                "timeout_ms": ROUTE_LIMIT_MS,
+                "service": "plain",
+                "max_attempts": 2,
+            }
+            for kind in ("idempotent", "non_idempotent")
+        ]
+        engine = {"stream_stride": TOKENS_PER_EVENT}
+        services = [{"name": "model", "engine": engine}, {"name": "plain"}]
+        body = {"version": 1, "routes": [stream, *plain], "services": services}
+        self.state.put("keyed.op", "config", msgspec.json.encode(body))
+
+
+def _free_ports(count: int) -> list[int]:
+    # Below the range from which the kernel takes ports for outgoing connections, apart for each
+    # process that runs a soak, so that a daemon finds its ports free when it starts again.
+    base = 10_000 + (os.getpid() % 200) * 100
+    ports: list[int] = []
+    for port in range(base, base + 20_000):
+        if len(ports) == count:
+            break
+        if port in _taken or not _is_free(port):
+            continue
+        _taken.add(port)
+        ports.append(port)
+    return ports
+
+
+_taken: set[int] = set()
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,130 @@
+"""The faults of a soak: a plan drawn from a seed, in series and overlapping."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+if TYPE_CHECKING:
+    import random
+
+    from tests.soak.deployment import SoakDeployment
+
+KINDS = (
+    "kill",
+    "kill_all",
+    "stop",
+    "pause",
+    "reload",
+    "store_down",
+    "store_refuses_one",
+    "store_silent",
+    "store_slow",
+    "store_loses_answers",
+    "store_way_reset",
+    "store_way_one_way",
+    "backend_reset",
+    "backend_silent",
+    "backend_slow",
+    "backend_full",
+    "backend_cuts",
+)
+# Nothing lasts longer: callers would only see more of the same.
+LONGEST_S = 3.0
+
+
+class Fault(NamedTuple):
+    """One fault; `daemon` and `backend` are numbers of which it takes one."""
+
+    kind: str
+    at_s: float
+    for_s: float
+    daemon: int
+    backend: int
+
+
+def draw_plan(chance: random.Random, *, for_s: float, count: int) -> list[Fault]:
+    """Returns faults within a time, the earliest first."""
+    faults = [
+        Fault(
+            kind=chance.choice(KINDS),
+            at_s=chance.uniform(0, for_s),
+            for_s=chance.uniform(0.2, LONGEST_S),
+            daemon=chance.randrange(1_000),
+            backend=chance.randrange(1_000),
+        )
+        for _ in range(count)
+    ]
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+async def carry_out(plan: list[Fault], deployment: SoakDeployment) -> None:
+    """Carries a plan out; everything is healed at its end."""
+    await asyncio.gather(*[_carry_out_one(fault, deployment) for fault in plan])
+    await deployment.heal()
+
+
+async def _carry_out_one(fault: Fault, deployment: SoakDeployment) -> None:
+    await asyncio.sleep(fault.at_s)
+    if fault.kind in ("kill", "kill_all", "stop", "pause", "reload"):
+        await _hurt_process(fault, deployment)
+    elif fault.kind.startswith("store"):
+        await _hurt_store(fault, deployment)
+    else:
+        await _hurt_backend(fault, deployment)
+
+
+async def _hurt_process(fault: Fault, deployment: SoakDeployment) -> None:
+    daemon = deployment.daemons[fault.daemon % len(deployment.daemons)]
+    if fault.kind == "reload":
+        daemon.signal(signal.SIGHUP)
+    elif fault.kind == "pause":
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.for_s)
+        daemon.signal(signal.SIGCONT)
+    else:
+        number = signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL
+        ended = deployment.daemons if fault.kind == "kill_all" else [daemon]
+        await asyncio.gather(*[one.end(number) for one in ended])
+        await asyncio.sleep(fault.for_s / 3)
+        await asyncio.gather(*[one.start() for one in ended])
+
+
+async def _hurt_store(fault: Fault, deployment: SoakDeployment) -> None:
+    daemon = deployment.daemons[fault.daemon % len(deployment.daemons)]
+    hurt = deployment.daemons if fault.kind == "store_down" else [daemon]
+    if fault.kind == "store_way_reset":
+        daemon.way_to_store.reset()
+        return
+    if fault.kind == "store_loses_answers":
+        daemon.store.knobs.lose_writes = 3
+        return
+    for one in hurt:
+        knobs = one.store.knobs
+        knobs.down = knobs.down or fault.kind in ("store_down", "store_refuses_one")
+        knobs.silent = knobs.silent or fault.kind == "store_silent"
+        knobs.delay_ms = 150 if fault.kind == "store_slow" else knobs.delay_ms
+        one.way_to_store.cut_back |= fault.kind == "store_way_one_way"
+    await asyncio.sleep(fault.for_s)
+    for one in hurt:
+        knobs = one.store.knobs
+        knobs.down, knobs.silent, knobs.delay_ms = False, False, 0
+        one.way_to_store.heal()
+
+
+async def _hurt_backend(fault: Fault, deployment: SoakDeployment) -> None:
+    names = sorted(deployment.engines)
+    name = names[fault.backend % len(names)]
+    engine, way = deployment.engines[name], deployment.ways[name]
+    if fault.kind == "backend_reset":
+        way.reset()
+        return
+    engine.knobs.full = fault.kind == "backend_full"
+    engine.knobs.cut_after = 1 if fault.kind == "backend_cuts" else -1
+    engine.knobs.gap_ms = 200 if fault.kind == "backend_slow" else 10
+    way.cut_back |= fault.kind == "backend_silent"
+    await asyncio.sleep(fault.for_s)
+    engine.knobs.full, engine.knobs.cut_after, engine.knobs.gap_ms = False, -1, 10
+    way.heal()
--- a/tests/support/standins/http.py
+++ b/tests/support/standins/http.py
@@ -268,7 +268,7 @@
     async def watch(self, task: asyncio.Task[None]) -> bool:
         """Waits for the end of a handler; returns False as soon as the caller has closed."""
         while not task.done():
-            reading = self._reading = self._reading or asyncio.create_task(self._read_some())
+            reading = self._reading = self._reading or self._start_reading()
             await asyncio.wait({task, reading}, return_when=asyncio.FIRST_COMPLETED)
             if reading.done() and not task.done():
                 data = await self._read()
@@ -283,6 +283,13 @@
             return await reading
         return await self._read_some()
 
+    def _start_reading(self) -> asyncio.Task[bytes]:
+        reading = asyncio.create_task(self._read_some())
+        # A connection that is reset while its request is answered is read no more; nobody may ask
+        # how the read ended.
+        reading.add_done_callback(lambda done: done.cancelled() or done.exception())
+        return reading
+
     async def _read_some(self) -> bytes:
         return await self._reader.read(_READ_BYTES)
 
