--- a/src/quincespool/cli/gateway.py
+++ b/src/quincespool/cli/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import os
 from pathlib import Path
 
@@ -29,12 +30,13 @@
     path = settings or os.environ.get(SETTINGS_VARIABLE, "")
     if not path:
         raise usage_error(f"no settings: name a file or set {SETTINGS_VARIABLE}")
+    load = functools.partial(load_gateway_settings, Path(path))
     try:
-        loaded = load_gateway_settings(Path(path))
+        loaded = load()
     except SettingsError as error:
         raise usage_error(str(error)) from error
     # Imported here, so that the commands that only ask a daemon don't load the whole of it.
     from quincespool.platform.serve import serve  # noqa: PLC0415
 
-    asyncio.run(serve(loaded))
+    asyncio.run(serve(loaded, load_settings=load))
     return 0
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -94,7 +94,7 @@
         members: Members,
         log: DecisionLog,
         now_ms: Callable[[], int],
-        backends_interval_ms: int,
+        backends_interval_ms: Callable[[], int],
         on_new_daemon: Callable[[Daemon], None],
     ) -> None:
         self._member_id = member_id
@@ -122,7 +122,7 @@
             on_listing=self._list_backends,
             wait_ms=0,
             pause_ms=lambda: max(
-                backends_interval_ms, BACKENDS_MS_PER_DAEMON * len(members.entries)
+                backends_interval_ms(), BACKENDS_MS_PER_DAEMON * len(members.entries)
             ),
         )
         self.daemon_entries = Follower(
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -20,6 +20,7 @@
 from quincespool.gateway.front import Front
 from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.links import Links
+from quincespool.gateway.live_settings import LiveSettings
 from quincespool.gateway.members import BEAT_MS
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import FindTurn
@@ -79,11 +80,13 @@
         self,
         settings: GatewaySettings,
         *,
+        load_settings: Callable[[], GatewaySettings],
         make_store: Callable[[Callable[[str, str], None]], Store],
         wire: Wire,
         log: DecisionLog,
     ) -> None:
         self._settings = settings
+        self._live = LiveSettings(settings, load=load_settings, log=log)
         self._wire = wire
         self._log = log
         self._incarnation = time.time_ns() // 1_000
@@ -107,7 +110,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.begin_stop)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._live.reload)
         await self.start()
         await self.stopped.wait()
         await self.close()
@@ -141,7 +144,7 @@
             members=self._members,
             log=self._log,
             now_ms=now_ms,
-            backends_interval_ms=settings.backends_interval_ms,
+            backends_interval_ms=lambda: self._live.current.backends_interval_ms,
             on_new_daemon=self._greet,
         )
 
@@ -245,7 +248,7 @@
             metrics=self._metrics,
             is_ready=self._is_ready,
             addresses=self._caller_addresses,
-            addresses_valid_ms=self._settings.addresses_valid_ms,
+            addresses_valid_ms=lambda: self._live.current.addresses_valid_ms,
             dump=self._dump,
         )
         self._side_ports = [
@@ -307,8 +310,8 @@
         began_ms = now_ms()
         await self._ownership.leave()
         self._presence.announce()
-        kept_ms = ADDRESS_KEPT_FACTOR * self._settings.addresses_valid_ms
-        last_ms = began_ms + self._settings.stop_grace_ms - STOP_MARGIN_MS
+        kept_ms = ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
+        last_ms = began_ms + self._live.current.stop_grace_ms - STOP_MARGIN_MS
         while now_ms() < last_ms:
             if now_ms() - began_ms > kept_ms and not self._under_way():
                 break
@@ -384,10 +387,6 @@
     def _note_assignment(self, generation: int, count: int) -> None:
         self._log.write("partitions assigned", generation=generation, partitions=count)
 
-    def _note_reload(self) -> None:
-        # Settings hold addresses only, which a running daemon cannot change.
-        self._log.write_always("reload asked for; settings are read at start only")
-
     def _dump(self) -> dict[str, object]:
         return {
             "member_id": self._settings.member_id,
--- a/src/quincespool/gateway/side_ports.py
+++ b/src/quincespool/gateway/side_ports.py
@@ -30,7 +30,7 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
         addresses: Callable[[], list[str]],
-        addresses_valid_ms: int,
+        addresses_valid_ms: Callable[[], int],
         dump: Callable[[], dict[str, object]],
     ) -> None:
         self._wire = wire
@@ -56,7 +56,7 @@
             addresses = self._addresses()
             if not addresses:
                 return HttpResponse(503, [], b"")
-            body = self._wire.write_addresses(addresses, self._addresses_valid_ms)
+            body = self._wire.write_addresses(addresses, self._addresses_valid_ms())
             return HttpResponse(200, _JSON, body)
         path = request.target.partition("?")[0]
         if path == "/metrics":
--- a/src/quincespool/platform/serve.py
+++ b/src/quincespool/platform/serve.py
@@ -17,8 +17,8 @@
     from quincespool.gateway.settings import GatewaySettings
 
 
-async def serve(settings: GatewaySettings) -> None:
-    """Serves until the planned stop is complete."""
+async def serve(settings: GatewaySettings, *, load_settings: Callable[[], GatewaySettings]) -> None:
+    """Serves until the planned stop is complete; `load_settings` reads them again."""
     configure_decision_log(settings.log_level, settings.member_id, settings.zone)
 
     def make_store(on_call: Callable[[str, str], None]) -> PlatformStore:
@@ -31,5 +31,7 @@
         )
 
     log = DecisionLog(asyncio.get_running_loop().time)
-    daemon = GatewayDaemon(settings, make_store=make_store, wire=wire, log=log)
+    daemon = GatewayDaemon(
+        settings, load_settings=load_settings, make_store=make_store, wire=wire, log=log
+    )
     await daemon.run()
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -49,6 +49,7 @@
         self.store = store
         self.daemon = GatewayDaemon(
             settings,
+            load_settings=lambda: settings,
             make_store=self._make_store,
             wire=wire,
             log=DecisionLog(asyncio.get_running_loop().time),
