--- a/src/quincespool/gateway/http_port.py
+++ b/src/quincespool/gateway/http_port.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from quincespool.net.body_memory import BodyMemory
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_connection import ConnectionLimits
 from quincespool.net.http_connection import HttpResponse
@@ -19,6 +20,7 @@
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
+# A quarter of the memory of a small host.
 MAX_BODIES_BYTES = 32_000_000
 # Descriptors kept free for backend servers, other daemons and the store.
 MAX_CONNECTIONS = 6_000
@@ -41,6 +43,7 @@
     Attributes:
       max_body_bytes: Largest request body.
       draining: Whether answers ask callers to close their connections.
+      bodies: Memory of request bodies.
     """
 
     def __init__(
@@ -55,7 +58,7 @@
         self.draining = False
         self._handler = handler
         self._metrics = metrics
-        self._bodies_bytes = 0
+        self.bodies = BodyMemory(MAX_BODIES_BYTES)
         self._connections: set[Connection] = set()
         self._tasks: dict[Connection, asyncio.Task[None]] = {}
         self._listener = Listener(lambda: Connection(self, limits()))
@@ -107,17 +110,6 @@
         """See `ConnectionOwner.dropped`."""
         self._metrics.count("http_dropped_connections_total")
 
-    def reserve(self, size_bytes: int) -> bool:
-        """See `ConnectionOwner.reserve`."""
-        if self._bodies_bytes + size_bytes > MAX_BODIES_BYTES:
-            return False
-        self._bodies_bytes += size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """See `ConnectionOwner.release`."""
-        self._bodies_bytes -= size_bytes
-
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """See `ConnectionOwner.handle`."""
         work = self._handler.handle(connection, request)
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -9,6 +9,7 @@
 from quincespool.settings import LOG_LEVELS
 from quincespool.settings import SettingsError
 from quincespool.settings import address_fault
+from quincespool.settings import read_settings_file
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -72,10 +73,9 @@
     Raises:
       SettingsError: with one line that names the key at fault.
     """
+    data = read_settings_file(path)
     try:
-        settings = msgspec.json.decode(path.read_bytes(), type=GatewaySettings)
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+        settings = msgspec.json.decode(data, type=GatewaySettings)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
     fault = find_fault(settings)
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -21,6 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from quincespool.net.body_memory import BodyMemory
+
 MAX_HEAD_BYTES = 65_536
 MAX_UNREAD_BYTES = 65_536
 MAX_UNSENT_BYTES = 1_048_576
@@ -69,6 +71,7 @@
 
     max_body_bytes: int
     draining: bool
+    bodies: BodyMemory
 
     def opened(self, connection: Connection) -> bool:
         """Takes note of a connection; false if there are too many."""
@@ -79,12 +82,6 @@
     def dropped(self) -> None:
         """Counts a caller that reads too slowly."""
 
-    def reserve(self, size_bytes: int) -> bool:
-        """Takes memory for a part of a request body; false if there is none left."""
-
-    def release(self, size_bytes: int) -> None:
-        """Gives memory of a request body back."""
-
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """Answers a request, now or later, by `respond` or `start_stream`."""
 
@@ -284,7 +281,7 @@
         if self._body_bytes + len(data) > self._owner.max_body_bytes:
             self._refuse_size()
             return
-        if not self._owner.reserve(len(data)):
+        if not self._owner.bodies.reserve(len(data)):
             self._owner.overloaded(self)
             return
         self._body.append(data)
@@ -357,7 +354,7 @@
         self._owner.refuse(self, RequestError(status=413, message=message))
 
     def _drop_body(self) -> None:
-        self._owner.release(self._body_bytes)
+        self._owner.bodies.release(self._body_bytes)
         self._body.clear()
         self._body_bytes = 0
 
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -19,6 +19,7 @@
 from quincespool.core.events import EndReceived
 from quincespool.core.events import WhereReceived
 from quincespool.core.reasons import Reason
+from quincespool.net.body_memory import BodyMemory
 from quincespool.net.error_bodies import answer_headers
 from quincespool.net.error_bodies import error_body
 from quincespool.net.error_bodies import refusal
@@ -66,6 +67,7 @@
     Attributes:
       max_body_bytes: Largest request body.
       draining: Whether responses ask callers to close their connections.
+      bodies: Memory of request bodies.
     """
 
     def __init__(
@@ -85,7 +87,7 @@
         self._dump = dump
         self._is_ready = is_ready
         self._stopping = False
-        self._bodies_bytes = 0
+        self.bodies = BodyMemory(MAX_BODIES_BYTES)
         self._request_ids = itertools.count(1)
         self._connections: set[Connection] = set()
         self._pending: dict[int, _Pending] = {}
@@ -171,17 +173,6 @@
         """Counts a caller that reads too slowly."""
         self._metrics.count("http_dropped_connections_total")
 
-    def reserve(self, size_bytes: int) -> bool:
-        """Takes memory for a part of a request body; false if there is none left."""
-        if self._bodies_bytes + size_bytes > MAX_BODIES_BYTES:
-            return False
-        self._bodies_bytes += size_bytes
-        return True
-
-    def release(self, size_bytes: int) -> None:
-        """Gives memory of a request body back."""
-        self._bodies_bytes -= size_bytes
-
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """Turns a request into an event, or answers it at once."""
         result = read_request(request, fresh_id=lambda: uuid.uuid4().hex)
--- a/src/quincespool/settings.py
+++ b/src/quincespool/settings.py
@@ -69,10 +69,9 @@
     Raises:
       SettingsError: with one line that names the key at fault.
     """
+    data = read_settings_file(path)
     try:
-        values = msgspec.json.decode(path.read_bytes())
-    except OSError as error:
-        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+        values = msgspec.json.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise SettingsError(f"{path}: is not JSON: {error}") from error
     fault = find_fault(values)
@@ -81,6 +80,18 @@
     return msgspec.convert(values, type=Settings)
 
 
+def read_settings_file(path: Path) -> bytes:
+    """Returns what is in a settings file.
+
+    Raises:
+      SettingsError: if it cannot be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+
+
 def find_fault(values: object) -> str | None:
     """Returns one line on the first thing that is wrong with decoded settings, None if all is well.
 
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -17,6 +17,7 @@
 from quincespool.net import error_bodies
 from quincespool.net import http_connection
 from quincespool.net import http_server
+from quincespool.net.body_memory import BodyMemory
 from quincespool.verdict import Verdict
 from tests.net.conftest import ask
 from tests.net.conftest import typed
@@ -261,7 +262,7 @@
     # It may be the repeat of a call that has run elsewhere.
     turned_away = ("overload", "may_have_run", "@-1~overload~0~-")
     async with server.running():
-        monkeypatch.setattr(http_server, "MAX_BODIES_BYTES", 10)
+        monkeypatch.setattr(server.http, "bodies", BodyMemory(10))
         assert error_of(await server.ask(CALL)) == turned_away
         monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 0)
         assert error_of(await server.ask(b"")) == turned_away
