A stop is announced also right after another announcement; callers get addresses of their zone

Cause of the first, from reading: announcements are gathered for 20 ms and repeated only if partitions had changed; a stop in that time was told by the next heartbeat, 2.2 s later at most with 78 daemons. Test first: failed, then passed. Second: with 63 to 78 hosts the directory named all of them, of which callers take 64; now those of the caller's zone if there are eight or more, else up to 64 of all.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -355,8 +355,9 @@
     def _is_ready(self) -> bool:
         return self._beliefs.complete and not self._presence.draining
 
-    def _caller_addresses(self) -> list[str]:
-        return self._members.caller_addresses(now_ms(), own_serves=self._is_ready())
+    def _caller_addresses(self, zone: str) -> list[str]:
+        own_serves = self._is_ready()
+        return self._members.caller_addresses(now_ms(), own_serves=own_serves, zone=zone)
 
     def _caller_limits(self) -> ConnectionLimits:
         configuration = self._routes.configuration
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -30,6 +30,11 @@
 MISSED_ROUNDS = 3
 # A daemon whose entry is fresh counts as alive until its first heartbeats should have come.
 ARRIVAL_GRACE_MS = 3_000
+# Callers take no more addresses of one answer.
+MAX_ADDRESSES = 64
+# With so many daemons in a caller's zone, only these are named: traffic between zones is paid for.
+# With fewer, those of all zones are, so that a kill of some costs few callers their next address.
+MIN_NEAR_ADDRESSES = 8
 # A process needs longer than this to end and start again.
 RESTART_MS = 500
 # Longer than any time for which a silent daemon counts as alive.
@@ -187,19 +192,23 @@
                     best = (daemon, claim.epoch)
         return best
 
-    def caller_addresses(self, now_ms: int, *, own_serves: bool) -> list[str]:
-        """Returns the addresses that callers should use."""
+    def caller_addresses(self, now_ms: int, *, own_serves: bool, zone: str = "") -> list[str]:
+        """Returns the addresses that callers of a zone should use."""
+        serving = self._serving(now_ms, own_serves=own_serves)
+        near = [daemon for daemon in serving if daemon.zone == zone]
+        chosen = near if len(near) >= MIN_NEAR_ADDRESSES else serving
+        return [daemon.caller_address for daemon in chosen[:MAX_ADDRESSES]]
+
+    def _serving(self, now_ms: int, *, own_serves: bool) -> list[Daemon]:
+        """Returns the daemons that take callers, in an order that differs from daemon to daemon."""
         isolated = self.is_isolated(now_ms)
-        addresses = []
-        for daemon in self.entries.values():
-            if daemon.member_id == self._member_id:
-                serves = own_serves and not isolated
-            else:
-                alive = isolated or self.is_alive(daemon.member_id, now_ms)
-                serves = alive and not self.is_draining(daemon.member_id)
-            if serves:
-                addresses.append(daemon.caller_address)
-        return addresses
+        own = self.entries.get(self._member_id)
+        serving = [own] if own is not None and own_serves and not isolated else []
+        for daemon in self._ring:
+            alive = isolated or self.is_alive(daemon.member_id, now_ms)
+            if alive and not self.is_draining(daemon.member_id):
+                serving.append(daemon)
+        return serving
 
     @property
     def _is_large(self) -> bool:
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -107,7 +107,7 @@
             return
         self._send_beat(self._members.others)
         loop = asyncio.get_running_loop()
-        self._announcing = loop.call_later(ANNOUNCE_S, self._announce_rest, self._claims())
+        self._announcing = loop.call_later(ANNOUNCE_S, self._announce_rest, self._news())
 
     def greet(self, daemon: Daemon) -> None:
         """Sends a heartbeat to a daemon that is new, which otherwise waits for its turn.
@@ -123,11 +123,15 @@
             self._log.write("daemon silent", peer_id=member_id, incarnation=incarnation)
             self._heartbeats.send(self._members.others, SilenceNotice(member_id, incarnation))
 
-    def _announce_rest(self, told: tuple[PartitionClaim, ...]) -> None:
+    def _announce_rest(self, told: tuple[object, ...]) -> None:
         self._announcing = None
-        if self._claims() != told:
+        if self._news() != told:
             self.announce()
 
+    def _news(self) -> tuple[object, ...]:
+        """Returns what the others must not hear late."""
+        return self.draining, self._claims()
+
     def _claims(self) -> tuple[PartitionClaim, ...]:
         return tuple(
             PartitionClaim(one.partition.topic, one.partition.number, one.epoch)
--- a/src/quincespool/gateway/side_ports.py
+++ b/src/quincespool/gateway/side_ports.py
@@ -29,7 +29,7 @@
         wire: Wire,
         metrics: Metrics,
         is_ready: Callable[[], bool],
-        addresses: Callable[[], list[str]],
+        addresses: Callable[[str], list[str]],
         addresses_valid_ms: Callable[[], int],
         dump: Callable[[], dict[str, object]],
     ) -> None:
@@ -52,8 +52,9 @@
     def _answer(self, request: HttpRequest) -> HttpResponse:
         if self._wire.is_readiness_question(request):
             return HttpResponse(200 if self._is_ready() else 503, [], b"")
-        if self._wire.read_address_question(request) is not None:
-            addresses = self._addresses()
+        question = self._wire.read_address_question(request)
+        if question is not None:
+            addresses = self._addresses(question.zone)
             if not addresses:
                 return HttpResponse(503, [], b"")
             body = self._wire.write_addresses(addresses, self._addresses_valid_ms())
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -5,6 +5,8 @@
 from quincespool.gateway.members import ARRIVAL_GRACE_MS
 from quincespool.gateway.members import BEAT_FANOUT
 from quincespool.gateway.members import BEAT_MS
+from quincespool.gateway.members import MAX_ADDRESSES
+from quincespool.gateway.members import MIN_NEAR_ADDRESSES
 from quincespool.gateway.members import SILENCE_MS
 from quincespool.gateway.members import WATCHERS
 from quincespool.gateway.members import Members
@@ -85,6 +87,19 @@
     assert members.caller_addresses(10_000, own_serves=False) == ["a:1"]
 
 
+def test_callers_are_sent_to_their_own_zone_if_it_has_enough_daemons() -> None:
+    members = Members("me")
+    for number in range(200):
+        zone = "near" if number < MIN_NEAR_ADDRESSES else "far"
+        members.put(Daemon(f"d{number}", 1, zone, f"d{number}:1", ""), 0)
+    addresses = members.caller_addresses(1, own_serves=True, zone="near")
+    assert sorted(addresses) == sorted(f"d{number}:1" for number in range(MIN_NEAR_ADDRESSES))
+    assert len(members.caller_addresses(1, own_serves=True, zone="none")) == MAX_ADDRESSES
+
+    members.remove("d0")
+    assert len(members.caller_addresses(1, own_serves=True, zone="near")) == MAX_ADDRESSES
+
+
 def test_an_isolated_daemon_sends_callers_to_the_others() -> None:
     members = _members("a")
     members.hear("a", _beat(), 0)
--- /dev/null
+++ b/tests/gateway/test_presence.py
@@ -0,0 +1,26 @@
+"""What a daemon tells the others, and when."""
+
+from __future__ import annotations
+
+import asyncio
+
+from quincespool.gateway.presence import ANNOUNCE_S
+from tests.gateway.gateway_cluster import GatewayCluster
+
+
+async def test_a_stop_that_follows_another_announcement_is_told_at_once() -> None:
+    """Symptom: callers are sent to a daemon that is stopping, until its next heartbeat comes round.
+
+    Events: it takes a partition over and tells so; within some milliseconds it is asked to stop.
+    Cause: announcements are gathered for a moment, and what came in it was told only if partitions
+    had changed.
+    """
+    async with GatewayCluster(2) as cluster:
+        presence = cluster.nodes["a"].daemon._presence
+        cluster.nodes["a"].daemon._ticker.stop()
+        presence.announce()
+        presence.draining = True
+        presence.announce()
+        await asyncio.sleep(3 * ANNOUNCE_S)
+
+        assert cluster.nodes["b"].daemon._members.is_draining("a")
