--- a/tests/gateway/test_bad_input.py
+++ b/tests/gateway/test_bad_input.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tests.gateway.gateway_cluster import HOST_NAME
 from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.platform_entries import HOST_NAME
 
 LIMITS = {
     "max_header_bytes": 4_096,
--- a/tests/gateway/test_programs.py
+++ b/tests/gateway/test_programs.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.gateway.gateway_cluster import TOKENS_PER_EVENT
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
+from tests.support.platform_entries import TOKENS_PER_EVENT
 
 
 async def test_a_turn_is_continued_at_another_daemon() -> None:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -10,11 +10,11 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from tests.soak.deployment import HOST_NAME
 from tests.soak.deployment import ROUTE_LIMIT_MS
-from tests.soak.deployment import TOKENS_PER_EVENT
 from tests.support.client import ConnectionLostError
 from tests.support.client import fetch
+from tests.support.platform_entries import HOST_NAME
+from tests.support.platform_entries import TOKENS_PER_EVENT
 
 if TYPE_CHECKING:
     import random
--- /dev/null
+++ b/tests/support/platform_entries.py
@@ -0,0 +1,65 @@
+"""What operators and backend servers write into the platform's store, as the gateway reads it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+HOST_NAME = "callers.example"
+TOKENS_PER_EVENT = 10
+
+
+def make_configuration(
+    version: int,
+    *,
+    plain_limit_ms: int = 1_000,
+    limits: Mapping[str, object] | None = None,
+    stream_changes: Mapping[str, object] | None = None,
+) -> bytes:
+    """Returns a configuration with a streaming route and a plain one of each kind."""
+    stream = {
+        "name": "stream",
+        "hostname": HOST_NAME,
+        "path_prefix": "/stream/",
+        "kind": "streaming",
+        "timeout_ms": 3_000,
+        "priority": 1,
+        "service": "model",
+        "max_attempts": 2,
+        "retain_context": True,
+        "retention_s": 60.0,
+        **(stream_changes or {}),
+    }
+    plain = [
+        {
+            "name": kind,
+            "hostname": HOST_NAME,
+            "path_prefix": f"/{kind}/",
+            "kind": kind,
+            "timeout_ms": plain_limit_ms,
+            "service": "plain",
+            "max_attempts": 2,
+        }
+        for kind in ("idempotent", "non_idempotent")
+    ]
+    services = [
+        {"name": "model", "engine": {"stream_stride": TOKENS_PER_EVENT}},
+        {"name": "plain"},
+    ]
+    body = {
+        "version": version,
+        "routes": [stream, *plain],
+        "services": services,
+        "limits": limits or {},
+    }
+    return msgspec.json.encode(body)
+
+
+def make_backend_entry(service: str, address: str, *, zone: str, state: str = "ready") -> bytes:
+    """Returns the entry of a backend server."""
+    entry = {"service": service, "address": address, "zone": zone, "slots": 8, "state": state}
+    return msgspec.json.encode(entry)
