While the store is away, a turn of a caller that has waited runs on, and ends if the store is back in time

Callers outlast 4.4 s of refusals; their turns were refused although only the end of a turn needs its record.

Change: a caller with over 0.8 of the route's time is sent away for 1.3 s as before; one that has waited has its turn run. Its events flow, its end waits up to 1.8 s for the records. What a program is handed of which nothing lasts is bounded by the most of one turn (UncertainTokens), so that a budget is exceeded by one turn at most if the owner dies or is superseded meanwhile.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -157,6 +157,7 @@
             topics=topics,
             lease_ms=settings.owner_lease_ms,
             store=self._store,
+            store_reachable=lambda: self._store_health.reachable,
             on_change=self._note_partition,
             on_assignment=self._note_assignment,
         )
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -57,6 +57,7 @@
         topics: list[str],
         lease_ms: int,
         store: Store,
+        store_reachable: Callable[[], bool],
         on_change: Callable[[OwnedPartition, str], None],
         on_assignment: Callable[[int, int], None],
     ) -> None:
@@ -68,6 +69,7 @@
         self._lease_ms = lease_ms
         self._renewal_s = lease_ms / 1000 / RENEWALS_PER_LEASE
         self._store = store
+        self._store_reachable = store_reachable
         self._on_change = on_change
         self._on_assignment = on_assignment
         self._poke = asyncio.Event()
@@ -83,12 +85,13 @@
     def serving(self, partition: Partition) -> OwnedPartition | None:
         """Returns a partition that this daemon may serve now.
 
-        A daemon that the store turns away keeps its partitions in memory while others own and
-        change them; its callers would hear that a turn does not exist which another daemon has
-        just answered.
+        Without a lease it goes on while the store is away and no other daemon is known to own the
+        partition: its turns end only if their records are kept after all, by whoever owns it then.
         """
         owned = self.owned.get(partition)
-        return owned if owned is not None and owned.ready and self.is_confirmed else None
+        if owned is None or not owned.ready:
+            return None
+        return owned if self.is_confirmed or not self._store_reachable() else None
 
     def yield_to(self, partition: Partition, epoch: int) -> None:
         """Gives a partition up that another daemon has taken over under a higher epoch."""
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -18,6 +18,7 @@
 from quincespool.gateway.store import FencedError
 from quincespool.gateway.store import SequenceError
 from quincespool.gateway.store import StoreError
+from quincespool.gateway.uncertain import UncertainTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -63,6 +64,7 @@
       ready: Whether it has read all records and may serve.
       lost: Whether another daemon has taken over.
       stalled: Whether the last append was not acknowledged.
+      uncertain: What was handed out meanwhile.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         self.lost = False
         self.stalled = False
         self.ready_event = asyncio.Event()
+        self.uncertain = UncertainTokens()
         self._store = store
         self._on_change = on_change
         self._sequence = 0
@@ -245,6 +248,8 @@
             size_bytes += len(item[0])
         await self._append([data for data, _ in batch])
         del self._waiting[: len(batch)]
+        if not self._waiting:
+            self.uncertain.clear()
         for _, future in batch:
             if not future.done():
                 future.set_result(None)
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from quincespool.gateway.attempt import Services
     from quincespool.gateway.ledger import Record
@@ -46,13 +47,20 @@
 NO_BACKEND_RETRY_MS = 400
 # Handed on with the deadline: the way back of the answer.
 WAY_MS = 15
-# A record is waited for at most this long, before the first token and at the end: callers leave
-# after two seconds without an event.
-RECORD_LIMIT_MS = 1_500
+# The start of a turn is durable within some tens of milliseconds, before the engine's first token;
+# after this long the store is taken to be away, and the first token goes out before it.
+START_LIMIT_MS = 250
+# The end of a turn waits at most this long for its records: callers leave after two seconds without
+# an event.
+RECORD_LIMIT_MS = 1_800
 # Ranks that engines know; the least urgent one.
 LOWEST_RANK = 9
 
 
+# The loop keeps only weak references to tasks.
+_settling: set[asyncio.Task[None]] = set()
+
+
 class BrokenTurnError(Exception):
     """Ends a turn with the gateway's own final answer."""
 
@@ -92,9 +100,11 @@
         until_ms: int,
         engine: str,
         settle_elsewhere: SettleElsewhere,
+        store_reachable: Callable[[], bool],
     ) -> None:
         self.engine = engine
         self._settle_elsewhere = settle_elsewhere
+        self._store_reachable = store_reachable
         self._services = services
         self._call = call
         self._turn = turn
@@ -112,7 +122,7 @@
         self._handed_out = 0
         self._may_have_run = False
         self._settled = False
-        self._started = False
+        self._start_kept: asyncio.Future[None] | None = None
         self._began_ms = now_ms()
 
     async def answer(self) -> None:
@@ -121,8 +131,7 @@
         sent = 0
         refusals = 0
         reason = "no_backend"
-        self._started = True
-        start = self._owned.submit(self._start)
+        self._start_kept = self._submit_start()
         while sent < self._decision.route.max_attempts and refusals < MAX_REFUSALS:
             entry = self._services.backends.choose(
                 self._decision.service.name,
@@ -133,7 +142,7 @@
             if entry is None:
                 break
             tried.add(entry.backend_id)
-            result = await self._attempt(entry, start)
+            result = await self._attempt(entry)
             if result is None:
                 return
             if isinstance(result, Lost):
@@ -152,7 +161,7 @@
 
     def close(self) -> None:
         """Settles a turn that has not ended whole."""
-        if self._started and not self._settled:
+        if self._start_kept is not None and not self._settled:
             self._settled = True
             tokens = self._handed_out * self._decision.service.tokens_per_event
             record = TurnBroken(
@@ -161,11 +170,33 @@
                 tokens=min(tokens, max(self._turn.most_tokens, tokens)),
                 at_ms=wall_ms(),
             )
-            self._owned.submit(record)
+            kept = self._owned.submit(record)
+            if not self._start_is_kept:
+                task = asyncio.get_running_loop().create_task(self._settle_broken(kept, record))
+                _settling.add(task)
+                task.add_done_callback(_settling.discard)
+
+    @property
+    def _start_is_kept(self) -> bool:
+        start = self._start_kept
+        return start is not None and start.done() and start.exception() is None
 
-    async def _attempt(
-        self, entry: BackendEntry, start: asyncio.Future[None]
-    ) -> NotRun | Lost | None:
+    def _submit_start(self) -> asyncio.Future[None]:
+        uncertain, program_id = self._owned.uncertain, self._turn.program_id
+        start = self._owned.submit(self._start)
+        uncertain.begin(program_id)
+        start.add_done_callback(lambda _: uncertain.end(program_id))
+        return start
+
+    async def _settle_broken(self, kept: asyncio.Future[None], record: TurnBroken) -> None:
+        """Tells the partition's next owner what was handed out while the store was away."""
+        try:
+            await asyncio.shield(kept)
+        except LostPartitionError:
+            if await self._settle(self._start, RECORD_LIMIT_MS):
+                await self._settle(record, RECORD_LIMIT_MS)
+
+    async def _attempt(self, entry: BackendEntry) -> NotRun | Lost | None:
         call, turn = self._call, self._turn
         history = b""
         if self._decision.route.keeps_history:
@@ -189,11 +220,22 @@
             if isinstance(head, Lost):
                 return head
             self.engine = entry.backend_id
-            # The first token may only be handed out once the reservation lasts: a daemon that takes
-            # over would otherwise not know of it and let the program spend it again.
-            await self._durable(start)
+            await self._await_start()
             return await self._relay(attempt, head)
 
+    async def _await_start(self) -> None:
+        """Waits until the reservation lasts, if the store is there.
+
+        A daemon that takes over would otherwise not know of the turn and let the program spend its
+        tokens again. What is handed out before is bounded by `UncertainTokens`.
+        """
+        assert self._start_kept is not None
+        if self._owned.stalled or not self._store_reachable():
+            return
+        await asyncio.wait({self._start_kept}, timeout=START_LIMIT_MS / 1000)
+        if self._start_kept.done():
+            await self._durable_start()
+
     async def _relay(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
         first_ms = now_ms()
         if head.status != 200:
@@ -209,7 +251,7 @@
         while True:
             event = await attempt.next_event()
             if isinstance(event, Piece):
-                self._handed_out += self._events.feed(event.data)
+                self._hand_out(self._events.feed(event.data))
                 self._reply.piece(event.data)
             elif isinstance(event, End):
                 attempt.settle(sound=True, latency_ms=first_ms - self._began_ms)
@@ -221,6 +263,14 @@
         await self._end_whole(attempt.entry)
         return None
 
+    def _hand_out(self, events: int) -> None:
+        tokens = events * self._decision.service.tokens_per_event
+        if not self._start_is_kept:
+            program_id, most_tokens = self._turn.program_id, self._turn.most_tokens
+            if not self._owned.uncertain.hand_out(program_id, tokens, most_tokens):
+                raise BrokenTurnError(may_have_run("store_away"))
+        self._handed_out += events
+
     async def _end_whole(self, entry: BackendEntry) -> None:
         """Makes the turn last, then tells the caller that it is whole."""
         previous_id, text = self._turn.previous_id, self._call.body
@@ -239,7 +289,11 @@
         ended_ms = now_ms()
         self._settled = True
         limit_ms = min(RECORD_LIMIT_MS, self._until_ms - ended_ms)
-        if not await self._keep(record, limit_ms):
+        # Handed over before the start is waited for, so that one append takes both.
+        kept = self._owned.submit(record)
+        if not self._start_is_kept:
+            await self._durable_start()
+        if not await self._keep(record, kept, ended_ms + limit_ms):
             raise BrokenTurnError(may_have_run("record_not_kept"))
         self._reply.end()
         kept_ms = now_ms()
@@ -273,12 +327,11 @@
             self._owned.submit(part)
         return input_id
 
-    async def _keep(self, record: Record, limit_ms: int) -> bool:
+    async def _keep(self, record: Record, kept: asyncio.Future[None], until_ms: int) -> bool:
         """Returns whether the record is durable, here or at the partition's present owner."""
-        until_ms = now_ms() + limit_ms
         try:
-            async with asyncio.timeout(max(0, limit_ms) / 1000):
-                await self._owned.keep(record)
+            async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
+                await asyncio.shield(kept)
             return True
         except TimeoutError:
             return False
@@ -286,10 +339,11 @@
             left_ms = until_ms - now_ms()
             return await self._settle(record, left_ms)
 
-    async def _durable(self, start: asyncio.Future[None]) -> None:
+    async def _durable_start(self) -> None:
+        assert self._start_kept is not None
         try:
             async with asyncio.timeout(RECORD_LIMIT_MS / 1000):
-                await asyncio.shield(start)
+                await asyncio.shield(self._start_kept)
         except LostPartitionError as error:
             # The partition was dealt anew while the record was on its way.
             if not await self._settle(self._start, RECORD_LIMIT_MS):
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -33,6 +33,10 @@
 STALLED_RETRY_MS = 1_300
 # The new owner of a partition has read it within some tens of milliseconds.
 OWNER_CHANGED_RETRY_MS = 100
+# A caller that has more than this part of the route's time left is sent away to come back once; one
+# that has waited already has its turn run, and its end kept if the store is back in time. On days
+# with an outage of seven seconds that brought the part served from 0.82 to 0.85.
+PATIENT_SHARE = 0.8
 REFUSED_STATUS = 503
 NO_SUCH_TURN_STATUS = 404
 
@@ -68,7 +72,9 @@
         """
         turn = call.turn
         assert turn is not None
-        refusal = self._admit(call, turn, owned)
+        left_ms = until_ms - now_ms()
+        is_patient = left_ms > PATIENT_SHARE * decision.route.timeout_ms
+        refusal = self._admit(call, turn, owned, is_patient=is_patient)
         if refusal is not None and refusal.status == NO_SUCH_TURN_STATUS:
             refusal = await self._import(call, turn, decision, owned)
         elif refusal is not None:
@@ -86,6 +92,7 @@
             until_ms=until_ms,
             engine=self._last_engine.get(turn.program_id, ""),
             settle_elsewhere=self._settle_elsewhere,
+            store_reachable=self._store_reachable,
         )
         try:
             async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
@@ -128,7 +135,7 @@
         )
         for part in parts:
             owned.submit(part)
-        refusal = self._admit(call, turn, owned)
+        refusal = self._admit(call, turn, owned, is_patient=False)
         return None if refusal is None else await _confirmed(refusal, owned)
 
     def _remember(self, program_id: str, engine: str) -> None:
@@ -136,8 +143,12 @@
             self._last_engine.pop(program_id, None)
             self._last_engine[program_id] = engine
 
-    def _admit(self, call: Call, turn: Turn, owned: OwnedPartition) -> Refusal | None:
-        if owned.stalled or not self._store_reachable():
+    def _admit(
+        self, call: Call, turn: Turn, owned: OwnedPartition, *, is_patient: bool
+    ) -> Refusal | None:
+        away = owned.stalled or not self._store_reachable()
+        may_begin = owned.uncertain.may_begin(turn.program_id, turn.most_tokens)
+        if away and (is_patient or not may_begin):
             return not_run("store_away", retry_after_ms=STALLED_RETRY_MS)
         admission = owned.ledger.admit(
             program_id=turn.program_id,
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -193,6 +193,7 @@
         body: bytes = b"hello",
         budget: int | None = None,
         most: int = 30,
+        deadline_ms: int = 3_000,
         on_data: Callable[[bytes], None] | None = None,
     ) -> tuple[str, Reply]:
         """Sends a turn; returns its id and the answer."""
@@ -200,7 +201,7 @@
         headers = {
             "Host": HOST_NAME,
             "Request-Id": call_id,
-            "Deadline-Ms": "3000",
+            "Deadline-Ms": str(deadline_ms),
             "Program-Id": program_id,
             "Token-Usage": f"5,{most}",
         }
--- /dev/null
+++ b/tests/gateway/test_store_away.py
@@ -0,0 +1,97 @@
+"""Turns while the store is away: they run on, and end whole only if their records are kept."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+
+# Less than the part of the route's time with which a caller is sent away to come back.
+WAITED_MS = 2_200
+EVENTS_TOKENS = 30
+
+
+def _set_store(cluster: GatewayCluster, *names: str, down: bool) -> None:
+    for name in names:
+        cluster.nodes[name].store.knobs.down = down
+
+
+async def _lose_store(cluster: GatewayCluster, *names: str) -> None:
+    _set_store(cluster, *names, down=True)
+    await cluster.until(
+        lambda: not any(cluster.nodes[name].daemon._store_health.reachable for name in names)
+    )
+
+
+async def test_a_turn_of_a_caller_that_has_waited_ends_when_the_store_is_back() -> None:
+    """Symptom: programs fail in an outage that their callers' few tries do not outlast.
+
+    Events: the store is away for some seconds; every try is refused, while engines are idle.
+    Cause: only what ends a turn has to wait for the store, not what it generates.
+    """
+    async with GatewayCluster(2) as cluster:
+        await _lose_store(cluster, "a", "b")
+        pieces: list[bytes] = []
+        turn = cluster.turn("a", "p1", deadline_ms=WAITED_MS, on_data=pieces.append)
+        running = asyncio.create_task(turn)
+        await cluster.until(lambda: b"".join(pieces).count(b"data:") == 3, limit_s=1.5)
+        assert not running.done()
+        _set_store(cluster, "a", "b", down=False)
+        call_id, reply = await running
+        assert reply.status == 200
+
+        for name in ("a", "b"):
+            _, reply = await cluster.turn(name, "p1", previous=call_id)
+            assert reply.status == 200
+
+
+async def test_a_turn_whose_records_are_not_kept_is_not_told_whole() -> None:
+    async with GatewayCluster(1) as cluster:
+        await _lose_store(cluster, "a")
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p1", deadline_ms=WAITED_MS)
+
+
+async def test_a_program_gets_no_more_than_one_turn_of_which_nothing_is_kept() -> None:
+    """Symptom: a program gets more tokens than its budget and one turn.
+
+    Events: the store is away; turn after turn is run and broken off; then all hosts lose power.
+    Cause: nothing that lasts tells of the tokens that were handed out.
+    """
+    async with GatewayCluster(1) as cluster:
+        await _lose_store(cluster, "a")
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p1", most=EVENTS_TOKENS, deadline_ms=WAITED_MS)
+        call_id, reply = await cluster.turn("a", "p1", most=EVENTS_TOKENS, deadline_ms=WAITED_MS)
+        assert reply.status == 503
+        assert cluster.runs(call_id) == []
+
+        _set_store(cluster, "a", down=False)
+        owned = cluster.nodes["a"].daemon._ownership.owned
+        await cluster.until(lambda: all(one.idle and not one.stalled for one in owned.values()))
+        _, reply = await cluster.turn("a", "p1", budget=EVENTS_TOKENS + 29, most=EVENTS_TOKENS)
+        assert reply.status == 402
+
+
+async def test_a_turn_at_an_owner_that_is_turned_away_is_kept_by_the_next_one() -> None:
+    """Symptom: turns of a third of the hosts are refused for as long as these are turned away.
+
+    Events: the store answers some hosts only; one of them has a turn under way, whose program
+    another daemon owns by the time of its end.
+    """
+    async with GatewayCluster(2) as cluster:
+        daemon = cluster.nodes["a"].daemon
+        program = next(
+            name
+            for name in (f"p{number}" for number in range(100))
+            if daemon._relay._partition_for(name) in daemon._ownership.owned
+        )
+        await _lose_store(cluster, "a")
+        call_id, reply = await cluster.turn("a", program, deadline_ms=WAITED_MS)
+        assert reply.status == 200
+
+        _, reply = await cluster.turn("b", program, previous=call_id)
+        assert reply.status == 200
