Tokens that nothing lasts of go to programs that began at this owner only

What a settled turn had handed out was refused by the new owner if the budget was short, and then not counted at all. Change: only programs whose first record this owner has made durable get any; a start of which tokens were handed out is kept whatever is left of the budget.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -350,7 +350,7 @@
 
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
-            owned.ledger.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+            owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
         self._turns.forget_engines()
 
     def _is_ready(self) -> bool:
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -6,6 +6,7 @@
 import time
 from enum import StrEnum
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import msgspec
 
@@ -49,6 +50,12 @@
     NOT_HERE = "not_here"
 
 
+class _Waiting(NamedTuple):
+    data: bytes
+    program_id: str
+    kept: asyncio.Future[None]
+
+
 class LostPartitionError(Exception):
     """Another daemon owns the partition now; what was not yet kept is not."""
 
@@ -88,7 +95,7 @@
         self._sequence = 0
         self._check: asyncio.Task[None] | None = None
         self._next_check: asyncio.Task[None] | None = None
-        self._waiting: list[tuple[bytes, asyncio.Future[None]]] = []
+        self._waiting: list[_Waiting] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -132,7 +139,7 @@
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        self._waiting.append((encode_record(record), future))
+        self._waiting.append(_Waiting(encode_record(record), record.program_id, future))
         self._wake.set()
         return future
 
@@ -160,6 +167,11 @@
             self.lose("fenced")
             raise LostPartitionError from error
 
+    def expire(self, wall_ms: int, *, grace_ms: int) -> None:
+        """Forgets programs that can no longer be continued; see `Ledger.expire`."""
+        if self.ledger.expire(wall_ms, grace_ms=grace_ms):
+            self.uncertain.forget_others(self.ledger.programs)
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be appended."""
@@ -174,9 +186,9 @@
         self.ready_event.set()
         if self._task is not asyncio.current_task():
             self._task.cancel()
-        for _, future in self._waiting:
-            if not future.done():
-                future.set_exception(LostPartitionError())
+        for waiting in self._waiting:
+            if not waiting.kept.done():
+                waiting.kept.set_exception(LostPartitionError())
         self._waiting.clear()
         self._on_change(self, reason)
 
@@ -214,6 +226,7 @@
         offset = 0
         while offset < end_offset:
             offset = await self._read_from(offset)
+        self.uncertain.inherit(self.ledger.programs)
         self.ready = True
         self.ready_event.set()
         took_ms = int((time.monotonic() - started_s) * 1000)
@@ -239,20 +252,21 @@
         return offset + len(page.records)
 
     async def _append_batch(self) -> None:
-        batch: list[tuple[bytes, asyncio.Future[None]]] = []
+        batch: list[_Waiting] = []
         size_bytes = 0
-        for item in self._waiting:
-            if batch and size_bytes + len(item[0]) > MAX_BATCH_BYTES:
+        for waiting in self._waiting:
+            if batch and size_bytes + len(waiting.data) > MAX_BATCH_BYTES:
                 break
-            batch.append(item)
-            size_bytes += len(item[0])
-        await self._append([data for data, _ in batch])
+            batch.append(waiting)
+            size_bytes += len(waiting.data)
+        await self._append([waiting.data for waiting in batch])
         del self._waiting[: len(batch)]
+        for waiting in batch:
+            self.uncertain.kept(waiting.program_id)
+            if not waiting.kept.done():
+                waiting.kept.set_result(None)
         if not self._waiting:
             self.uncertain.clear()
-        for _, future in batch:
-            if not future.done():
-                future.set_result(None)
 
     async def _append(self, records: list[bytes]) -> int:
         """Appends until the store has answered; the same sequence number makes that harmless."""
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -352,5 +352,6 @@
             raise BrokenTurnError(may_have_run("record_not_kept")) from error
 
     async def _settle(self, record: Record, left_ms: int) -> bool:
-        budget_tokens = self._turn.budget_tokens
+        # What was handed out is spent, whatever is left of the budget at the new owner.
+        budget_tokens = None if self._handed_out else self._turn.budget_tokens
         return await self._settle_elsewhere(self._owned.partition, record, budget_tokens, left_ms)
--- a/src/quincespool/gateway/uncertain.py
+++ b/src/quincespool/gateway/uncertain.py
@@ -2,24 +2,47 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # Of the most that a turn may generate, the usual one hands out less than this part.
 USUAL_SHARE = 1 / 3
 
 
 class UncertainTokens:
-    """Bounds what the next owner of a partition would not know of, by program.
+    """Bounds, for one owner of a partition, what the next one would not know of, by program.
 
     If this daemon dies, or was superseded, before the store is back, the next owner lets a program
-    spend these tokens once more. So a program gets no more of them than one turn may generate: the
-    budget is exceeded by one turn at most, whatever happens.
+    spend these tokens once more. So they are at most what one turn may generate; and only programs
+    get any that began here and of which a record lasts, so that no other owner hands out more of
+    them. A budget is then exceeded by one turn at most, however many owners are lost.
     """
 
     def __init__(self) -> None:
+        self._inherited: frozenset[str] = frozenset()
+        self._begun: set[str] = set()
         self._tokens: dict[str, int] = {}
         self._open: dict[str, int] = {}
 
+    def inherit(self, program_ids: Iterable[str]) -> None:
+        """Takes note of the programs that began at an earlier owner."""
+        self._inherited = frozenset(program_ids)
+
+    def kept(self, program_id: str) -> None:
+        """A record of a program is durable."""
+        if program_id not in self._inherited:
+            self._begun.add(program_id)
+
+    def forget_others(self, program_ids: Iterable[str]) -> None:
+        """Forgets programs but these, which are the ones that can still be continued."""
+        self._begun.intersection_update(program_ids)
+
     def may_begin(self, program_id: str, most_tokens: int) -> bool:
         """Whether one more turn of a program can be expected to end within the bound."""
+        if program_id not in self._begun:
+            return False
         turns = self._open.get(program_id, 0) + 1
         expected = self._tokens.get(program_id, 0) + turns * most_tokens * USUAL_SHARE
         return expected <= most_tokens
@@ -39,7 +62,7 @@
     def hand_out(self, program_id: str, tokens: int, most_tokens: int) -> bool:
         """Counts tokens; false if they are beyond the bound and must not be handed out."""
         total = self._tokens.get(program_id, 0) + tokens
-        if total > most_tokens:
+        if program_id not in self._begun or total > most_tokens:
             return False
         self._tokens[program_id] = total
         return True
