--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -123,6 +123,8 @@
         self._may_have_run = False
         self._settled = False
         self._start_kept: asyncio.Future[None] | None = None
+        # Whether the partition's next owner keeps the start, this one having lost it.
+        self._start_settled = False
         self._began_ms = now_ms()
 
     async def answer(self) -> None:
@@ -179,7 +181,9 @@
     @property
     def _start_is_kept(self) -> bool:
         start = self._start_kept
-        return start is not None and start.done() and start.exception() is None
+        if start is None or not start.done():
+            return False
+        return self._start_settled or start.exception() is None
 
     def _submit_start(self) -> asyncio.Future[None]:
         uncertain, program_id = self._owned.uncertain, self._turn.program_id
@@ -230,6 +234,9 @@
         tokens again. What is handed out before is bounded by `UncertainTokens`.
         """
         assert self._start_kept is not None
+        if not self._owned.uncertain.allows(self._turn.program_id):
+            await self._durable_start()
+            return
         if self._owned.stalled or not self._store_reachable():
             return
         await asyncio.wait({self._start_kept}, timeout=START_LIMIT_MS / 1000)
@@ -348,6 +355,7 @@
             # The partition was dealt anew while the record was on its way.
             if not await self._settle(self._start, RECORD_LIMIT_MS):
                 raise BrokenTurnError(may_have_run("owner_changed")) from error
+            self._start_settled = True
         except TimeoutError as error:
             raise BrokenTurnError(may_have_run("record_not_kept")) from error
 
--- a/src/quincespool/gateway/uncertain.py
+++ b/src/quincespool/gateway/uncertain.py
@@ -39,9 +39,13 @@
         """Forgets programs but these, which are the ones that can still be continued."""
         self._begun.intersection_update(program_ids)
 
+    def allows(self, program_id: str) -> bool:
+        """Whether a program may get any: it began here, and a record of it lasts."""
+        return program_id in self._begun
+
     def may_begin(self, program_id: str, most_tokens: int) -> bool:
         """Whether one more turn of a program can be expected to end within the bound."""
-        if program_id not in self._begun:
+        if not self.allows(program_id):
             return False
         turns = self._open.get(program_id, 0) + 1
         expected = self._tokens.get(program_id, 0) + turns * most_tokens * USUAL_SHARE
@@ -62,7 +66,7 @@
     def hand_out(self, program_id: str, tokens: int, most_tokens: int) -> bool:
         """Counts tokens; false if they are beyond the bound and must not be handed out."""
         total = self._tokens.get(program_id, 0) + tokens
-        if program_id not in self._begun or total > most_tokens:
+        if not self.allows(program_id) or total > most_tokens:
             return False
         self._tokens[program_id] = total
         return True
--- a/tests/gateway/test_store_away.py
+++ b/tests/gateway/test_store_away.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 import pytest
 
+from quincespool.gateway.ledger import TurnStarted
+from quincespool.gateway.partition import OwnedPartition
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
+if TYPE_CHECKING:
+    from quincespool.gateway.ledger import Record
+
 # Less than the part of the route's time with which a caller is sent away to come back.
 WAITED_MS = 2_200
 EVENTS_TOKENS = 30
@@ -109,3 +115,27 @@
         call_id, reply = await cluster.turn("a", "p1", deadline_ms=WAITED_MS)
         assert reply.status == 503
         assert cluster.runs(call_id) == []
+
+
+async def test_a_turn_whose_start_is_settled_elsewhere_goes_on(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: turns break off before their first token whenever partitions change hands.
+
+    Events: the partition is taken over while the start is on its way; the new owner keeps it.
+    Cause: the tokens counted as ones of which nothing lasts.
+    """
+    submit = OwnedPartition.submit
+
+    def submit_and_lose(owned: OwnedPartition, record: Record) -> asyncio.Future[None]:
+        future = submit(owned, record)
+        if isinstance(record, TurnStarted) and record.turn_id == "t1":
+            monkeypatch.setattr(OwnedPartition, "submit", submit)
+            owned.lose("taken over")
+        return future
+
+    async with GatewayCluster(1) as cluster:
+        monkeypatch.setattr(OwnedPartition, "submit", submit_and_lose)
+        _, reply = await cluster.turn("a", "p1", call_id="t1")
+        assert reply.status == 200
+        assert reply.body.count(b"data:") == 3
