One codec for optional numbers between daemons; state that nobody reads goes

From reading the change again: -1 for "none" was written twice, in relay_codec and relay; a pending turn's head_seen was set and never read; min(tokens, max(most, tokens)) is tokens.

--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -25,8 +25,10 @@
 from quincespool.gateway.model import not_run
 from quincespool.gateway.partition import Settlement
 from quincespool.gateway.relay_codec import read_headers
+from quincespool.gateway.relay_codec import read_optional
 from quincespool.gateway.relay_codec import read_relay
 from quincespool.gateway.relay_codec import write_headers
+from quincespool.gateway.relay_codec import write_optional
 from quincespool.gateway.relay_codec import write_relay
 from quincespool.gateway.store import Partition
 from quincespool.verdict import Verdict
@@ -64,7 +66,6 @@
     def __init__(self, reply: Reply) -> None:
         self.reply = reply
         self.link: Link | None = None
-        self.head_seen = False
         self.done: asyncio.Future[Refusal | None] = asyncio.get_running_loop().create_future()
 
 
@@ -285,7 +286,7 @@
             # A daemon of another version; it gives the turn up when its time is over.
             owned = None
         if owned is not None:
-            budget_tokens = None if message.budget_tokens < 0 else message.budget_tokens
+            budget_tokens = read_optional(message.budget_tokens)
             outcome = await owned.settle(record, budget_tokens=budget_tokens)
         link.send(TurnSettled(message.settle_id, outcome.value))
 
@@ -304,5 +305,5 @@
         topic=partition.topic,
         number=partition.number,
         record=encode_record(record),
-        budget_tokens=-1 if budget_tokens is None else budget_tokens,
+        budget_tokens=write_optional(budget_tokens),
     )
--- a/src/quincespool/gateway/relay_codec.py
+++ b/src/quincespool/gateway/relay_codec.py
@@ -32,9 +32,9 @@
         left_ms=left_ms,
         program_id=turn.program_id,
         previous_id=turn.previous_id,
-        budget_tokens=_said(turn.budget_tokens),
+        budget_tokens=write_optional(turn.budget_tokens),
         most_tokens=turn.most_tokens,
-        program_left_ms=_said(turn.program_left_ms),
+        program_left_ms=write_optional(turn.program_left_ms),
         configuration_version=decision.version,
         route_name=route.name,
         path_prefix=route.path_prefix,
@@ -58,9 +58,9 @@
     turn = Turn(
         program_id=message.program_id,
         previous_id=message.previous_id,
-        budget_tokens=_or_none(message.budget_tokens),
+        budget_tokens=read_optional(message.budget_tokens),
         most_tokens=message.most_tokens,
-        program_left_ms=_or_none(message.program_left_ms),
+        program_left_ms=read_optional(message.program_left_ms),
     )
     call = Call(
         call_id=message.call_id,
@@ -105,9 +105,11 @@
     return tuple((pair.name, pair.value) for pair in pairs)
 
 
-def _said(value: int | None) -> int:
+def write_optional(value: int | None) -> int:
+    """Returns a number as it stands in messages, where -1 means that there is none."""
     return _UNSAID if value is None else value
 
 
-def _or_none(value: int) -> int | None:
+def read_optional(value: int) -> int | None:
+    """Returns a number as it stands in calls."""
     return None if value == _UNSAID else value
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -169,7 +169,7 @@
             record = TurnBroken(
                 turn_id=self._call.call_id,
                 program_id=self._turn.program_id,
-                tokens=min(tokens, max(self._turn.most_tokens, tokens)),
+                tokens=tokens,
                 at_ms=wall_ms(),
             )
             kept = self._owned.submit(record)
