Engines that start again under their id, and entries of other writers

Before: a new id was expected at each start, absent fields were made up, an unreadable entry left the one before in force, a state not known was taken for leaving, and a key that is no text ended the task that follows the entries.

Change: an entry must have every field that engines write, in range; one that can't be read drops what its key held. A later 'born' begins with nothing: health, latencies, idle and busy connections (their calls end as ones that may have run and are not sent again), the cache that programs prefer. An earlier one never replaces a later one. Two lives count as two crashes of a request. Answers of the store that can't be read are failed requests, not the end of a task.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -103,7 +103,7 @@
             self._services.pool.give_back(self.entry, self._connection, self._idle_s)
         else:
             # Closing is what tells the backend server to stop working on the call.
-            self._connection.close()
+            self._services.pool.discard(self.entry, self._connection)
 
     async def send(self, body: bytes, headers: Headers) -> NotRun | None:
         """Connects and sends; returns why that did not happen, if so."""
@@ -250,13 +250,14 @@
             await probe.connect(self.entry.address)
         except ConnectError:
             mark = fingerprint(self._call)
-            backend_id = self.entry.backend_id
-            crashes = self._services.crashes.note(mark, backend_id, now_ms())
-            self._services.tell_crash(mark, backend_id)
+            # Two lives under one id are two crashes.
+            life = str(self.entry.life)
+            crashes = self._services.crashes.note(mark, life, now_ms())
+            self._services.tell_crash(mark, life)
             self._services.log.write(
                 "backend crashed",
                 call_id=self._call.call_id,
-                backend_id=backend_id,
+                backend_id=life,
                 fingerprint=mark,
                 crashes=crashes,
             )
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -10,6 +11,7 @@
     from collections.abc import Iterable
 
     from quincespool.gateway.model import BackendEntry
+    from quincespool.gateway.model import BackendLife
 
 # Loads that another daemon told longer ago say nothing of now: calls last some 100 ms. Where each
 # daemon is heard less often than that, the last ones are better than none.
@@ -37,6 +39,27 @@
 LATENCY_WEIGHT = 0.2
 
 
+# Ids whose last start is remembered, those heard of last; a few times the engines of the largest
+# plan.
+MAX_BIRTHS = 50_000
+
+
+class EntryNews(StrEnum):
+    """What an entry changes.
+
+    Attributes:
+      NOTHING: Its age at most.
+      CHANGED: The backend server is new here, leaves, or has moved.
+      NEW_LIFE: It has started again under the id that it had.
+      STALE: It is of a life that is over, or of another writer; it was passed over.
+    """
+
+    NOTHING = "nothing"
+    CHANGED = "changed"
+    NEW_LIFE = "new_life"
+    STALE = "stale"
+
+
 class _Health(NamedTuple):
     failures: int
     ejected_until_ms: int
@@ -66,13 +89,41 @@
         self._peer_totals: dict[str, int] = {}
         self._loads_every_ms = 0
         self._latency_ms: dict[str, float] = {}
+        # Of all ids seen, also those that are gone: an entry of an earlier life may come late.
+        self._born_ms: dict[str, int] = {}
 
-    def put(self, entry: BackendEntry) -> bool:
-        """Takes an entry in; returns whether anything but its age changed."""
-        self._lapsing.pop(entry.backend_id, None)
-        known = self.entries.get(entry.backend_id)
-        self.entries[entry.backend_id] = entry
-        return known is None or known.leaving != entry.leaving or known.address != entry.address
+    def put(self, entry: BackendEntry) -> EntryNews:
+        """Takes an entry in.
+
+        Entries may come late, twice, and from the life before: one of an earlier start never takes
+        the place of a later one. A new life begins with nothing: kept, the record of the last one
+        would have calls sent to what it had cached, or keep them away from a sound process.
+        """
+        backend_id = entry.backend_id
+        born_ms = self._born_ms.get(backend_id)
+        if born_ms is not None and entry.born_ms is None:
+            # Not written by the backend server, which always tells its start.
+            self._forget(backend_id)
+            return EntryNews.STALE
+        if born_ms is not None and entry.born_ms is not None and entry.born_ms < born_ms:
+            return EntryNews.STALE
+        self._lapsing.pop(backend_id, None)
+        known = self.entries.get(backend_id)
+        reborn = born_ms is not None and entry.born_ms != born_ms
+        if reborn:
+            self._forget(backend_id)
+        if entry.born_ms is not None:
+            self._note_birth(backend_id, entry.born_ms)
+        self.entries[backend_id] = entry
+        if reborn:
+            return EntryNews.NEW_LIFE
+        if known is None or known.leaving != entry.leaving or known.address != entry.address:
+            return EntryNews.CHANGED
+        return EntryNews.NOTHING
+
+    def discard(self, backend_id: str) -> None:
+        """Uses a backend server no more whose key holds an entry that can't be read."""
+        self._forget(backend_id)
 
     def remove(self, backend_id: str, *, now_ms: int, lapses_until_ms: int) -> None:
         """Takes note that an entry is gone.
@@ -170,7 +221,7 @@
         *,
         now_ms: int,
         exclude: frozenset[str] = frozenset(),
-        prefer: str = "",
+        prefer: BackendLife | None = None,
     ) -> BackendEntry | None:
         """Returns the backend server to send a call to, None if there is none.
 
@@ -191,8 +242,8 @@
         if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
             sound = candidates
         best = min(self._draw(sound), key=self._cost)
-        preferred = self.entries.get(prefer)
-        if preferred in sound and preferred is not None:
+        preferred = self.entries.get(prefer.backend_id) if prefer is not None else None
+        if preferred is not None and preferred.life == prefer and preferred in sound:
             extra = self._busy(preferred) - self._busy(best)
             return preferred if extra <= AFFINITY_SLACK else best
         return best
@@ -227,6 +278,12 @@
         health = self._health.get(backend_id)
         return health is not None and now_ms < health.ejected_until_ms
 
+    def _note_birth(self, backend_id: str, born_ms: int) -> None:
+        self._born_ms.pop(backend_id, None)
+        while len(self._born_ms) >= MAX_BIRTHS:
+            del self._born_ms[next(iter(self._born_ms))]
+        self._born_ms[backend_id] = born_ms
+
     def _forget(self, backend_id: str) -> None:
         self._lapsing.pop(backend_id, None)
         self.entries.pop(backend_id, None)
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from quincespool.gateway.backends import EntryNews
 from quincespool.gateway.follower import Follower
 
 if TYPE_CHECKING:
@@ -19,6 +20,7 @@
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.members import Members
     from quincespool.gateway.messages import Heartbeat
+    from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.pool import ConnectionPool
     from quincespool.gateway.routes import RouteTable
@@ -203,17 +205,30 @@
             try:
                 entry = self._wire.read_backend(record.key, record.value)
             except msgspec.MsgspecError as error:
+                # Whoever wrote it has put it in the place of an entry that could be read; what that
+                # one said holds no more. The backend server's next one brings it back.
+                self._backends.discard(record.key)
                 self._log.write("backend entry unreadable", key=record.key, detail=str(error))
                 continue
-            if self._backends.put(entry):
-                self._log.write(
-                    "backend entry",
-                    backend_id=entry.backend_id,
-                    service=entry.service,
-                    address=entry.address,
-                    leaving=entry.leaving,
-                    offset=record.offset,
-                )
+            self._take_backend(entry, record.offset)
+
+    def _take_backend(self, entry: BackendEntry, offset: int) -> None:
+        news = self._backends.put(entry)
+        if news is EntryNews.NOTHING:
+            return
+        if news is EntryNews.NEW_LIFE:
+            # Nobody answers any more what was sent to the last one.
+            self._pool.break_off(entry.backend_id, "the backend server has started again")
+        self._log.write(
+            "backend entry",
+            backend_id=entry.backend_id,
+            born_ms=entry.born_ms,
+            news=news.value,
+            service=entry.service,
+            address=entry.address,
+            leaving=entry.leaving,
+            offset=offset,
+        )
 
     def _remove_backend(self, backend_id: str, offset: int) -> None:
         now_ms, lapses_until_ms = self._now_ms(), self._store_health.lapses_until_ms
--- a/src/quincespool/gateway/crashes.py
+++ b/src/quincespool/gateway/crashes.py
@@ -35,12 +35,12 @@
     def __init__(self) -> None:
         self._crashes: dict[str, dict[str, int]] = {}
 
-    def note(self, mark: str, backend_id: str, now_ms: int) -> int:
-        """Takes note of a crash; returns how many backend servers this request has crashed."""
+    def note(self, mark: str, life: str, now_ms: int) -> int:
+        """Takes note of a crash; returns how many processes this request has crashed."""
         while len(self._crashes) >= MAX_REMEMBERED and mark not in self._crashes:
             del self._crashes[next(iter(self._crashes))]
         seen = self._crashes.setdefault(mark, {})
-        seen[backend_id] = now_ms
+        seen[life] = now_ms
         return len(seen)
 
     def clear(self, mark: str) -> None:
--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -152,6 +152,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def break_off(self, detail: str) -> None:
+        """Ends the answer under way: the backend server is known to be gone."""
+        self._break(detail, closed=True)
+        self.close()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits how long a silent backend server is waited for."""
         self._transport = cast("asyncio.Transport", transport)
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -127,9 +127,11 @@
     """What a backend server says of itself.
 
     Attributes:
-      backend_id: New with each start of the backend server.
+      backend_id: Stays the same where a backend server may start again under it.
       leaving: Whether it finishes what it has and takes nothing new.
       cold_ms: How much longer it is slow after its start.
+      born_ms: When it started, by its own clock; None where no backend server starts again under
+        the id that it had.
     """
 
     backend_id: str
@@ -139,6 +141,26 @@
     slots: int
     leaving: bool
     cold_ms: int
+    born_ms: int | None = None
+
+    @property
+    def life(self) -> BackendLife:
+        """Tells this process from earlier ones under the same id."""
+        return BackendLife(self.backend_id, self.born_ms)
+
+
+class BackendLife(NamedTuple):
+    """One process of a backend server, from its start to its end.
+
+    What it held, and how it fared, says nothing of the next one under the same id.
+    """
+
+    backend_id: str
+    born_ms: int | None
+
+    def __str__(self) -> str:
+        """Returns a name for logs and messages."""
+        return self.backend_id if self.born_ms is None else f"{self.backend_id}@{self.born_ms}"
 
 
 class Daemon(NamedTuple):
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/pool.py
@@ -18,6 +18,7 @@
 
     def __init__(self, *, on_open: Callable[[], None]) -> None:
         self._idle: dict[str, list[BackendConnection]] = {}
+        self._busy: dict[str, set[BackendConnection]] = {}
         self._on_open = on_open
 
     async def take(self, entry: BackendEntry) -> BackendConnection:
@@ -31,6 +32,7 @@
         while idle:
             connection = idle.pop()
             if connection.usable and now_s < connection.idle_until_s:
+                self._busy.setdefault(entry.backend_id, set()).add(connection)
                 return connection
             connection.close()
         connection = BackendConnection()
@@ -40,18 +42,31 @@
             connection.close()
             raise
         self._on_open()
+        self._busy.setdefault(entry.backend_id, set()).add(connection)
         return connection
 
     def give_back(
         self, entry: BackendEntry, connection: BackendConnection, idle_s: float | None
     ) -> None:
         """Takes a connection back whose answer is whole, if it may be used again."""
+        self._release(entry, connection)
         if not connection.usable:
             connection.close()
             return
         connection.keep(idle_s)
         self._idle.setdefault(entry.backend_id, []).append(connection)
 
+    def discard(self, entry: BackendEntry, connection: BackendConnection) -> None:
+        """Closes a connection whose answer is not whole."""
+        self._release(entry, connection)
+        connection.close()
+
+    def break_off(self, backend_id: str, detail: str) -> None:
+        """Ends what is under way at a backend server that will answer nothing of it any more."""
+        self.drop(backend_id)
+        for connection in self._busy.pop(backend_id, ()):
+            connection.break_off(detail)
+
     def drop(self, backend_id: str) -> None:
         """Closes the idle connections to a backend server that has gone or is suspect."""
         for connection in self._idle.pop(backend_id, []):
@@ -71,3 +86,11 @@
                 self._idle[backend_id] = kept
             else:
                 del self._idle[backend_id]
+
+    def _release(self, entry: BackendEntry, connection: BackendConnection) -> None:
+        busy = self._busy.get(entry.backend_id)
+        if busy is None:
+            return
+        busy.discard(connection)
+        if not busy:
+            del self._busy[entry.backend_id]
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -31,6 +31,7 @@
     from quincespool.gateway.attempt import Services
     from quincespool.gateway.ledger import Record
     from quincespool.gateway.model import BackendEntry
+    from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Refusal
@@ -98,7 +99,7 @@
         *,
         reply: Reply,
         until_ms: int,
-        engine: str,
+        engine: BackendLife | None,
         settle_elsewhere: SettleElsewhere,
         store_reachable: Callable[[], bool],
     ) -> None:
@@ -223,7 +224,7 @@
                 return head
             if isinstance(head, Lost):
                 return head
-            self.engine = entry.backend_id
+            self.engine = entry.life
             await self._await_start()
             return await self._relay(attempt, head)
 
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -20,6 +20,7 @@
 
     from quincespool.gateway.attempt import Services
     from quincespool.gateway.finder import TurnFinder
+    from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Refusal
@@ -56,7 +57,7 @@
         self._finder = finder
         self._store_reachable = store_reachable
         self._settle_elsewhere = settle_elsewhere
-        self._last_engine: dict[str, str] = {}
+        self._last_engine: dict[str, BackendLife] = {}
 
     async def run(
         self, call: Call, decision: Decision, owned: OwnedPartition, reply: Reply, *, until_ms: int
@@ -90,7 +91,7 @@
             owned,
             reply=reply,
             until_ms=until_ms,
-            engine=self._last_engine.get(turn.program_id, ""),
+            engine=self._last_engine.get(turn.program_id),
             settle_elsewhere=self._settle_elsewhere,
             store_reachable=self._store_reachable,
         )
@@ -138,8 +139,8 @@
         refusal = self._admit(call, turn, owned, is_patient=False)
         return None if refusal is None else await _confirmed(refusal, owned)
 
-    def _remember(self, program_id: str, engine: str) -> None:
-        if engine:
+    def _remember(self, program_id: str, engine: BackendLife | None) -> None:
+        if engine is not None:
             self._last_engine.pop(program_id, None)
             self._last_engine[program_id] = engine
 
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import Annotated
 from typing import Literal
 
 import msgspec
@@ -14,6 +15,7 @@
 from quincespool.gateway.model import Route
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import Share
+from quincespool.settings import address_fault
 
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
@@ -69,13 +71,24 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _Server(msgspec.Struct):
+    # All fields but the last stand in every entry that a backend server writes of itself; one that
+    # lacks any of them, or has it in another form, is somebody else's.
     service: str
     address: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
-    cold_remaining_ms: float = 0
+    zone: str
+    # Of its software.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+    state: Literal["ready", "draining"]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+    # Orders that it has accepted, counted from its start.
+    sequence: _Count
+    # Start of its process in milliseconds; only where it may start again under the same id.
+    born: _Count | msgspec.UnsetType = msgspec.UNSET
 
 
 def read_configuration(value: bytes) -> Configuration:
@@ -104,15 +117,17 @@
     Raises:
       msgspec.DecodeError: if the record holds none.
     """
-    server = msgspec.json.decode(value, type=_Server)
+    server = _SERVER_DECODER.decode(value)
+    _check_address(server.address)
     return BackendEntry(
         backend_id=backend_id,
         service=server.service,
         address=server.address,
         zone=server.zone,
         slots=server.slots,
-        leaving=server.state != "ready",
+        leaving=server.state == "draining",
         cold_ms=int(server.cold_remaining_ms),
+        born_ms=None if server.born is msgspec.UNSET else server.born,
     )
 
 
@@ -122,7 +137,10 @@
     Raises:
       msgspec.DecodeError: if the record holds none.
     """
-    return msgspec.json.decode(value, type=Daemon)._replace(member_id=member_id)
+    daemon = msgspec.json.decode(value, type=Daemon)
+    _check_address(daemon.caller_address)
+    _check_address(daemon.peer_address)
+    return daemon._replace(member_id=member_id)
 
 
 def write_daemon(daemon: Daemon) -> bytes:
@@ -130,6 +148,15 @@
     return msgspec.json.encode(daemon)
 
 
+def _check_address(address: str) -> None:
+    fault = address_fault(address)
+    if fault is not None:
+        raise msgspec.ValidationError(fault)
+
+
+_SERVER_DECODER = msgspec.json.Decoder(_Server)
+
+
 def _route(route: _Route) -> Route:
     shares = tuple(Share(item.service, item.weight) for item in route.weighted_backends)
     return Route(
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 from typing import TYPE_CHECKING
+from typing import TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -28,6 +29,8 @@
 
     from quincespool.net.http_channel import ChannelAnswer
 
+T = TypeVar("T")
+
 _GROUP = "gateway"
 _PRODUCER = "owner"
 _LENGTH_BYTES = 4
@@ -107,7 +110,7 @@
         }
         body = b"".join(_framed(record) for record in records)
         answer = await self._post("/log-append", query, body)
-        return msgspec.json.decode(answer.body, type=_Appended).end
+        return _decode(answer, _Appended).end
 
     async def append_keyed(self, topic: str, key: str, value: bytes | None) -> None:
         """See `Store.append_keyed`."""
@@ -134,14 +137,11 @@
         query: dict[str, object] = {"topic": topic, "part": 0}
         while True:
             answer = await self._request("GET", "/log-newest", query, b"", self._time_limit_ms)
-            page = msgspec.json.decode(answer.body, type=_Newest)
+            page = _decode(answer, _Newest)
             # Pages are taken one after the other; what changed between them lies beyond the end
             # that the first one names.
             end_offset = page.end if end_offset is None else end_offset
-            records += [
-                KeyedRecord(item.key, base64.b64decode(item.value), item.offset)
-                for item in page.items
-            ]
+            records += [_listed(item) for item in page.items]
             if not page.more or not page.items:
                 return KeyedPage(end_offset, records)
             query["after"] = page.items[-1].key
@@ -156,7 +156,7 @@
             "generation": generation,
         }
         answer = await self._post("/log-join", {}, msgspec.json.encode(body))
-        joined = msgspec.json.decode(answer.body, type=_Joined)
+        joined = _decode(answer, _Joined)
         held = frozenset(Partition(topic, number) for topic, number, _ in joined.parts)
         return Assignment(joined.generation, held)
 
@@ -170,7 +170,7 @@
         answer = await self._request(
             "GET", "/log-owners", {"group": _GROUP}, b"", self._time_limit_ms
         )
-        rows = msgspec.json.decode(answer.body, type=_Owners).parts
+        rows = _decode(answer, _Owners).parts
         return frozenset(member for _, _, member, _ in rows if member)
 
     async def _read(self, partition: Partition, from_offset: int, *, wait_ms: int) -> Page:
@@ -223,6 +223,14 @@
     return StoreError(f"status {answer.status}: {detail}", refused=True)
 
 
+def _decode(answer: ChannelAnswer, kind: type[T]) -> T:
+    """Decodes a body; one that can't be read may have been done all the same."""
+    try:
+        return msgspec.json.decode(answer.body, type=kind)
+    except msgspec.MsgspecError as error:
+        raise StoreError(f"unreadable answer: {error}", refused=False) from error
+
+
 def _framed(record: bytes) -> bytes:
     return len(record).to_bytes(_LENGTH_BYTES, "big") + record
 
@@ -238,7 +246,19 @@
 
 
 def _keyed(record: bytes, offset: int) -> KeyedRecord:
-    """Decodes a record of a keyed topic: a byte of length, the key, the value if there is one."""
-    size = record[0]
-    key = record[1 : 1 + size].decode()
+    """Decodes a record of a keyed topic: a byte of length, the key, the value if there is one.
+
+    Others write there too; bytes that are no text make a key that nothing else has.
+    """
+    size = record[0] if record else 0
+    key = record[1 : 1 + size].decode("utf-8", "backslashreplace")
     return KeyedRecord(key, record[1 + size :] or None, offset)
+
+
+def _listed(item: _Item) -> KeyedRecord:
+    try:
+        value = base64.b64decode(item.value)
+    except ValueError:
+        # What the entry's reader is given can't be read either, and says so.
+        value = item.value.encode()
+    return KeyedRecord(item.key, value, item.offset)
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
 from quincespool.gateway.backends import AFFINITY_SLACK
 from quincespool.gateway.backends import FAILURES_TO_EJECT
 from quincespool.gateway.backends import LOAD_VALID_MS
 from quincespool.gateway.backends import Backends
+from quincespool.gateway.backends import EntryNews
 from quincespool.gateway.model import BackendEntry
+from quincespool.gateway.model import BackendLife
 
 
 def _backends(*ids: str, slots: int = 10, seed: int = 1) -> Backends:
@@ -19,7 +25,8 @@
 
 
 def _choose(backends: Backends, now_ms: int = 0, prefer: str = "") -> str:
-    entry = backends.choose("model", now_ms=now_ms, prefer=prefer)
+    life = BackendLife(prefer, None) if prefer else None
+    entry = backends.choose("model", now_ms=now_ms, prefer=life)
     return entry.backend_id if entry is not None else ""
 
 
@@ -127,3 +134,55 @@
             backends.failed(one, 0, unreachable=True)
 
     assert _choose(backends, 10)
+
+
+def _entry(born_ms: int | None, *, address: str = "127.0.0.1:1") -> BackendEntry:
+    return BackendEntry("e1", "model", address, "z", 10, False, 0, born_ms)
+
+
+def test_a_new_life_begins_with_nothing() -> None:
+    """Symptom: a sound engine gets no calls for seconds, or those whose cache it no longer has.
+
+    Events: an engine fails, is passed over, and starts again under its id.
+    Cause: what was known of the process before was taken for knowledge of the new one.
+    """
+    backends = _backends("e2")
+    backends.put(_entry(1_000))
+    for _ in range(FAILURES_TO_EJECT + 3):
+        backends.failed("e1", 0)
+    backends.started("e2")
+    backends.started("e2")
+    assert _choose(backends) == "e2"
+
+    assert backends.put(_entry(2_000)) is EntryNews.NEW_LIFE
+    assert _choose(backends) == "e1"
+    busy = backends.choose("model", now_ms=0, prefer=BackendLife("e1", 1_000))
+    assert busy is not None
+    for _ in range(2):
+        backends.started("e1")
+    chosen = backends.choose("model", now_ms=0, prefer=BackendLife("e1", 2_000))
+    assert chosen is not None
+    assert chosen.life == BackendLife("e1", 2_000)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.integers(1, 6), min_size=1, max_size=12))
+def test_no_earlier_life_replaces_a_later_one(births: list[int]) -> None:
+    """Entries may come late, twice and out of order, also after the entry was removed."""
+    backends = _backends()
+    for step, born_ms in enumerate(births):
+        backends.put(_entry(born_ms))
+        latest = max(births[: step + 1])
+        known = backends.entries.get("e1")
+        assert known is None or known.born_ms == latest
+        if step % 4 == 3:
+            backends.remove("e1", now_ms=10, lapses_until_ms=0)
+
+
+def test_an_entry_without_the_start_that_its_backend_server_tells_names_none() -> None:
+    backends = _backends()
+    backends.put(_entry(1_000))
+    assert backends.put(_entry(None, address="10.9.9.9:9")) is EntryNews.STALE
+    assert not backends.entries
+    assert backends.put(_entry(1_000)) is not EntryNews.STALE
+    assert "e1" in backends.entries
--- /dev/null
+++ b/tests/gateway/test_engine_lives.py
@@ -0,0 +1,83 @@
+"""Backend servers that start again under the id they had, and entries that others write."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import pytest
+
+from quincespool.gateway.model import BackendLife
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+from tests.support.platform_entries import make_backend_entry
+
+# Long enough that only what is tested can end a turn.
+SILENT_GAP_MS = 20_000
+
+
+def _put_entry(cluster: GatewayCluster, key: str, *, born_ms: int | None = None) -> None:
+    engine = cluster.engines[key]
+    entry = make_backend_entry("model", engine.address, zone="z", born_ms=born_ms)
+    cluster.state.put("keyed.servers", engine.backend_id, entry)
+
+
+async def test_a_turn_at_a_life_that_is_over_ends_at_once_and_is_not_sent_again() -> None:
+    """Symptom: a caller waits until its own time is over for an engine that has started again.
+
+    Events: an engine loses power with a turn under way, its connection stays open and says nothing;
+    the engine starts again under its id.
+    Cause: the connection was taken for one to the process that answers now.
+    """
+    async with GatewayCluster(1) as cluster:
+        del cluster.engines["e2"]
+        cluster.state.put("keyed.servers", "e2", None)
+        _put_entry(cluster, "e1", born_ms=1_000)
+        backends = cluster.nodes["a"].daemon._backends
+        await cluster.until(lambda: set(backends.entries) == {"e1", "s1"})
+        await cluster.until(lambda: backends.entries["e1"].born_ms == 1_000)
+        cluster.engines["e1"].knobs.gap_ms = SILENT_GAP_MS
+        turn = asyncio.create_task(cluster.turn("a", "p1", call_id="t1", deadline_ms=30_000))
+        await cluster.until(lambda: cluster.runs("t1"))
+
+        _put_entry(cluster, "e1", born_ms=2_000)
+        async with asyncio.timeout(2.0):
+            with contextlib.suppress(ConnectionLostError):
+                _, reply = await turn
+                assert reply.status == 502
+        assert len(cluster.runs("t1")) == 1
+        assert backends.entries["e1"].life == BackendLife("e1", 2_000)
+        cluster.engines["e1"].knobs.gap_ms = 1
+        _, reply = await cluster.turn("a", "p1")
+        assert reply.status == 200
+
+
+@pytest.mark.parametrize(
+    "value", [b"\xff\xfe", b"{}", b"[1]", b'{"service":"model","address":"127.0.0.1:1"}']
+)
+async def test_an_entry_of_another_writer_names_no_backend_server(value: bytes) -> None:
+    """Symptom: calls go on to a backend server whose entry somebody has overwritten.
+
+    Events: another writer puts what can't be read under the key of a backend server.
+    Cause: the entry that stood there before was held to be in force.
+    """
+    async with GatewayCluster(1) as cluster:
+        backends = cluster.nodes["a"].daemon._backends
+        cluster.state.put("keyed.servers", "e1", value)
+        cluster.state.put("keyed.servers", "nobody", value)
+        await cluster.until(lambda: "e1" not in backends.entries)
+        assert set(backends.entries) == {"e2", "s1"}
+        _, reply = await cluster.turn("a", "p1")
+        assert reply.status == 200
+
+        _put_entry(cluster, "e1")
+        await cluster.until(lambda: "e1" in backends.entries)
+
+
+async def test_a_key_that_is_no_text_does_not_end_the_following_of_entries() -> None:
+    async with GatewayCluster(1) as cluster:
+        backends = cluster.nodes["a"].daemon._backends
+        records = cluster.state.partition("keyed.servers", 0).records
+        records += [b"", b"\x02\xff\xfe{}", b"\x09short"]
+        cluster.state.put("keyed.servers", "e2", None)
+        await cluster.until(lambda: "e2" not in backends.entries)
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -4,6 +4,9 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Daemon
@@ -59,6 +62,90 @@
     assert (entry.backend_id, entry.slots, entry.leaving) == ("i-7f3a91c2", 12, True)
 
 
+FIELDS: dict[str, object] = {
+    "service": "model",
+    "address": "10.0.0.9:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "sequence": 3,
+    "born": 1_790_000_000_000,
+}
+
+
+def test_the_start_of_a_backend_server_is_read() -> None:
+    assert read_backend("e", msgspec.json.encode(FIELDS)).born_ms == 1_790_000_000_000
+    without = {name: value for name, value in FIELDS.items() if name != "born"}
+    assert read_backend("e", msgspec.json.encode(without)).born_ms is None
+
+
+@pytest.mark.parametrize("name", [name for name in FIELDS if name != "born"])
+def test_an_entry_with_a_missing_field_names_no_backend_server(name: str) -> None:
+    """Symptom: calls go to an address that no backend server has.
+
+    Events: another writer puts an entry under a backend server's key.
+    Cause: what the entry lacks was made up.
+    """
+    without = {field: value for field, value in FIELDS.items() if field != name}
+    with pytest.raises(msgspec.MsgspecError):
+        read_backend("e", msgspec.json.encode(without))
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"slots": 0},
+        {"slots": "8"},
+        {"slots": -3},
+        {"slots": 10**30},
+        {"address": "nowhere"},
+        {"address": "10.0.0.9:99999"},
+        {"address": "0.0.0.0:80"},
+        {"cold_remaining_ms": -1},
+        {"cold_remaining_ms": 1e300},
+        {"sequence": "many"},
+        {"service": 7},
+        {"born": None},
+        {"born": "1790000000000"},
+        {"born": 1.5},
+        {"born": True},
+        {"born": -1},
+    ],
+)
+def test_an_entry_with_an_absurd_field_names_no_backend_server(changes: dict[str, object]) -> None:
+    with pytest.raises(msgspec.MsgspecError):
+        read_backend("e", msgspec.json.encode({**FIELDS, **changes}))
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.one_of(
+        st.binary(max_size=200),
+        st.dictionaries(
+            st.sampled_from(list(FIELDS)),
+            st.one_of(
+                st.none(),
+                st.booleans(),
+                st.integers(),
+                st.floats(),
+                st.text("0123456789:.ab", max_size=9),
+            ),
+        ).map(lambda changes: msgspec.json.encode({**FIELDS, **changes})),
+    )
+)
+def test_whatever_stands_in_the_store_is_an_entry_or_none(value: bytes) -> None:
+    """An error of another kind would end the task that follows the entries, unseen."""
+    try:
+        entry = read_backend("e", value)
+    except msgspec.MsgspecError:
+        return
+    assert entry.slots > 0
+    assert ":" in entry.address
+
+
 def test_a_daemon_reads_what_another_one_wrote() -> None:
     daemon = Daemon("a", 7, "bole", "10.1.0.1:80", "10.1.0.1:81")
     assert read_daemon("a", write_daemon(daemon)) == daemon
--- a/tests/support/platform_entries.py
+++ b/tests/support/platform_entries.py
@@ -59,7 +59,20 @@
     return msgspec.json.encode(body)
 
 
-def make_backend_entry(service: str, address: str, *, zone: str, state: str = "ready") -> bytes:
+def make_backend_entry(
+    service: str, address: str, *, zone: str, state: str = "ready", born_ms: int | None = None
+) -> bytes:
     """Returns the entry of a backend server."""
-    entry = {"service": service, "address": address, "zone": zone, "slots": 8, "state": state}
+    entry: dict[str, object] = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": 8,
+        "state": state,
+        "cold_remaining_ms": 0,
+        "sequence": 0,
+    }
+    if born_ms is not None:
+        entry["born"] = born_ms
     return msgspec.json.encode(entry)
