Silent owners are asked, judged and their leases ended; dark engines are found by a new connection; logs are explained

Hypothesis: a host that loses its power costs its programs more than the second that most can spare: its lease runs on for 0.83 s on average, its silence was believed after a second, links dropped every 250 ms.

Change: three watchers of each daemon ask after two missed heartbeats and judge 200 ms later, end the lease and tell the others; a killed process, whose links are reset and whose port refuses, at once. A backend server that owes answers and is quiet for longer than it usually takes gets a new connection; if its host does not answer twice, what waits there ends.

'quincespool explain' tells the story of a call or program from the logs of daemons, or how calls fared over time, with a picture. GatewayDaemon gives its planned stop and its interval work to modules of their own.

--- a/src/quincespool/cli/main.py
+++ b/src/quincespool/cli/main.py
@@ -62,6 +62,7 @@
     where = _Lazy("where")
     dump = _Lazy("dump")
     audit = _Lazy("audit")
+    explain = _Lazy("explain")
     drain = _Lazy("drain")
     end = _Lazy("end")
 
--- /dev/null
+++ b/src/quincespool/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Finds causes in the JSON lines that daemons have written."""
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -211,6 +211,10 @@
         self._add_to_totals(in_flight, 1)
         self._loads_every_ms = every_ms
 
+    def latency_ms(self, backend_id: str) -> float:
+        """Returns the moving average of its latencies; 0 if none was seen."""
+        return self._latency_ms.get(backend_id, 0.0)
+
     def load(self, backend_id: str) -> int:
         """Returns the calls under way at a backend server, as far as known."""
         return self.in_flight.get(backend_id, 0) + self._peer_totals.get(backend_id, 0)
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -62,6 +62,12 @@
         self._failures = 0
         self._succeeded_ms = now_ms()
 
+    @property
+    def is_prompt(self) -> bool:
+        """Whether the store is expected to answer at once, as far as this daemon can know yet."""
+        silent_ms = self._now_ms() - self._succeeded_ms
+        return self._failures == 0 and silent_ms <= SILENCE_TO_LOSE_MS
+
     def note(self, status: str) -> None:
         """Takes the outcome of a request in: a status or `unanswered`."""
         if status in ("unanswered", "503", "429"):
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -14,7 +14,6 @@
 from quincespool.gateway.beliefs import StoreHealth
 from quincespool.gateway.caller_limits import connection_limits
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.crashes import CrashWatch
 from quincespool.gateway.finder import TurnFinder
 from quincespool.gateway.front import Front
@@ -22,7 +21,6 @@
 from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.links import Links
 from quincespool.gateway.live_settings import LiveSettings
-from quincespool.gateway.members import BEAT_MS
 from quincespool.gateway.members import Members
 from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import TurnAbsent
@@ -32,13 +30,16 @@
 from quincespool.gateway.ownership import list_partitions
 from quincespool.gateway.ownership import partition_of
 from quincespool.gateway.plain import PlainCalls
+from quincespool.gateway.planned_stop import PlannedStop
 from quincespool.gateway.pool import ConnectionPool
 from quincespool.gateway.presence import Presence
+from quincespool.gateway.quiet_backends import QuietBackends
 from quincespool.gateway.relay import Relay
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns import TurnRunner
+from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
 from quincespool.net.metrics import Metrics
@@ -58,15 +59,6 @@
     from quincespool.net.http_connection import ConnectionLimits
 
 OWNER_TOPIC = "programs"
-EXPIRY_INTERVAL_MS = 2_000
-UPKEEP_INTERVAL_MS = 250
-# Programs are forgotten this long after they can no longer be continued: clocks of daemons differ
-# by some seconds, and no turn lasts longer.
-LEDGER_GRACE_MS = 30_000
-# Callers keep an address for up to three times as long as the directory says.
-ADDRESS_KEPT_FACTOR = 3
-# Kept of the stop's time for what is still under way after the callers should be gone.
-STOP_MARGIN_MS = 700
 MAX_BODY_BYTES = 8_000_000
 
 
@@ -121,7 +113,7 @@
 
     def _make_beliefs(self) -> None:
         settings = self._settings
-        self._routes = RouteTable(store_reachable=lambda: self._store_health.reachable)
+        self._routes = RouteTable(store_prompt=lambda: self._store_health.is_prompt)
         self._backends = Backends(zone=settings.zone, seed=self._incarnation)
         self._pool = ConnectionPool(
             on_open=lambda: self._metrics.count("gateway_backend_connections_total")
@@ -159,7 +151,8 @@
         topics = [f"{OWNER_TOPIC}.{number}" for number in range(settings.owner_topics)]
         partitions = list_partitions(topics, settings.store_partitions)
         self._ownership = Ownership(
-            member_id=_owner_id(settings.member_id, self._incarnation),
+            member_id=settings.member_id,
+            incarnation=self._incarnation,
             topics=topics,
             lease_ms=settings.owner_lease_ms,
             store=self._store,
@@ -176,6 +169,7 @@
             settings.member_id,
             on_message=self._take_message,
             on_lost=self._lose_link,
+            on_refused=self._note_refused,
         )
         self._finder = TurnFinder(
             partitions=partitions,
@@ -214,6 +208,7 @@
             partition_count=len(partitions),
             crashes=self._crashes,
             log=self._log,
+            on_silent=lambda daemon: self._links.drop(daemon.peer_address),
         )
 
     # These parts need one another; what they report goes through here.
@@ -226,8 +221,7 @@
 
     def _release_predecessor(self, incarnation: int) -> None:
         """Frees what the process before this one owned; it has not lived to do so itself."""
-        member_id = _owner_id(self._settings.member_id, incarnation)
-        self._spawn(self._ownership.release(member_id))
+        self._spawn(self._ownership.release(self._settings.member_id, incarnation))
 
     def _take_message(self, link: Link, sender: str, message: Any) -> None:
         if isinstance(message, FindTurn | TurnFound | TurnAbsent):
@@ -235,6 +229,9 @@
         else:
             self._relay.on_message(link, sender, message)
 
+    def _note_refused(self, peer_address: str) -> None:
+        self._presence.note_refused(peer_address)
+
     def _lose_link(self, link: Link) -> None:
         self._relay.on_lost(link)
 
@@ -271,6 +268,24 @@
             for _ in range(3)
         ]
 
+        self._upkeep = Upkeep(
+            beliefs=self._beliefs,
+            presence=self._presence,
+            members=self._members,
+            links=self._links,
+            ownership=self._ownership,
+            turns=self._turns,
+            quiet_backends=QuietBackends(self._services),
+        )
+        self._stop = PlannedStop(
+            ownership=self._ownership,
+            presence=self._presence,
+            front_port=self._front_port,
+            relay=self._relay,
+            live=self._live,
+            log=self._log,
+        )
+
     def _watch(self) -> None:
         self._metrics.watch("http_connections", lambda: self._front_port.connection_count)
         self._metrics.watch("processor_seconds", time.process_time)
@@ -304,9 +319,7 @@
             self._presence.register(self._store),
         ):
             self._spawn(work)
-        self._ticker.every(lambda: BEAT_MS, self._presence.beat)
-        self._ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
-        self._ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
+        self._upkeep.subscribe(self._ticker)
 
     async def _own_when_complete(self) -> None:
         """Takes partitions only when calls can be routed.
@@ -319,37 +332,20 @@
 
     def begin_stop(self) -> None:
         """Begins a planned stop; `stopped` is set when nothing is under way any more."""
-        if self._presence.draining:
-            return
-        self._presence.draining = True
-        self._front_port.draining = True
-        self._log.write_always("stopping", under_way=self._front_port.busy)
-        self._presence.announce()
-        self._spawn(self._drain())
+        if self._stop.begin():
+            self._spawn(self._drain())
 
     async def _drain(self) -> None:
-        """Lets callers and programs go elsewhere, then ends what is left."""
-        began_ms = now_ms()
-        await self._ownership.leave()
-        self._presence.announce()
-        kept_ms = ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
-        last_ms = began_ms + self._live.current.stop_grace_ms - STOP_MARGIN_MS
-        while now_ms() < last_ms:
-            if now_ms() - began_ms > kept_ms and not self._under_way():
-                break
-            await asyncio.sleep(0.05)
+        await self._stop.drain()
         self.stopped.set()
 
-    def _under_way(self) -> int:
-        return self._front_port.busy + self._relay.serving
-
     async def close(self) -> None:
         """Closes everything."""
         self._front_port.stop()
         # A request that crosses the closing of its connection is still answered.
         await asyncio.sleep(0.05)
         self._front_port.close_idle()
-        self._log.write_always("stopped", under_way=self._under_way())
+        self._log.write_always("stopped", under_way=self._stop.under_way)
         self._ticker.stop()
         for port in self._side_ports:
             port.stop()
@@ -358,22 +354,9 @@
         for task in self._tasks:
             task.cancel()
 
-    def _keep_up(self) -> None:
-        self._beliefs.expire()
-        self._presence.tell_silences()
-        self._presence.follow_isolation()
-        for daemon in self._members.others:
-            if not self._members.is_alive(daemon.member_id, now_ms()):
-                self._links.drop(daemon.peer_address)
-
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
-    def _expire(self) -> None:
-        for owned in self._ownership.owned.values():
-            owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
-        self._turns.forget_engines()
-
     def _is_ready(self) -> bool:
         return self._beliefs.complete and not self._presence.draining
 
@@ -393,15 +376,7 @@
         self._store_health.note(status)
 
     def _note_partition(self, owned: OwnedPartition, detail: str) -> None:
-        self._log.write(
-            "partition",
-            topic=owned.partition.topic,
-            number=owned.partition.number,
-            epoch=owned.epoch,
-            ready=owned.ready,
-            lost=owned.lost,
-            detail=detail,
-        )
+        self._log.write("partition", **owned.dump(), lost=owned.lost, detail=detail)
         if owned.lost:
             self._ownership.forget(owned)
         elif owned.ready:
@@ -419,8 +394,3 @@
             "partitions": [one.dump() for one in self._ownership.owned.values()],
             **self._beliefs.dump(),
         }
-
-
-def _owner_id(member_id: str, incarnation: int) -> str:
-    """Returns the name in the group of owners, another one for each process of a daemon."""
-    return f"{member_id}.{incarnation}"
--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -61,7 +61,15 @@
 
 
 class ConnectError(Exception):
-    """No connection; nothing was sent."""
+    """No connection; nothing was sent.
+
+    Attributes:
+      silent: Whether the host did not answer at all.
+    """
+
+    def __init__(self, detail: str, *, silent: bool = False) -> None:
+        super().__init__(detail)
+        self.silent = silent
 
 
 class BackendConnection(asyncio.Protocol):
@@ -69,10 +77,12 @@
 
     Attributes:
       idle_until_s: Loop time until which it may be used again.
+      heard_s: Loop time at which something came last, or the request was sent.
     """
 
     def __init__(self) -> None:
         self.idle_until_s = 0.0
+        self.heard_s = 0.0
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue()
@@ -87,7 +97,7 @@
         """Whether a further request may be sent."""
         return self._whole and not self._lost and self._transport is not None
 
-    async def connect(self, address: str) -> None:
+    async def connect(self, address: str, *, limit_s: float = CONNECT_LIMIT_S) -> None:
         """Connects.
 
         Raises:
@@ -96,10 +106,11 @@
         loop = asyncio.get_running_loop()
         try:
             host, port = split_address(address)
-            async with asyncio.timeout(CONNECT_LIMIT_S):
+            async with asyncio.timeout(limit_s):
                 await loop.create_connection(lambda: self, host, port)
         except (OSError, ValueError) as error:
-            raise ConnectError(f"{address}: {error!r}") from error
+            silent = isinstance(error, TimeoutError)
+            raise ConnectError(f"{address}: {error!r}", silent=silent) from error
 
     def send(
         self,
@@ -135,6 +146,7 @@
         self._is_mine = is_mine
         self._whole = False
         self._events = asyncio.Queue()
+        self.heard_s = asyncio.get_running_loop().time()
         self._transport.write(head + data)
 
     async def next_event(self) -> ExchangeEvent:
@@ -171,6 +183,7 @@
             # to the next one; a connection that carries such bytes is not used again.
             self.close()
             return
+        self.heard_s = asyncio.get_running_loop().time()
         self._http.receive_data(data)
         self._read()
 
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/links.py
@@ -104,10 +104,21 @@
         *,
         on_message: Callable[[Link, str, Any], None],
         on_lost: Callable[[Link], None],
+        on_refused: Callable[[str], None],
     ) -> None:
+        """Makes the links.
+
+        Args:
+          member_id: Of this daemon.
+          on_message: Takes the link, the sender and the message.
+          on_lost: Takes a link that is over.
+          on_refused: Takes the address of a host where nothing listens any more.
+        """
         self._member_id = member_id
         self._on_message = on_message
         self._on_lost = on_lost
+        self._on_refused = on_refused
+        self._reconnecting: set[asyncio.Task[Link | None]] = set()
         self._outgoing: dict[str, Link] = {}
         self._locks: dict[str, asyncio.Lock] = {}
         self._incoming: set[Link] = set()
@@ -124,7 +135,11 @@
     def stop(self) -> None:
         """Ends all links."""
         self._listener.stop()
-        for link in [*self._outgoing.values(), *self._incoming]:
+        for task in self._reconnecting:
+            task.cancel()
+        outgoing = list(self._outgoing.values())
+        self._outgoing.clear()
+        for link in [*outgoing, *self._incoming]:
             link.close()
 
     async def get(self, address: str) -> Link | None:
@@ -156,16 +171,34 @@
             link.close()
 
     async def _connect(self, address: str) -> Link | None:
-        link = Link(self._member_id, on_message=self._on_message, on_lost=self._on_lost)
+        link = Link(
+            self._member_id,
+            on_message=self._on_message,
+            on_lost=lambda link: self._lose_outgoing(address, link),
+        )
         host, port = split_address(address)
         try:
             async with asyncio.timeout(CONNECT_LIMIT_S):
                 await asyncio.get_running_loop().create_connection(lambda: link, host, port)
+        except ConnectionRefusedError:
+            self._on_refused(address)
+            return None
         except OSError:
             return None
         self._outgoing[address] = link
         return link
 
+    def _lose_outgoing(self, address: str, link: Link) -> None:
+        self._on_lost(link)
+        if self._outgoing.get(address) is not link:
+            return
+        # A process that was killed resets its links; only another attempt tells that from a link
+        # that was reset, and the end of its lease should not wait for the next turn.
+        del self._outgoing[address]
+        task = asyncio.get_running_loop().create_task(self.get(address))
+        self._reconnecting.add(task)
+        task.add_done_callback(self._reconnecting.discard)
+
     def _make_incoming(self) -> Link:
         link = Link(self._member_id, on_message=self._on_message, on_lost=self._lose_incoming)
         self._incoming.add(link)
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -6,6 +6,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.silence import ASK_MS
+from quincespool.policy.silence import BEAT_MS
+from quincespool.policy.silence import SILENCE_MS
+from quincespool.policy.silence import SilenceWatch
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
@@ -13,8 +17,6 @@
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.store import Partition
 
-# A call lasts some 100 ms; a dead owner should cost its programs no more than a few of them.
-BEAT_MS = 200
 # How many daemons each heartbeat goes to, so that what one sends and receives does not grow with
 # their number: 50 datagrams a second are received whatever the size, half a percent of a core at
 # 90 us each. Groups of up to this many and one hear every heartbeat.
@@ -22,9 +24,6 @@
 # Of these, the next ones in the ring get every heartbeat, and tell all others when it stops. Three:
 # a host seldom falls silent together with all three, whose places have nothing to do with zones.
 WATCHERS = 3
-# Heartbeats are lost now and then; five missed in a row are not chance.
-MISSED_BEATS = 5
-SILENCE_MS = MISSED_BEATS * BEAT_MS
 # Of those who get a heartbeat only in their turn, three turns missed are not chance either. That is
 # the fallback for a silence that no watcher could tell of.
 MISSED_ROUNDS = 3
@@ -65,7 +64,7 @@
         self._watched: frozenset[str] = frozenset()
         self._heard_ms = 0
         self._next_turn = 0
-        self._told_silent: set[str] = set()
+        self._silence = SilenceWatch()
 
     @property
     def others(self) -> list[Daemon]:
@@ -103,7 +102,6 @@
                 return False
         self._seen[member_id] = _Seen(now_ms, beat)
         self._heard_ms = max(self._heard_ms, now_ms)
-        self._told_silent.discard(member_id)
         return True
 
     def beat_targets(self) -> list[Daemon]:
@@ -116,19 +114,33 @@
         turn = (rest + rest)[first : self._next_turn]
         return watchers + turn
 
-    def fallen_silent(self, now_ms: int) -> list[tuple[str, int]]:
-        """Returns each daemon, once, that this one watches and hears no more, with its incarnation.
+    def judge_silence(self, now_ms: int) -> tuple[list[Daemon], list[Daemon]]:
+        """Returns whom to ask for a heartbeat, and who is gone, of those that this one watches.
 
-        The others get its heartbeats too seldom to notice that soon.
+        The others get their heartbeats too seldom to notice that soon. Those who are gone bear the
+        incarnation that was heard, and count as silent from now on.
         """
-        silent = []
+        heard_ms = {
+            name: self._seen[name].heard_ms
+            for name in self._watched
+            if name in self._seen and not self.is_draining(name)
+        }
+        verdict = self._silence.check(heard_ms, now_ms)
+        gone = [
+            self.entries[name]._replace(incarnation=self._seen[name].beat.incarnation)
+            for name in verdict.gone
+        ]
+        for name in verdict.gone:
+            self.suspect(name)
+        return [self.entries[name] for name in verdict.ask], gone
+
+    def watched_at(self, peer_address: str) -> Daemon | None:
+        """Returns the daemon at an address, as heard, if this one watches it and it serves."""
         for name in self._watched:
-            seen = self._seen.get(name)
-            if seen is None or self.is_alive(name, now_ms) or name in self._told_silent:
-                continue
-            self._told_silent.add(name)
-            silent.append((name, seen.beat.incarnation))
-        return silent
+            daemon, seen = self.entries[name], self._seen.get(name)
+            if daemon.peer_address == peer_address and seen is not None and not seen.beat.draining:
+                return daemon._replace(incarnation=seen.beat.incarnation)
+        return None
 
     def hear_silence(self, member_id: str, incarnation: int, now_ms: int) -> bool:
         """Takes note that a watcher hears a daemon no more; returns whether that is news here.
@@ -139,7 +151,7 @@
         seen = self._seen.get(member_id)
         if seen is None or seen.beat.incarnation != incarnation:
             return False
-        if now_ms - seen.heard_ms < SILENCE_MS or not self.is_alive(member_id, now_ms):
+        if now_ms - seen.heard_ms < ASK_MS or not self.is_alive(member_id, now_ms):
             return False
         self.suspect(member_id)
         return True
@@ -226,8 +238,7 @@
         self._ring = [one for _, one in places]
         turns = math.ceil((len(self._ring) - WATCHERS) / (BEAT_FANOUT - WATCHERS))
         self.round_ms = BEAT_MS * (turns if self._is_large else 1)
-        last = self._ring[-WATCHERS:] if self._is_large else []
-        self._watched = frozenset(one.member_id for one in last)
+        self._watched = frozenset(one.member_id for one in self._ring[-WATCHERS:])
 
     def _silence_limit_ms(self, member_id: str) -> int:
         if not self._is_large or member_id in self._watched:
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -177,7 +177,10 @@
 
 
 class SilenceNotice(NamedTuple):
-    """The sender gets every heartbeat of this daemon, and has heard none for a second."""
+    """The sender watches this daemon and hears it no more.
+
+    To the daemon itself a question, which it answers by a heartbeat to all; to others a verdict.
+    """
 
     member_id: str
     incarnation: int
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -58,6 +58,7 @@
         self,
         *,
         member_id: str,
+        incarnation: int,
         topics: list[str],
         lease_ms: int,
         store: Store,
@@ -69,7 +70,7 @@
         self.owned: dict[Partition, OwnedPartition] = {}
         self.generation = 0
         self.confirmed_until_ms = 0
-        self._member_id = member_id
+        self._member_id = _owner_id(member_id, incarnation)
         self._topics = topics
         self._lease_ms = lease_ms
         self._renewal_s = lease_ms / 1000 / RENEWALS_PER_LEASE
@@ -136,18 +137,14 @@
                 break
             await asyncio.sleep(0.01)
         self._give_up(list(self.owned), "leaving")
-        await self.release(self._member_id)
+        await self._release(self._member_id)
 
-    async def release(self, member_id: str) -> None:
-        """Ends the lease of a member that is known to be gone, so that others need not wait for it.
+    async def release(self, member_id: str, incarnation: int) -> None:
+        """Ends the lease of a process that is gone, so that others need not wait for it.
 
         Should it live all the same, it joins again; what it writes meanwhile is fenced.
         """
-        try:
-            await self._hedged.first(lambda: self._store.leave(member_id))
-        except StoreError:
-            # Its lease runs out by itself.
-            return
+        await self._release(_owner_id(member_id, incarnation))
 
     async def step_aside(self, reason: str) -> None:
         """Lets others have the partitions while this daemon cannot be reached by them.
@@ -157,7 +154,7 @@
         self._aside = True
         self._forget_dealt()
         self._give_up(list(self.owned), reason)
-        await self.release(self._member_id)
+        await self._release(self._member_id)
         while self._aside and self._wanted:
             await asyncio.sleep(ASIDE_CHECK_S)
             try:
@@ -171,6 +168,13 @@
         self._aside = False
         self._poke.set()
 
+    async def _release(self, owner_id: str) -> None:
+        try:
+            await self._hedged.first(lambda: self._store.leave(owner_id))
+        except StoreError:
+            # The lease runs out by itself.
+            return
+
     @property
     def is_aside(self) -> bool:
         """Whether it has stepped aside."""
@@ -245,3 +249,11 @@
     def _give_up(self, partitions: list[Partition], reason: str) -> None:
         for partition in partitions:
             self.owned.pop(partition).lose(reason)
+
+
+def _owner_id(member_id: str, incarnation: int) -> str:
+    """Returns the name in the group of owners, another one for each process of a daemon.
+
+    Under one name for all, a late request of a dead process would act for the one that lives.
+    """
+    return f"{member_id}.{incarnation}"
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/pool.py
@@ -67,6 +67,14 @@
         for connection in self._busy.pop(backend_id, ()):
             connection.break_off(detail)
 
+    def silences_s(self) -> dict[str, float]:
+        """Returns for how long nothing has come from each backend server that owes an answer."""
+        now_s = asyncio.get_running_loop().time()
+        return {
+            backend_id: now_s - max(connection.heard_s for connection in busy)
+            for backend_id, busy in self._busy.items()
+        }
+
     def drop(self, backend_id: str) -> None:
         """Closes the idle connections to a backend server that has gone or is suspect."""
         for connection in self._idle.pop(backend_id, []):
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -17,6 +17,8 @@
 from quincespool.gateway.store import StoreError
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.gateway.backends import Backends
     from quincespool.gateway.beliefs import Beliefs
     from quincespool.gateway.crashes import CrashWatch
@@ -52,6 +54,7 @@
         partition_count: int,
         crashes: CrashWatch,
         log: DecisionLog,
+        on_silent: Callable[[Daemon], None],
     ) -> None:
         self.draining = False
         self._own = own
@@ -63,6 +66,8 @@
         self._partition_count = partition_count
         self._crashes = crashes
         self._log = log
+        self._on_silent = on_silent
+        self._releasing: set[asyncio.Task[None]] = set()
         self._sequence = 0
         self._announcing: asyncio.TimerHandle | None = None
         self._stepping_aside: asyncio.Task[None] | None = None
@@ -122,11 +127,38 @@
         if daemon.member_id != self._own.member_id:
             self._send_beat([daemon])
 
-    def tell_silences(self) -> None:
-        """Tells all others of daemons that this one watches and hears no more."""
-        for member_id, incarnation in self._members.fallen_silent(now_ms()):
-            self._log.write("daemon silent", peer_id=member_id, incarnation=incarnation)
-            self._heartbeats.send(self._members.others, SilenceNotice(member_id, incarnation))
+    def judge_silence(self) -> None:
+        """Asks those that this daemon watches and hears no more; ends the leases of who is gone.
+
+        Until a lease has run out, nobody else may have the programs of a dead owner.
+        """
+        ask, gone = self._members.judge_silence(now_ms())
+        for daemon in ask:
+            self._heartbeats.send([daemon], SilenceNotice(daemon.member_id, daemon.incarnation))
+        for daemon in gone:
+            self._end_lease(daemon, "silent")
+            notice = SilenceNotice(daemon.member_id, daemon.incarnation)
+            self._heartbeats.send(self._members.others, notice)
+
+    def note_refused(self, peer_address: str) -> None:
+        """Takes note that a host lives and nothing listens there: the process has ended."""
+        daemon = self._members.watched_at(peer_address)
+        if daemon is not None and self._members.is_alive(daemon.member_id, now_ms()):
+            self._members.suspect(daemon.member_id)
+            self._end_lease(daemon, "refuses connections")
+
+    def _end_lease(self, daemon: Daemon, reason: str) -> None:
+        self._log.write(
+            "daemon gone",
+            peer_id=daemon.member_id,
+            incarnation=daemon.incarnation,
+            reason=reason,
+        )
+        self._on_silent(daemon)
+        work = self._ownership.release(daemon.member_id, daemon.incarnation)
+        task = asyncio.get_running_loop().create_task(work)
+        self._releasing.add(task)
+        task.add_done_callback(self._releasing.discard)
 
     def _announce_rest(self, told: tuple[object, ...]) -> None:
         self._announcing = None
@@ -204,3 +236,4 @@
             self.announce()
         elif self._members.hear_silence(notice.member_id, notice.incarnation, now_ms()):
             self._log.write("daemon said to be silent", peer_id=notice.member_id, told_by=sender)
+            self._on_silent(self._members.entries[notice.member_id])
--- a/src/quincespool/gateway/routes.py
+++ b/src/quincespool/gateway/routes.py
@@ -22,8 +22,8 @@
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Route
 
-# A daemon that has just started has read its configuration within some tens of milliseconds; while
-# the store is away, callers had better go elsewhere.
+# A daemon that has just started has read its configuration within some tens of milliseconds. While
+# the store is away a caller must not use its few tries up.
 UNCONFIGURED_RETRY_MS = 100
 STORE_AWAY_RETRY_MS = 1_000
 
@@ -36,10 +36,10 @@
       configured: Set when there is one.
     """
 
-    def __init__(self, *, store_reachable: Callable[[], bool]) -> None:
+    def __init__(self, *, store_prompt: Callable[[], bool]) -> None:
         self.configuration: Configuration | None = None
         self.configured = asyncio.Event()
-        self._store_reachable = store_reachable
+        self._store_prompt = store_prompt
         self._by_host: dict[str, list[Route]] = {}
 
     @property
@@ -65,8 +65,7 @@
         """Returns the route of the longest matching prefix and a service drawn by weight."""
         configuration = self.configuration
         if configuration is None:
-            soon = self._store_reachable()
-            retry_ms = UNCONFIGURED_RETRY_MS if soon else STORE_AWAY_RETRY_MS
+            retry_ms = UNCONFIGURED_RETRY_MS if self._store_prompt() else STORE_AWAY_RETRY_MS
             return Error(not_run("no_configuration", retry_after_ms=retry_ms))
         for route in self._by_host.get(call.host, ()):
             if call.target.startswith(route.path_prefix):
--- /dev/null
+++ b/src/quincespool/gateway/upkeep.py
@@ -0,0 +1,70 @@
+"""What a daemon does at intervals: heartbeats, judging silence, forgetting what is over."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.clock import now_ms
+from quincespool.gateway.clock import wall_ms
+from quincespool.policy.silence import BEAT_MS
+
+if TYPE_CHECKING:
+    from quincespool.gateway.beliefs import Beliefs
+    from quincespool.gateway.links import Links
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.ownership import Ownership
+    from quincespool.gateway.presence import Presence
+    from quincespool.gateway.quiet_backends import QuietBackends
+    from quincespool.gateway.ticker import Ticker
+    from quincespool.gateway.turns import TurnRunner
+
+# A small part of the time for which a peer may be silent.
+SILENCE_CHECK_MS = 50
+UPKEEP_INTERVAL_MS = 250
+EXPIRY_INTERVAL_MS = 2_000
+# Programs are forgotten this long after they can no longer be continued: clocks of daemons differ
+# by some seconds, and no turn lasts longer.
+LEDGER_GRACE_MS = 30_000
+
+
+class Upkeep:
+    """The interval work of one daemon."""
+
+    def __init__(
+        self,
+        *,
+        beliefs: Beliefs,
+        presence: Presence,
+        members: Members,
+        links: Links,
+        ownership: Ownership,
+        turns: TurnRunner,
+        quiet_backends: QuietBackends,
+    ) -> None:
+        self._beliefs = beliefs
+        self._presence = presence
+        self._members = members
+        self._links = links
+        self._ownership = ownership
+        self._turns = turns
+        self._quiet_backends = quiet_backends
+
+    def subscribe(self, ticker: Ticker) -> None:
+        """Has the work done at its intervals."""
+        ticker.every(lambda: BEAT_MS, self._presence.beat)
+        ticker.every(lambda: SILENCE_CHECK_MS, self._presence.judge_silence)
+        ticker.every(lambda: SILENCE_CHECK_MS, self._quiet_backends.check)
+        ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
+        ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
+
+    def _keep_up(self) -> None:
+        self._beliefs.expire()
+        self._presence.follow_isolation()
+        for daemon in self._members.others:
+            if not self._members.is_alive(daemon.member_id, now_ms()):
+                self._links.drop(daemon.peer_address)
+
+    def _expire(self) -> None:
+        for owned in self._ownership.owned.values():
+            owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+        self._turns.forget_engines()
--- /dev/null
+++ b/tests/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the same package of the product."""
