The end of a turn waits for its records as long as its caller waits for an event

A turn broken off sooner is run once more. Ruled out: waiting longer than callers do.

Change: the adapter reads a route's patience in place of its objective, which nothing used; the end waits that long, less 200 ms.

--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -66,7 +66,7 @@
     path_prefix: str
     kind: str
     timeout_ms: int
-    objective_ms: int
+    patience_ms: int
     rank: int
     max_attempts: int
     keeps_history: bool
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -69,7 +69,7 @@
 
     Attributes:
       rank: Importance; 0 goes first.
-      objective_ms: Time in which an answer has its full value.
+      patience_ms: How long callers wait for a stream's next event before they leave.
       max_attempts: Backend servers that one call may be sent to.
       keeps_history: Whether turns carry only their new input and the gateway adds what came before.
       retention_ms: How long a whole turn can be continued from.
@@ -81,7 +81,7 @@
     kind: CallKind
     shares: tuple[Share, ...]
     timeout_ms: int
-    objective_ms: int
+    patience_ms: int
     rank: int
     max_attempts: int
     keeps_history: bool
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -51,9 +51,12 @@
 # The start of a turn is durable within some tens of milliseconds, before the engine's first token;
 # after this long the store is taken to be away, and the first token goes out before it.
 START_LIMIT_MS = 250
-# The end of a turn waits at most this long for its records: callers leave after two seconds without
-# an event.
-RECORD_LIMIT_MS = 1_800
+# A turn whose caller is gone, or told that it may have run, has its records kept within this time
+# at the partition's next owner, or not at all.
+SETTLE_LIMIT_MS = 1_800
+# The end of a turn waits for its records as long as callers wait for an event, less the way there.
+# Broken off sooner, a turn is run once more that would have ended whole when the store came back.
+PATIENCE_MARGIN_MS = 200
 # Ranks that engines know; the least urgent one.
 LOWEST_RANK = 9
 
@@ -113,6 +116,7 @@
         self._owned = owned
         self._reply = reply
         self._until_ms = until_ms
+        self._patience_ms = decision.route.patience_ms - PATIENCE_MARGIN_MS
         self._start = TurnStarted(
             turn_id=call.call_id,
             program_id=turn.program_id,
@@ -198,8 +202,8 @@
         try:
             await asyncio.shield(kept)
         except LostPartitionError:
-            if await self._settle(self._start, RECORD_LIMIT_MS):
-                await self._settle(record, RECORD_LIMIT_MS)
+            if await self._settle(self._start, SETTLE_LIMIT_MS):
+                await self._settle(record, SETTLE_LIMIT_MS)
 
     async def _attempt(self, entry: BackendEntry) -> NotRun | Lost | None:
         call, turn = self._call, self._turn
@@ -296,7 +300,7 @@
         )
         ended_ms = now_ms()
         self._settled = True
-        limit_ms = min(RECORD_LIMIT_MS, self._until_ms - ended_ms)
+        limit_ms = min(self._patience_ms, self._until_ms - ended_ms)
         # Handed over before the start is waited for, so that one append takes both.
         kept = self._owned.submit(record)
         if not self._start_is_kept:
@@ -350,11 +354,11 @@
     async def _durable_start(self) -> None:
         assert self._start_kept is not None
         try:
-            async with asyncio.timeout(RECORD_LIMIT_MS / 1000):
+            async with asyncio.timeout(self._patience_ms / 1000):
                 await asyncio.shield(self._start_kept)
         except LostPartitionError as error:
             # The partition was dealt anew while the record was on its way.
-            if not await self._settle(self._start, RECORD_LIMIT_MS):
+            if not await self._settle(self._start, SETTLE_LIMIT_MS):
                 raise BrokenTurnError(may_have_run("owner_changed")) from error
             self._start_settled = True
         except TimeoutError as error:
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -22,6 +22,12 @@
 BACKENDS_TOPIC = "keyed.servers"
 DAEMONS_TOPIC = "keyed.status"
 
+# Callers leave a stream after the longest of these: a time of its own, so many times the route's
+# objective for the first event, so many times its longest pause between events.
+LEAST_PATIENCE_MS = 2_000
+PATIENCE_OBJECTIVES = 4
+PATIENCE_PAUSES = 8
+
 
 class _Weighted(msgspec.Struct):
     service: str
@@ -42,6 +48,8 @@
     # Turns carry only their new input; the chain that they name is to be put before it.
     retain_context: bool = False
     retention_s: float = 0
+    # Longest pause between events with which a stream is in time.
+    target_gap_ms: float = 0
 
 
 class _Engine(msgspec.Struct):
@@ -166,7 +174,7 @@
         kind=CallKind(route.kind),
         shares=shares or (Share(route.service, 1),),
         timeout_ms=int(route.timeout_ms),
-        objective_ms=int(route.target_latency_ms),
+        patience_ms=_patience_ms(route),
         rank=route.priority,
         max_attempts=max(1, route.max_attempts),
         keeps_history=route.retain_context,
@@ -174,6 +182,15 @@
     )
 
 
+def _patience_ms(route: _Route) -> int:
+    longest_ms = max(
+        LEAST_PATIENCE_MS,
+        PATIENCE_OBJECTIVES * route.target_latency_ms,
+        PATIENCE_PAUSES * route.target_gap_ms,
+    )
+    return int(longest_ms)
+
+
 def _service(service: _Service) -> Service:
     engine = service.engine
     return Service(
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -75,7 +75,7 @@
   pathPrefix @15 :Text;
   kind @16 :Text;
   timeoutMs @17 :Int64;
-  objectiveMs @18 :Int64;
+  patienceMs @18 :Int64;
   rank @19 :Int64;
   maxAttempts @20 :Int64;
   keepsHistory @21 :Bool;
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -39,6 +39,7 @@
         True,
     )
     assert first.retention_ms == 60_000
+    assert first.patience_ms == 2_000
     assert first.shares == (Share("huvo11a", 1),)
     assert second.shares == (Share("huvo11a", 90), Share("wuno96b", 10))
     assert configuration.services["huvo11a"].tokens_per_event == 9
@@ -46,6 +47,24 @@
     assert configuration.limits.max_head_bytes == 16_384
 
 
+@pytest.mark.parametrize(
+    ("latency", "gap", "patience_ms"), [(250, 200, 2_000), (200, 300, 2_400), (900, 300, 3_600)]
+)
+def test_callers_wait_as_long_as_their_route_lets_them(
+    latency: int, gap: int, patience_ms: int
+) -> None:
+    """Symptom: turns are broken off and run again although the store is back in time.
+
+    Events: the store is away for two seconds at the end of turns whose callers wait for 2,400 ms.
+    Cause: one figure for how long callers wait, whatever their route says.
+    """
+    changed = CONFIGURATION.replace(
+        b'"target_latency_ms":250', f'"target_latency_ms":{latency}'.encode()
+    )
+    changed = changed.replace(b'"target_gap_ms":200', f'"target_gap_ms":{gap}'.encode())
+    assert read_configuration(changed).routes[0].patience_ms == patience_ms
+
+
 @pytest.mark.parametrize("value", [b"", b"{", b"[]", b'{"version":"7"}', CONFIGURATION[:-9]])
 def test_an_unreadable_configuration_is_said_to_be_so(value: bytes) -> None:
     with pytest.raises(msgspec.MsgspecError):
