--- a/src/quincespool/gateway/quiet_backends.py
+++ b/src/quincespool/gateway/quiet_backends.py
@@ -19,6 +19,9 @@
 SILENT_ATTEMPTS = 2
 # A host within a region answers an opening packet within some milliseconds.
 ATTEMPT_LIMIT_S = 0.1
+# An attempt that ends so late says that this process is short of processor time, not that the host
+# is silent: the answer may wait in its socket.
+LATE_LIMIT_S = 1.5 * ATTEMPT_LIMIT_S
 # A backend server that is there and quiet, as one that reads a long prompt, is asked again after
 # this long: a connection is paid for.
 AGAIN_S = 1.0
@@ -74,10 +77,12 @@
     async def _is_silent(self, entry: BackendEntry) -> bool:
         """Whether the host does not answer; one that refuses lives, and resets what it owes."""
         connection = BackendConnection()
+        began_s = asyncio.get_running_loop().time()
         try:
             await connection.connect(entry.address, limit_s=ATTEMPT_LIMIT_S)
         except ConnectError as error:
             connection.close()
-            return error.silent
+            took_s = asyncio.get_running_loop().time() - began_s
+            return error.silent and took_s < LATE_LIMIT_S
         self._services.pool.give_back(entry, connection, None)
         return False
--- a/tests/gateway/test_quiet_backends.py
+++ b/tests/gateway/test_quiet_backends.py
@@ -8,6 +8,7 @@
 
 from quincespool.gateway.exchange import BackendConnection
 from quincespool.gateway.exchange import ConnectError
+from quincespool.gateway.quiet_backends import ATTEMPT_LIMIT_S
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
@@ -51,3 +52,27 @@
             engine.knobs.events = 1
         _, reply = await cluster.turn("a", "p1")
         assert reply.status == 200
+
+
+async def test_a_process_that_is_short_of_processor_time_judges_nobody(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: a slow host breaks off streams of engines that are at work.
+
+    Events: a host turns five times slower; its attempts to connect end late.
+    Cause: what waited unread in its own sockets was taken for silence.
+    """
+    async with GatewayCluster(1) as cluster:
+        for engine in cluster.engines.values():
+            engine.knobs.gap_ms = 1_200
+            engine.knobs.events = 1
+        turn = asyncio.create_task(cluster.turn("a", "p1", call_id="t1"))
+        await cluster.until(lambda: cluster.runs("t1"))
+
+        async def answer_too_late(*_: object, **__: object) -> None:
+            await asyncio.sleep(2 * ATTEMPT_LIMIT_S)
+            raise ConnectError("no answer", silent=True)
+
+        monkeypatch.setattr(BackendConnection, "connect", answer_too_late)
+        _, reply = await turn
+        assert reply.status == 200
