A question about silence is answered to the one who asks; fields of messages keep their meaning

Told to all, the answers of a large group that is short of processor time would storm it. The patience of a route's callers has a field of its own at the end of the message, so that daemons of two versions understand each other.

--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -177,16 +177,26 @@
 
 
 class SilenceNotice(NamedTuple):
-    """The sender watches this daemon and hears it no more.
+    """The sender watches this daemon and takes it to be gone.
 
-    To the daemon itself a question, which it answers by a heartbeat to all; to others a verdict.
+    The daemon gets the notice too, and answers with a heartbeat to all if it lives.
     """
 
     member_id: str
     incarnation: int
 
 
-Datagram = Heartbeat | CrashNotice | SilenceNotice
+class SilenceQuestion(NamedTuple):
+    """The sender watches the receiver and has not heard it for some heartbeats.
+
+    Attributes:
+      incarnation: Last heard of the receiver; it answers whatever that is.
+    """
+
+    incarnation: int
+
+
+Datagram = Heartbeat | CrashNotice | SilenceNotice | SilenceQuestion
 LinkMessage = (
     RelayCall
     | RelayCancel
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import SilenceNotice
+from quincespool.gateway.messages import SilenceQuestion
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
 
@@ -134,7 +135,7 @@
         """
         ask, gone = self._members.judge_silence(now_ms())
         for daemon in ask:
-            self._heartbeats.send([daemon], SilenceNotice(daemon.member_id, daemon.incarnation))
+            self._heartbeats.send([daemon], SilenceQuestion(daemon.incarnation))
         for daemon in gone:
             self._end_lease(daemon, "silent")
             notice = SilenceNotice(daemon.member_id, daemon.incarnation)
@@ -221,6 +222,9 @@
         if isinstance(message, SilenceNotice):
             self._hear_silence(sender, message)
             return
+        if isinstance(message, SilenceQuestion):
+            self._answer(sender)
+            return
         if not isinstance(message, Heartbeat):
             return
         if self._beliefs.hear(sender, message):
@@ -231,6 +235,16 @@
         if message.generation > self._ownership.generation:
             self._ownership.renew_soon()
 
+    def _answer(self, sender: str) -> None:
+        """Shows the one who asks that this daemon lives, and nobody else.
+
+        Told to all, the answers of a large group whose hosts are all short of processor time would
+        take the rest of it.
+        """
+        asker = self._members.entries.get(sender)
+        if asker is not None:
+            self._send_beat([asker])
+
     def _hear_silence(self, sender: str, notice: SilenceNotice) -> None:
         if notice.member_id == self._own.member_id:
             self.announce()
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -57,6 +57,8 @@
 # The end of a turn waits for its records as long as callers wait for an event, less the way there.
 # Broken off sooner, a turn is run once more that would have ended whole when the store came back.
 PATIENCE_MARGIN_MS = 200
+# What callers wait for at the least, if a daemon of an earlier version does not tell.
+LEAST_PATIENCE_MS = 2_000
 # Ranks that engines know; the least urgent one.
 LOWEST_RANK = 9
 
@@ -116,7 +118,8 @@
         self._owned = owned
         self._reply = reply
         self._until_ms = until_ms
-        self._patience_ms = decision.route.patience_ms - PATIENCE_MARGIN_MS
+        told_ms = max(LEAST_PATIENCE_MS, decision.route.patience_ms)
+        self._patience_ms = told_ms - PATIENCE_MARGIN_MS
         self._start = TurnStarted(
             turn_id=call.call_id,
             program_id=turn.program_id,
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -23,6 +23,7 @@
     turnFound @14 :TurnFound;
     turnAbsent @15 :TurnAbsent;
     silenceNotice @16 :SilenceNotice;
+    silenceQuestion @17 :SilenceQuestion;
   }
 }
 
@@ -75,7 +76,7 @@
   pathPrefix @15 :Text;
   kind @16 :Text;
   timeoutMs @17 :Int64;
-  patienceMs @18 :Int64;
+  objectiveMs @18 :Int64;  # Of earlier versions; neither written nor read.
   rank @19 :Int64;
   maxAttempts @20 :Int64;
   keepsHistory @21 :Bool;
@@ -85,6 +86,7 @@
   tokensPerEvent @25 :Int64;
   residentTokens @26 :Int64;
   maxPinMs @27 :Int64;
+  patienceMs @28 :Int64;  # 0 from earlier versions.
 }
 
 struct RelayCancel {
@@ -155,11 +157,16 @@
 }
 
 struct SilenceNotice {
-  # The sender gets every heartbeat of this daemon, and has heard none for a second.
+  # The sender watches this daemon and takes it to be gone.
   memberId @0 :Text;
   incarnation @1 :Int64;
 }
 
+struct SilenceQuestion {
+  # The sender watches the receiver and has not heard it for some heartbeats.
+  incarnation @0 :Int64;
+}
+
 struct CrashNotice {
   # A backend server broke off while it ran a request with this fingerprint.
   fingerprint @0 :Text;
--- a/tests/gateway/test_presence.py
+++ b/tests/gateway/test_presence.py
@@ -4,7 +4,9 @@
 
 import asyncio
 
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.presence import ANNOUNCE_S
+from quincespool.policy.silence import ASK_MS
 from tests.gateway.gateway_cluster import GatewayCluster
 
 
@@ -24,3 +26,18 @@
         await asyncio.sleep(3 * ANNOUNCE_S)
 
         assert cluster.nodes["b"].daemon._members.is_draining("a")
+
+
+async def test_a_daemon_that_is_asked_shows_that_it_lives() -> None:
+    """Symptom: a daemon whose heartbeats were lost loses its partitions.
+
+    Events: some heartbeats of a daemon are lost in a row; its watcher judges it by that alone.
+    Cause: nobody asked the daemon.
+    """
+    async with GatewayCluster(2) as cluster:
+        asker, asked = cluster.nodes["a"].daemon, cluster.nodes["b"].daemon
+        asked._ticker.stop()
+        for _ in range(3):
+            await asyncio.sleep(ASK_MS / 1000)
+            assert asker._members.is_alive("b", now_ms())
+            assert asked._ownership.owned
