Callers keep the directory's answers for two seconds

Hypothesis: around losses of power, callers whose answer has run out ask a directory again, up to a second at a host that is dark.

--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -44,7 +44,11 @@
       store_limit_ms: How long one request to the store may take.
       backends_interval_ms: How often the entries of backend servers are read; must leave time to
         stop using one within the time that it drains.
-      addresses_valid_ms: How long callers keep an answer of the directory.
+      addresses_valid_ms: How long callers keep an answer of the directory. Whoever must ask again
+        may ask a host without power first, for a second; whoever keeps an answer may connect to
+        one. 2,000 in place of 1,000 brought a day with losses of power from 0.789 to 0.808 of its
+        worth (mean of three seeds). Three times as long must fit into `stop_grace_ms`, since some
+        callers keep it for that.
       stop_grace_ms: From SIGTERM until the platform kills the process.
     """
 
@@ -63,7 +67,7 @@
     owner_lease_ms: int = 1_000
     store_limit_ms: int = 600
     backends_interval_ms: int = 400
-    addresses_valid_ms: int = 1_000
+    addresses_valid_ms: int = 2_000
     log_level: str = "info"
 
 
