A silence that is told of an unknown daemon, copies that fail late, and engines that owe nothing

Found when reading the last changes: a notice about a daemon whose entry is not read yet raised in the datagram handler; a copy of a request that failed after another one had succeeded was reported as an unhandled error; a connection counted as silent while its turn waited for the store, so that engines were connected to once a second in each outage (a test shows it); a peer that ends links at once would have been connected to without pause.

--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -92,6 +92,11 @@
         self._whole = True
         self._lost = False
 
+    @property
+    def owes_answer(self) -> bool:
+        """Whether the answer to a request that was sent is not whole."""
+        return not self._whole
+
     @property
     def usable(self) -> bool:
         """Whether a further request may be sent."""
--- a/src/quincespool/gateway/hedged_calls.py
+++ b/src/quincespool/gateway/hedged_calls.py
@@ -7,6 +7,7 @@
 from typing import Any
 from typing import TypeVar
 
+from quincespool.gateway.futures import forget_error
 from quincespool.gateway.store import StoreError
 from quincespool.policy.answer_times import AnswerTimes
 
@@ -84,7 +85,10 @@
     ) -> asyncio.Task[T]:
         if is_hedge:
             self._on_hedge()
-        return asyncio.get_running_loop().create_task(self._timed(call))
+        copy = asyncio.get_running_loop().create_task(self._timed(call))
+        # Another copy may have brought the result first.
+        copy.add_done_callback(forget_error)
+        return copy
 
     async def _wait(self, copies: set[asyncio.Task[T]], limit_ms: float) -> set[asyncio.Task[T]]:
         """Returns the copies that are done, none when it is time for another one."""
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/links.py
@@ -32,6 +32,9 @@
 # anything else that a daemon does when it has little to do.
 IDLE_PROBE_INTERVALS = 10
 MAX_UNSENT_BYTES = 8_000_000
+# A link that is lost sooner is made again only when it is needed: a peer that takes links and ends
+# them at once would be connected to without pause.
+MIN_RECONNECT_S = 0.2
 
 
 class Link(asyncio.Protocol):
@@ -40,6 +43,7 @@
     Attributes:
       lost: Whether it is over.
       waiting: Answers that are to come on it.
+      made_s: Steady clock at which it was made.
     """
 
     def __init__(
@@ -56,6 +60,7 @@
         self._transport: asyncio.Transport | None = None
         self.lost = False
         self.waiting = 0
+        self.made_s = time.monotonic()
 
     def send(self, message: Any) -> bool:
         """Sends a message; returns whether the link is there to take it."""
@@ -195,6 +200,8 @@
         # A process that was killed resets its links; only another attempt tells that from a link
         # that was reset, and the end of its lease should not wait for the next turn.
         del self._outgoing[address]
+        if time.monotonic() - link.made_s < MIN_RECONNECT_S:
+            return
         task = asyncio.get_running_loop().create_task(self.get(address))
         self._reconnecting.add(task)
         task.add_done_callback(self._reconnecting.discard)
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from quincespool.gateway.futures import forget_error
 from quincespool.gateway.ledger import Admission
 from quincespool.gateway.ledger import Ledger
 from quincespool.gateway.ledger import TurnStarted
@@ -136,7 +137,7 @@
         """Hands a record over; the future tells when it is kept."""
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
-        future.add_done_callback(_forget_error)
+        future.add_done_callback(forget_error)
         if self.lost:
             future.set_exception(LostPartitionError())
             return future
@@ -159,7 +160,7 @@
         if self._next_check is None:
             check = self._check_after(self._check)
             self._next_check = asyncio.get_running_loop().create_task(check)
-            self._next_check.add_done_callback(_forget_error)
+            self._next_check.add_done_callback(forget_error)
         await asyncio.shield(self._next_check)
 
     async def _check_after(self, running: asyncio.Task[None] | None) -> None:
@@ -299,9 +300,3 @@
         return self._store.append(
             self.partition, records, epoch=self.epoch, sequence=self._sequence
         )
-
-
-def _forget_error(done: asyncio.Future[None]) -> None:
-    """Marks an error as seen that perhaps nobody waits for."""
-    if not done.cancelled():
-        done.exception()
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/pool.py
@@ -70,10 +70,11 @@
     def silences_s(self) -> dict[str, float]:
         """Returns for how long nothing has come from each backend server that owes an answer."""
         now_s = asyncio.get_running_loop().time()
-        return {
-            backend_id: now_s - max(connection.heard_s for connection in busy)
+        heard_s = {
+            backend_id: [one.heard_s for one in busy if one.owes_answer]
             for backend_id, busy in self._busy.items()
         }
+        return {backend_id: now_s - max(times) for backend_id, times in heard_s.items() if times}
 
     def drop(self, backend_id: str) -> None:
         """Closes the idle connections to a backend server that has gone or is suspect."""
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -250,4 +250,6 @@
             self.announce()
         elif self._members.hear_silence(notice.member_id, notice.incarnation, now_ms()):
             self._log.write("daemon said to be silent", peer_id=notice.member_id, told_by=sender)
-            self._on_silent(self._members.entries[notice.member_id])
+            silent = self._members.entries.get(notice.member_id)
+            if silent is not None:
+                self._on_silent(silent)
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/test_links.py
@@ -64,6 +64,7 @@
     await there.start("127.0.0.1", 0)
     address = f"127.0.0.1:{there._listener.port}"
     assert await here.get(address) is not None
+    await asyncio.sleep(1.5 * links.MIN_RECONNECT_S)
     there.stop()
     async with asyncio.timeout(2.0):
         while not refused:
--- a/tests/gateway/test_quiet_backends.py
+++ b/tests/gateway/test_quiet_backends.py
@@ -76,3 +76,27 @@
         monkeypatch.setattr(BackendConnection, "connect", answer_too_late)
         _, reply = await turn
         assert reply.status == 200
+
+
+async def test_an_engine_that_has_answered_is_not_doubted_while_records_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: in an outage of the store hundreds of connections are made to engines.
+
+    Events: turns have generated everything, and their ends wait for the store.
+    Cause: a connection counted as one that owes an answer until its turn was over.
+    """
+    async with GatewayCluster(1) as cluster:
+        first, _ = await cluster.turn("a", "p1")
+        cluster.nodes["a"].store.knobs.delay_ms = 700
+        tried: list[str] = []
+
+        async def note(_: BackendConnection, address: str, **__: object) -> None:
+            tried.append(address)
+            raise ConnectError("no answer", silent=True)
+
+        turn = asyncio.create_task(cluster.turn("a", "p1", previous=first, call_id="t2"))
+        await cluster.until(lambda: cluster.runs("t2"))
+        monkeypatch.setattr(BackendConnection, "connect", note)
+        await asyncio.wait({turn})
+        assert tried == []
