--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -186,3 +186,41 @@
     assert not backends.entries
     assert backends.put(_entry(1_000)) is not EntryNews.STALE
     assert "e1" in backends.entries
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["put", "leave", "remove", "fail", "down", "answer", "start"]),
+        st.integers(0, 5),
+        st.integers(-(10**6), 10**6),
+    ),
+    max_size=60,
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(_STEPS, st.frozensets(st.integers(0, 5)))
+def test_a_choice_is_always_one_that_may_be_sent_to(
+    steps: list[tuple[str, int, int]], excluded: frozenset[int]
+) -> None:
+    """Whatever failed, left or was excluded; and there is a choice if anyone may be sent to."""
+    backends = _backends()
+    exclude = frozenset(f"e{number}" for number in excluded)
+    for kind, number, now_ms in steps:
+        name = f"e{number}"
+        if kind in {"put", "leave"}:
+            leaving = kind == "leave"
+            backends.put(BackendEntry(name, "model", "127.0.0.1:1", "z", number, leaving, 0))
+        elif kind == "remove":
+            backends.remove(name, now_ms=now_ms, lapses_until_ms=0)
+        elif kind in {"fail", "down"}:
+            backends.failed(name, now_ms, unreachable=kind == "down")
+        elif kind == "answer":
+            backends.succeeded(name, float(now_ms))
+        else:
+            backends.started(name)
+        serving = {one for one, e in backends.entries.items() if not e.leaving} - exclude
+        chosen = backends.choose("model", now_ms=now_ms, exclude=exclude)
+        assert (chosen is None) == (not serving)
+        assert chosen is None or chosen.backend_id in serving
+    assert backends.choose("nothing", now_ms=0) is None
