--- a/tests/gateway/test_hedged_calls.py
+++ b/tests/gateway/test_hedged_calls.py
@@ -94,6 +94,23 @@
         assert await running == "done"
 
 
+async def test_a_store_that_is_back_is_sent_a_copy_though_all_are_out() -> None:
+    """Symptom: after a silent outage turns end half a second later than the store's return.
+
+    Events: the store is silent; three copies of a batch go out within 100 ms; the store is back.
+    Cause: no copy is sent beyond the third until one has met its own time limit.
+    """
+    hedged = _make_hedged()
+    script = _Script(_silence, _silence, _silence, _answer)
+    running = asyncio.create_task(hedged.first(script.call))
+    async with asyncio.timeout(2.0):
+        while script.sent < MAX_COPIES:
+            await asyncio.sleep(0.01)
+    hedged.wake()
+    async with asyncio.timeout(0.3):
+        assert await running == "done"
+
+
 async def test_a_refusal_is_told_when_no_copy_is_left() -> None:
     script = _Script(_refuse)
     with pytest.raises(StoreError):
