The store's return sends a copy though three are out

Cause: HedgedCalls sends no fourth copy, also when the store has just come back; a request whose three copies had met a silent outage waited for the time limit of one of them, up to 600 ms. Ruled out: a fourth copy beside the three, since a store that comes and goes would be sent more with each return. Change: of three copies that are all out, the oldest makes room when the store is back.

--- a/src/quincespool/gateway/hedged_calls.py
+++ b/src/quincespool/gateway/hedged_calls.py
@@ -58,18 +58,24 @@
           StoreError: what the last copy brought, if none has a result; at once if the store refuses
             the request for good.
         """
-        copies: set[asyncio.Task[T]] = set()
-        done: set[asyncio.Task[T]] = set()
+        # In the order in which they were sent.
+        copies: list[asyncio.Task[T]] = []
+        done: list[asyncio.Task[T]] = []
         sent = 0
         try:
             while True:
                 # After a refusal nothing is sent while an earlier copy may still be answered: a
                 # store that turns requests away would be sent one after the other.
                 if not done and len(copies) < MAX_COPIES:
-                    copies.add(self._send(call, is_hedge=sent > 0))
+                    copies.append(self._send(call, is_hedge=sent > 0))
                     sent += 1
+                returned = self._returned
                 done = await self._wait(copies, self.times.wait_ms(sent))
-                copies -= done
+                copies = [copy for copy in copies if copy not in done]
+                if returned.done() and not done and len(copies) == MAX_COPIES:
+                    # All met the outage and may be lost in it. Were they waited for, the request
+                    # would be answered up to one time limit after the store's return.
+                    copies.pop(0).cancel()
                 for copy in done:
                     error = copy.exception()
                     if error is None:
@@ -90,11 +96,11 @@
         copy.add_done_callback(forget_error)
         return copy
 
-    async def _wait(self, copies: set[asyncio.Task[T]], limit_ms: float) -> set[asyncio.Task[T]]:
+    async def _wait(self, copies: list[asyncio.Task[T]], limit_ms: float) -> list[asyncio.Task[T]]:
         """Returns the copies that are done, none when it is time for another one."""
         waited: set[asyncio.Future[Any]] = {*copies, self._returned}
         await asyncio.wait(waited, timeout=limit_ms / 1000, return_when=asyncio.FIRST_COMPLETED)
-        return {copy for copy in copies if copy.done()}
+        return [copy for copy in copies if copy.done()]
 
     async def _timed(self, call: Callable[[], Coroutine[Any, Any, T]]) -> T:
         loop = asyncio.get_running_loop()
