Daemons tell one another of backend servers where calls go wrong; placement and ejection are pure

Cause: a daemon passed a backend server over for failures of its own calls alone. With many daemons each sends a backend server a call every few seconds: each pays for the same dark engine again and hardly ever sees two failures in a row. Slowness did not count at all. Ruled out: telling loads or outcomes of all calls (traffic grows with calls x daemons); believing one daemon (one that is cut off would impose its view). Also: the start of a kept task stands once (futures.start_kept).

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -14,6 +14,7 @@
 from quincespool.gateway.exchange import End
 from quincespool.gateway.exchange import Head
 from quincespool.gateway.exchange import Piece
+from quincespool.gateway.futures import start_kept
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +27,7 @@
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Headers
     from quincespool.gateway.pool import ConnectionPool
+    from quincespool.gateway.troubles import Troubles
     from quincespool.gateway.wire import AnswerHead
     from quincespool.gateway.wire import Wire
     from quincespool.net.metrics import Metrics
@@ -34,7 +36,10 @@
 # A process that has crashed refuses connections by now; one that is replaced takes seconds.
 CRASH_CHECK_S = 0.1
 
-# The loop keeps only weak references to tasks.
+# A timer that fires so late says that this process is short of processor time; the answer may wait
+# in its own socket.
+LATE_TIMER_S = 0.03
+
 _checks: set[asyncio.Task[None]] = set()
 
 
@@ -73,6 +78,7 @@
     metrics: Metrics
     crashes: CrashWatch
     tell_crash: Callable[[str, str], None]
+    troubles: Troubles
 
 
 class Attempt:
@@ -90,6 +96,8 @@
         self._idle_s: float | None = None
         self._started_ms = now_ms()
         self._settled = False
+        self._sent_s = 0.0
+        self._overdue: asyncio.TimerHandle | None = None
 
     async def __aenter__(self) -> Attempt:
         self._services.backends.started(self.entry.backend_id)
@@ -97,6 +105,7 @@
 
     async def __aexit__(self, *exc: object) -> None:
         self._services.backends.finished(self.entry.backend_id)
+        self._stop_overdue()
         if self._connection is None:
             return
         if self._settled:
@@ -114,7 +123,7 @@
                 self._call.method, self._call.target, headers, body, is_mine=self._is_mine
             )
         except ConnectError as error:
-            ejected = services.backends.failed(entry.backend_id, now_ms(), unreachable=True)
+            ejected = self._blame("unreachable", unreachable=True)
             services.pool.drop(entry.backend_id)
             services.log.write(
                 "backend unreachable",
@@ -134,6 +143,7 @@
             slots=entry.slots,
             connected_ms=now_ms() - self._started_ms,
         )
+        self._start_overdue()
         return None
 
     async def next_event(self) -> ExchangeEvent:
@@ -144,9 +154,11 @@
     async def head(self) -> AnswerHead | NotRun | Lost:
         """Returns the head of the answer, or why there is none that counts."""
         event = await self.next_event()
+        self._stop_overdue()
         if isinstance(event, Broken):
             return self.lose(event)
         assert isinstance(event, Head)
+        took_s = asyncio.get_running_loop().time() - self._sent_s
         head = self._services.wire.read_answer_head(event.status, event.headers)
         self._idle_s = head.idle_s
         if head.not_run:
@@ -155,6 +167,7 @@
         if head.status < 300 and not head.stamped:
             # Whatever answers without the receipt is not the backend server of the call, or broken.
             return self.lose(Broken(f"status {head.status} without receipt", closed=False))
+        self._services.troubles.usual_times.observe(self.entry.service, took_s * 1000)
         return head
 
     async def body(self) -> bytes | Lost:
@@ -186,7 +199,7 @@
             took_ms = now_ms() - self._started_ms if latency_ms is None else latency_ms
             self._services.backends.succeeded(backend_id, took_ms)
         else:
-            self._services.backends.failed(backend_id, now_ms())
+            self._blame("unsound")
         self._services.metrics.count("gateway_attempts_total", outcome="answered")
         self._services.crashes.clear(fingerprint(self._call))
 
@@ -210,7 +223,7 @@
         )
         if status == 421:
             # Another backend server has the address: this one has gone without a word.
-            self._services.backends.failed(self.entry.backend_id, now_ms(), unreachable=True)
+            self._blame("replaced", unreachable=True)
             return NotRun("backend_replaced", sent=True)
         return NotRun("backend_full", sent=True)
 
@@ -221,7 +234,7 @@
     def lose(self, event: Broken) -> Lost:
         """Takes note that there will be no whole answer."""
         services, entry = self._services, self.entry
-        ejected = services.backends.failed(entry.backend_id, now_ms())
+        ejected = self._blame("lost")
         services.metrics.count("gateway_attempts_total", outcome="lost")
         services.log.write(
             "answer lost",
@@ -232,12 +245,33 @@
             ejected=ejected,
         )
         if event.closed:
-            check = self._check_crash()
-            task = asyncio.get_running_loop().create_task(check)
-            _checks.add(task)
-            task.add_done_callback(_checks.discard)
+            start_kept(self._check_crash(), _checks)
         return Lost(event.detail)
 
+    def _blame(self, reason: str, *, unreachable: bool = False) -> bool:
+        """Counts a failure against the backend server; returns whether it is ejected for it."""
+        services, entry = self._services, self.entry
+        services.troubles.report(entry, reason)
+        return services.backends.failed(entry.backend_id, now_ms(), unreachable=unreachable)
+
+    def _start_overdue(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._sent_s = loop.time()
+        limit_ms = self._services.troubles.usual_times.overdue_ms(self.entry.service)
+        if limit_ms is not None:
+            due_s = self._sent_s + limit_ms / 1000
+            self._overdue = loop.call_at(due_s, self._note_overdue, due_s)
+
+    def _stop_overdue(self) -> None:
+        if self._overdue is not None:
+            self._overdue.cancel()
+            self._overdue = None
+
+    def _note_overdue(self, due_s: float) -> None:
+        """Tells of a backend server that has not begun to answer long after others would have."""
+        if asyncio.get_running_loop().time() - due_s < LATE_TIMER_S:
+            self._services.troubles.report(self.entry, "overdue")
+
     async def _check_crash(self) -> None:
         """Finds out whether the backend server went down with the call, and tells the others.
 
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -7,6 +7,11 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.outliers import OwnFailures
+from quincespool.policy.outliers import SharedTrouble
+from quincespool.policy.placement import Candidate
+from quincespool.policy.placement import place
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -16,25 +21,8 @@
 # Loads that another daemon told longer ago say nothing of now: calls last some 100 ms. Where each
 # daemon is heard less often than that, the last ones are better than none.
 LOAD_VALID_MS = 1_500
-# With loads older than this, all daemons would take the one backend server that was the least busy,
-# and fill it while the others idle; so each compares a few that it draws.
-FRESH_LOADS_MS = 400
-DRAWN = 3
-# First pause after a failure that may be the backend server's; doubles with each further one.
-FIRST_EJECTION_MS = 500
-MAX_EJECTION_MS = 4_000
-# Failures in a row after which a backend server is passed over. One broken answer in fifty is
-# usual on a bad day, two in a row from a sound backend server are not.
-FAILURES_TO_EJECT = 2
 # At most this part of a service is passed over at once: with more, the fault is likely our own.
 MAX_EJECTED_SHARE = 0.5
-# Part of its slots by which a backend server of the own zone may be busier and is still preferred:
-# traffic between zones is paid for, and histories make most of it. On a quiet day 0.35 in place of
-# 0.1 brought it from 0.015 to 0.011 GB and kept every program within its objective.
-OTHER_ZONE_LOAD = 0.35
-# How much busier, in parts of its slots, an engine that holds a program's cache may be than the
-# least busy one. Reading a history again takes about as long as waiting for a third of a batch.
-AFFINITY_SLACK = 0.34
 # Weight of the newest measurement in the moving average of latencies.
 LATENCY_WEIGHT = 0.2
 
@@ -60,11 +48,6 @@
     STALE = "stale"
 
 
-class _Health(NamedTuple):
-    failures: int
-    ejected_until_ms: int
-
-
 class _PeerLoads(NamedTuple):
     valid_until_ms: int
     in_flight: dict[str, int]
@@ -84,7 +67,8 @@
         self._zone = zone
         self._random = random.Random(seed)
         self._lapsing: dict[str, int] = {}
-        self._health: dict[str, _Health] = {}
+        self._own_failures = OwnFailures()
+        self._shared_trouble = SharedTrouble()
         self._peer_loads: dict[str, _PeerLoads] = {}
         self._peer_totals: dict[str, int] = {}
         self._loads_every_ms = 0
@@ -176,21 +160,30 @@
 
     def succeeded(self, backend_id: str, latency_ms: float) -> None:
         """Takes note of a sound answer and how long it took."""
-        self._health.pop(backend_id, None)
+        self._own_failures.succeeded(backend_id)
         known = self._latency_ms.get(backend_id, latency_ms)
         self._latency_ms[backend_id] = known + LATENCY_WEIGHT * (latency_ms - known)
 
     def failed(self, backend_id: str, now_ms: int, *, unreachable: bool = False) -> bool:
         """Takes note of a failure; returns whether the backend server is ejected for it."""
-        known = self._health.get(backend_id)
-        failures = (known.failures if known is not None else 0) + 1
-        if failures < FAILURES_TO_EJECT and not unreachable:
-            self._health[backend_id] = _Health(failures, 0)
-            return False
-        doublings = max(0, failures - FAILURES_TO_EJECT)
-        pause_ms = min(MAX_EJECTION_MS, FIRST_EJECTION_MS << min(doublings, 8))
-        self._health[backend_id] = _Health(failures, now_ms + pause_ms)
-        return True
+        return self._own_failures.failed(backend_id, now_ms, unreachable=unreachable)
+
+    def is_trouble_worth_telling(self, backend_id: str, reporter: str, now_ms: int) -> bool:
+        """Whether a report of this daemon changes anything at the others."""
+        return self._shared_trouble.is_worth_telling(backend_id, reporter, now_ms)
+
+    def note_trouble(self, life: BackendLife, reporter: str, now_ms: int) -> int | None:
+        """Takes in that a call of some daemon went wrong at a backend server.
+
+        Returns:
+          For how long the backend server is passed over from now on, None if it is not for this.
+        """
+        entry = self.entries.get(life.backend_id)
+        if entry is None or entry.life != life:
+            # Said of a process that is gone, or not known here yet.
+            return None
+        group = [one.backend_id for one in self.entries.values() if one.service == entry.service]
+        return self._shared_trouble.note(life.backend_id, reporter, group=group, now_ms=now_ms)
 
     def hear_loads(
         self, member_id: str, in_flight: dict[str, int], now_ms: int, *, every_ms: int
@@ -245,20 +238,15 @@
         sound = [e for e in candidates if not self._is_ejected(e.backend_id, now_ms)]
         if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
             sound = candidates
-        best = min(self._draw(sound), key=self._cost)
         preferred = self.entries.get(prefer.backend_id) if prefer is not None else None
-        if preferred is not None and preferred.life == prefer and preferred in sound:
-            extra = self._busy(preferred) - self._busy(best)
-            return preferred if extra <= AFFINITY_SLACK else best
-        return best
-
-    def _draw(self, sound: list[BackendEntry]) -> list[BackendEntry]:
-        """Returns those to compare: a few of the own zone and a few of all."""
-        if self._loads_every_ms <= FRESH_LOADS_MS:
-            return sound
-        near = [entry for entry in sound if entry.zone == self._zone]
-        drawn = self._random.sample(near, min(DRAWN, len(near)))
-        return drawn + self._random.sample(sound, min(DRAWN, len(sound)))
+        holds_cache = preferred is not None and preferred.life == prefer
+        chosen_id = place(
+            [self._candidate(entry) for entry in sound],
+            preferred_id=prefer.backend_id if prefer is not None and holds_cache else "",
+            loads_every_ms=self._loads_every_ms,
+            rng=self._random,
+        )
+        return self.entries[chosen_id]
 
     def _add_to_totals(self, in_flight: dict[str, int], sign: int) -> None:
         for backend_id, count in in_flight.items():
@@ -268,19 +256,18 @@
             else:
                 self._peer_totals.pop(backend_id, None)
 
-    def _cost(self, entry: BackendEntry) -> float:
-        busy = self._busy(entry)
-        far = OTHER_ZONE_LOAD if entry.zone != self._zone else 0.0
-        cold = 1.0 if entry.cold_ms > 0 else 0.0
-        slowness = self._latency_ms.get(entry.backend_id, 0.0) / 10_000
-        return busy + far + cold + slowness + self._random.random() * 0.05
-
-    def _busy(self, entry: BackendEntry) -> float:
-        return self.load(entry.backend_id) / max(1, entry.slots)
+    def _candidate(self, entry: BackendEntry) -> Candidate:
+        return Candidate(
+            backend_id=entry.backend_id,
+            busy=self.load(entry.backend_id) / max(1, entry.slots),
+            is_near=entry.zone == self._zone,
+            is_cold=entry.cold_ms > 0,
+            latency_ms=self.latency_ms(entry.backend_id),
+        )
 
     def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
-        health = self._health.get(backend_id)
-        return health is not None and now_ms < health.ejected_until_ms
+        own = self._own_failures.is_ejected(backend_id, now_ms)
+        return own or self._shared_trouble.is_outlier(backend_id, now_ms)
 
     def _note_birth(self, backend_id: str, born_ms: int) -> None:
         self._born_ms.pop(backend_id, None)
@@ -291,5 +278,6 @@
     def _forget(self, backend_id: str) -> None:
         self._lapsing.pop(backend_id, None)
         self.entries.pop(backend_id, None)
-        self._health.pop(backend_id, None)
+        self._own_failures.forget(backend_id)
+        self._shared_trouble.forget(backend_id)
         self._latency_ms.pop(backend_id, None)
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -38,6 +38,7 @@
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
 from quincespool.gateway.ticker import Ticker
+from quincespool.gateway.troubles import Troubles
 from quincespool.gateway.turns import TurnRunner
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
@@ -51,6 +52,7 @@
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.ledger import Record
     from quincespool.gateway.links import Link
+    from quincespool.gateway.messages import TroubleNotice
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.settings import GatewaySettings
     from quincespool.gateway.store import Partition
@@ -58,7 +60,6 @@
     from quincespool.gateway.wire import Wire
     from quincespool.net.http_connection import ConnectionLimits
 
-OWNER_TOPIC = "programs"
 MAX_BODY_BYTES = 8_000_000
 
 
@@ -120,6 +121,13 @@
         )
         self._members = Members(settings.member_id)
         self._crashes = CrashWatch()
+        self._troubles = Troubles(
+            settings.member_id,
+            backends=self._backends,
+            log=self._log,
+            metrics=self._metrics,
+            send=self._tell_trouble,
+        )
         self._services = Services(
             self._backends,
             self._pool,
@@ -128,6 +136,7 @@
             self._metrics,
             self._crashes,
             self._tell_crash,
+            self._troubles,
         )
         self._beliefs = Beliefs(
             member_id=settings.member_id,
@@ -148,7 +157,7 @@
 
     def _make_program_parts(self) -> None:
         settings = self._settings
-        topics = [f"{OWNER_TOPIC}.{number}" for number in range(settings.owner_topics)]
+        topics = settings.owner_topic_names
         partitions = list_partitions(topics, settings.store_partitions)
         self._ownership = Ownership(
             member_id=settings.member_id,
@@ -159,12 +168,11 @@
             hedged=self._hedged,
             store_reachable=lambda: self._store_health.reachable,
             on_change=self._note_partition,
-            on_assignment=self._note_assignment,
+            on_assignment=lambda generation, count: self._log.write(
+                "partitions assigned", generation=generation, partitions=count
+            ),
         )
 
-        def partition_for(program_id: str) -> Partition:
-            return partition_of(program_id, partitions)
-
         self._links = Links(
             settings.member_id,
             on_message=self._take_message,
@@ -185,7 +193,7 @@
         )
         self._relay = Relay(
             member_id=settings.member_id,
-            partition_for=partition_for,
+            partition_for=lambda program_id: partition_of(program_id, partitions),
             members=self._members,
             ownership=self._ownership,
             links=self._links,
@@ -198,7 +206,7 @@
                 incarnation=self._incarnation,
                 zone=settings.zone,
                 caller_address=settings.caller_address,
-                peer_address=f"{settings.host}:{settings.peer_port}",
+                peer_address=settings.peer_address,
             ),
             wire=self._wire,
             members=self._members,
@@ -207,6 +215,7 @@
             ownership=self._ownership,
             partition_count=len(partitions),
             crashes=self._crashes,
+            troubles=self._troubles,
             log=self._log,
             on_silent=lambda daemon: self._links.drop(daemon.peer_address),
         )
@@ -216,9 +225,18 @@
     def _tell_crash(self, mark: str, backend_id: str) -> None:
         self._presence.tell_crash(mark, backend_id)
 
+    def _tell_trouble(self, notice: TroubleNotice) -> None:
+        self._presence.tell_trouble(notice)
+
     def _greet(self, daemon: Daemon) -> None:
         self._presence.greet(daemon)
 
+    def _note_refused(self, peer_address: str) -> None:
+        self._presence.note_refused(peer_address)
+
+    def _lose_link(self, link: Link) -> None:
+        self._relay.on_lost(link)
+
     def _release_predecessor(self, incarnation: int) -> None:
         """Frees what the process before this one owned; it has not lived to do so itself."""
         self._spawn(self._ownership.release(self._settings.member_id, incarnation))
@@ -229,12 +247,6 @@
         else:
             self._relay.on_message(link, sender, message)
 
-    def _note_refused(self, peer_address: str) -> None:
-        self._presence.note_refused(peer_address)
-
-    def _lose_link(self, link: Link) -> None:
-        self._relay.on_lost(link)
-
     async def _settle_elsewhere(
         self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
     ) -> bool:
@@ -302,12 +314,7 @@
         await self._links.start(settings.host, settings.peer_port)
         await self._presence.start(settings.host, settings.peer_port)
         await self._front_port.start(*split_address(settings.caller_address))
-        addresses = (
-            settings.ready_address,
-            settings.directory_address,
-            f"{settings.host}:{settings.metrics_port}",
-        )
-        for port, address in zip(self._side_ports, addresses, strict=True):
+        for port, address in zip(self._side_ports, settings.side_addresses, strict=True):
             await port.start(*split_address(address))
         self._log.write_always("started", incarnation=self._incarnation)
         for work in (
@@ -382,9 +389,6 @@
         elif owned.ready:
             self._presence.announce()
 
-    def _note_assignment(self, generation: int, count: int) -> None:
-        self._log.write("partitions assigned", generation=generation, partitions=count)
-
     def _dump(self) -> dict[str, object]:
         return {
             "member_id": self._settings.member_id,
--- a/src/quincespool/gateway/finder.py
+++ b/src/quincespool/gateway/finder.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.futures import start_kept
 from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import TurnAbsent
@@ -88,9 +89,7 @@
     def on_message(self, link: Link, message: FindTurn | TurnFound | TurnAbsent) -> None:
         """Takes a question or an answer of another daemon."""
         if isinstance(message, FindTurn):
-            task = asyncio.get_running_loop().create_task(self._answer(link, message))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            start_kept(self._answer(link, message), self._tasks)
             return
         search = self._searches.get(message.find_id)
         if search is None:
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/links.py
@@ -9,6 +9,7 @@
 from typing import Any
 from typing import cast
 
+from quincespool.gateway.futures import start_kept
 from quincespool.gateway.messages import CODEC
 from quincespool.gateway.messages import LinkProbe
 from quincespool.net.addresses import split_address
@@ -202,9 +203,7 @@
         del self._outgoing[address]
         if time.monotonic() - link.made_s < MIN_RECONNECT_S:
             return
-        task = asyncio.get_running_loop().create_task(self.get(address))
-        self._reconnecting.add(task)
-        task.add_done_callback(self._reconnecting.discard)
+        start_kept(self.get(address), self._reconnecting)
 
     def _make_incoming(self) -> Link:
         link = Link(self._member_id, on_message=self._on_message, on_lost=self._lose_incoming)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -176,6 +176,17 @@
     backend_id: str
 
 
+class TroubleNotice(NamedTuple):
+    """A call of the sender went wrong at this backend server, or is far slower than usual.
+
+    Attributes:
+      born_ms: Of the process that was sent the call; -1 where no backend server tells.
+    """
+
+    backend_id: str
+    born_ms: int
+
+
 class SilenceNotice(NamedTuple):
     """The sender watches this daemon and takes it to be gone.
 
@@ -196,7 +207,7 @@
     incarnation: int
 
 
-Datagram = Heartbeat | CrashNotice | SilenceNotice | SilenceQuestion
+Datagram = Heartbeat | CrashNotice | TroubleNotice | SilenceNotice | SilenceQuestion
 LinkMessage = (
     RelayCall
     | RelayCancel
@@ -218,3 +229,16 @@
     # Heartbeats between zones are paid for by the byte.
     packed=True,
 )
+
+# Stands for a number that was not given.
+_UNSAID = -1
+
+
+def write_optional(value: int | None) -> int:
+    """Returns a number as it stands in messages, where -1 means that there is none."""
+    return _UNSAID if value is None else value
+
+
+def read_optional(value: int) -> int | None:
+    """Returns a number as it stands in calls."""
+    return None if value == _UNSAID else value
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.futures import start_kept
 from quincespool.gateway.heartbeats import Heartbeats
 from quincespool.gateway.messages import BackendLoad
 from quincespool.gateway.messages import CrashNotice
@@ -14,6 +15,7 @@
 from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import SilenceNotice
 from quincespool.gateway.messages import SilenceQuestion
+from quincespool.gateway.messages import TroubleNotice
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
 
@@ -28,6 +30,7 @@
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.ownership import Ownership
     from quincespool.gateway.store import Store
+    from quincespool.gateway.troubles import Troubles
     from quincespool.gateway.wire import Wire
 
 REGISTER_RETRY_S = 0.3
@@ -54,6 +57,7 @@
         ownership: Ownership,
         partition_count: int,
         crashes: CrashWatch,
+        troubles: Troubles,
         log: DecisionLog,
         on_silent: Callable[[Daemon], None],
     ) -> None:
@@ -66,6 +70,7 @@
         self._ownership = ownership
         self._partition_count = partition_count
         self._crashes = crashes
+        self._troubles = troubles
         self._log = log
         self._on_silent = on_silent
         self._releasing: set[asyncio.Task[None]] = set()
@@ -157,9 +162,7 @@
         )
         self._on_silent(daemon)
         work = self._ownership.release(daemon.member_id, daemon.incarnation)
-        task = asyncio.get_running_loop().create_task(work)
-        self._releasing.add(task)
-        task.add_done_callback(self._releasing.discard)
+        start_kept(work, self._releasing)
 
     def _announce_rest(self, told: tuple[object, ...]) -> None:
         self._announcing = None
@@ -196,6 +199,10 @@
         """Tells the others of a backend server that went down with a request."""
         self._heartbeats.send(self._members.others, CrashNotice(mark, backend_id))
 
+    def tell_trouble(self, notice: TroubleNotice) -> None:
+        """Tells the others of a call that went wrong at a backend server."""
+        self._heartbeats.send(self._members.others, notice)
+
     def follow_isolation(self) -> None:
         """Owns nothing while no other daemon can reach this one.
 
@@ -219,6 +226,9 @@
         if isinstance(message, CrashNotice):
             self._crashes.note(message.fingerprint, message.backend_id, now_ms())
             return
+        if isinstance(message, TroubleNotice):
+            self._troubles.hear(sender, message)
+            return
         if isinstance(message, SilenceNotice):
             self._hear_silence(sender, message)
             return
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.futures import start_kept
 from quincespool.gateway.ledger import decode_record
 from quincespool.gateway.ledger import encode_record
 from quincespool.gateway.messages import RelayCall
@@ -20,15 +21,15 @@
 from quincespool.gateway.messages import RelayRefused
 from quincespool.gateway.messages import SettleTurn
 from quincespool.gateway.messages import TurnSettled
+from quincespool.gateway.messages import read_optional
+from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.partition import Settlement
 from quincespool.gateway.relay_codec import read_headers
-from quincespool.gateway.relay_codec import read_optional
 from quincespool.gateway.relay_codec import read_relay
 from quincespool.gateway.relay_codec import write_headers
-from quincespool.gateway.relay_codec import write_optional
 from quincespool.gateway.relay_codec import write_relay
 from quincespool.gateway.store import Partition
 from quincespool.verdict import Verdict
@@ -185,7 +186,7 @@
             if task is not None:
                 task.cancel()
         elif isinstance(message, SettleTurn):
-            self._spawn(self._settle_for(link, message))
+            start_kept(self._settle_for(link, message), self._tasks)
         elif isinstance(message, TurnSettled):
             future = self._settling.pop(message.settle_id, None)
             if future is not None and not future.done():
@@ -257,7 +258,8 @@
             reply.refuse(not_run(NOT_OWNER))
             return
         until_ms = now_ms() + message.left_ms
-        task = self._spawn(self._turns.run(call, decision, owned, reply, until_ms=until_ms))
+        run = self._turns.run(call, decision, owned, reply, until_ms=until_ms)
+        task = start_kept(run, self._tasks)
         key = (link, message.relay_id)
         self._serving[key] = task
         task.add_done_callback(lambda _: self._serving.pop(key, None))
@@ -290,12 +292,6 @@
             outcome = await owned.settle(record, budget_tokens=budget_tokens)
         link.send(TurnSettled(message.settle_id, outcome.value))
 
-    def _spawn(self, work: Any) -> asyncio.Task[None]:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _write_settle(
     settle_id: int, partition: Partition, record: Record, budget_tokens: int | None
--- a/src/quincespool/gateway/relay_codec.py
+++ b/src/quincespool/gateway/relay_codec.py
@@ -4,6 +4,8 @@
 
 from quincespool.gateway.messages import HeaderPair
 from quincespool.gateway.messages import RelayCall
+from quincespool.gateway.messages import read_optional
+from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import Call
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Decision
@@ -13,8 +15,6 @@
 from quincespool.gateway.model import Share
 from quincespool.gateway.model import Turn
 
-_UNSAID = -1
-
 
 def write_relay(relay_id: int, call: Call, decision: Decision, *, left_ms: int) -> RelayCall:
     """Returns the message for a turn and the route that the receiver has decided on."""
@@ -103,13 +103,3 @@
 def read_headers(pairs: tuple[HeaderPair, ...]) -> Headers:
     """Returns headers as they stand in calls."""
     return tuple((pair.name, pair.value) for pair in pairs)
-
-
-def write_optional(value: int | None) -> int:
-    """Returns a number as it stands in messages, where -1 means that there is none."""
-    return _UNSAID if value is None else value
-
-
-def read_optional(value: int) -> int | None:
-    """Returns a number as it stands in calls."""
-    return None if value == _UNSAID else value
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -15,6 +15,7 @@
     from pathlib import Path
 
 # Least and greatest value of every number; outside of these a daemon would start and misbehave.
+OWNER_TOPIC = "programs"
 RANGES: dict[str, tuple[int, int]] = {
     "metrics_port": (1, 65_535),
     "peer_port": (1, 65_535),
@@ -70,6 +71,22 @@
     addresses_valid_ms: int = 2_000
     log_level: str = "info"
 
+    @property
+    def owner_topic_names(self) -> list[str]:
+        """Topics of program records."""
+        return [f"{OWNER_TOPIC}.{number}" for number in range(self.owner_topics)]
+
+    @property
+    def peer_address(self) -> str:
+        """Where other daemons connect and send datagrams."""
+        return f"{self.host}:{self.peer_port}"
+
+    @property
+    def side_addresses(self) -> tuple[str, str, str]:
+        """Where readiness, addresses for callers, and metrics are asked for."""
+        metrics_address = f"{self.host}:{self.metrics_port}"
+        return self.ready_address, self.directory_address, metrics_address
+
 
 def load_gateway_settings(path: Path) -> GatewaySettings:
     """Reads and checks a settings file.
--- /dev/null
+++ b/src/quincespool/gateway/troubles.py
@@ -0,0 +1,78 @@
+"""Tells the other daemons of calls that go wrong at a backend server, and takes in what they tell.
+
+What goes wrong without it: an engine goes dark, and each daemon loses calls of its own there before
+it believes so. One notices `backend silent` for one backend server at one daemon after the other,
+for as long as its entry stands.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from quincespool.gateway.clock import now_ms
+from quincespool.gateway.messages import TroubleNotice
+from quincespool.gateway.messages import read_optional
+from quincespool.gateway.messages import write_optional
+from quincespool.gateway.model import BackendLife
+from quincespool.policy.overdue import UsualTimes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.model import BackendEntry
+    from quincespool.net.metrics import Metrics
+
+
+class Troubles:
+    """Reports of one daemon and of the others.
+
+    Attributes:
+      usual_times: What answers are compared with.
+    """
+
+    def __init__(
+        self,
+        member_id: str,
+        *,
+        backends: Backends,
+        log: DecisionLog,
+        metrics: Metrics,
+        send: Callable[[TroubleNotice], None],
+    ) -> None:
+        self.usual_times = UsualTimes()
+        self._member_id = member_id
+        self._backends = backends
+        self._log = log
+        self._metrics = metrics
+        self._send = send
+
+    def report(self, entry: BackendEntry, reason: str) -> None:
+        """Takes note of a call of this daemon that went wrong, and tells the others if it helps."""
+        at_ms = now_ms()
+        tell = self._backends.is_trouble_worth_telling(entry.backend_id, self._member_id, at_ms)
+        self._note(entry.life, self._member_id, reason)
+        if not tell:
+            return
+        self._metrics.count("gateway_troubles_told_total", reason=reason)
+        self._send(TroubleNotice(entry.backend_id, write_optional(entry.born_ms)))
+
+    def hear(self, sender: str, notice: TroubleNotice) -> None:
+        """Takes in what another daemon tells."""
+        life = BackendLife(notice.backend_id, read_optional(notice.born_ms))
+        self._note(life, sender, "told")
+
+    def _note(self, life: BackendLife, reporter: str, reason: str) -> None:
+        hold_ms = self._backends.note_trouble(life, reporter, now_ms())
+        if hold_ms is None:
+            return
+        self._metrics.count("gateway_outliers_total")
+        self._log.write(
+            "backend passed over",
+            backend_id=life.backend_id,
+            born_ms=life.born_ms,
+            last_reporter=reporter,
+            last_reason=reason,
+            hold_ms=hold_ms,
+        )
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.exchange import Broken
 from quincespool.gateway.exchange import End
 from quincespool.gateway.exchange import Piece
+from quincespool.gateway.futures import start_kept
 from quincespool.gateway.ledger import MAX_PART_BYTES
 from quincespool.gateway.ledger import TurnBroken
 from quincespool.gateway.ledger import TurnEnded
@@ -63,7 +64,6 @@
 LOWEST_RANK = 9
 
 
-# The loop keeps only weak references to tasks.
 _settling: set[asyncio.Task[None]] = set()
 
 
@@ -182,9 +182,7 @@
             )
             kept = self._owned.submit(record)
             if not self._start_is_kept:
-                task = asyncio.get_running_loop().create_task(self._settle_broken(kept, record))
-                _settling.add(task)
-                task.add_done_callback(_settling.discard)
+                start_kept(self._settle_broken(kept, record), _settling)
 
     @property
     def _start_is_kept(self) -> bool:
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -82,6 +82,12 @@
     "gateway_call_ms": MetricSpec("histogram", "From a whole request to the end of its answer."),
     "gateway_record_ms": MetricSpec("histogram", "From a whole turn to its durable record."),
     "gateway_attempts_total": MetricSpec("counter", "Attempts at backend servers by outcome."),
+    "gateway_troubles_told_total": MetricSpec(
+        "counter", "Calls that went wrong and were told to the other daemons, by reason."
+    ),
+    "gateway_outliers_total": MetricSpec(
+        "counter", "Times that a backend server was passed over for what all daemons told."
+    ),
     "gateway_backend_connections_total": MetricSpec("counter", "New connections to them."),
     "gateway_store_calls_total": MetricSpec("counter", "Requests to the store by path and status."),
     "gateway_store_hedges_total": MetricSpec("counter", "Requests to it sent once more."),
--- a/src/quincespool/policy/answer_times.py
+++ b/src/quincespool/policy/answer_times.py
@@ -24,9 +24,9 @@
 class AnswerTimes:
     """The smoothed answer time of one service, and how far answers stray from it."""
 
-    def __init__(self) -> None:
-        self.mean_ms = FIRST_MEAN_MS
-        self.deviation_ms = FIRST_MEAN_MS / 2
+    def __init__(self, *, first_mean_ms: float = FIRST_MEAN_MS) -> None:
+        self.mean_ms = first_mean_ms
+        self.deviation_ms = first_mean_ms / 2
 
     def observe(self, took_ms: float) -> None:
         """Takes in how long an answer took, counted from the copy that it answers."""
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -24,6 +24,7 @@
     turnAbsent @15 :TurnAbsent;
     silenceNotice @16 :SilenceNotice;
     silenceQuestion @17 :SilenceQuestion;
+    troubleNotice @18 :TroubleNotice;
   }
 }
 
@@ -172,3 +173,9 @@
   fingerprint @0 :Text;
   backendId @1 :Text;
 }
+
+struct TroubleNotice {
+  # A call of the sender went wrong at this backend server, or is far slower than usual.
+  backendId @0 :Text;
+  bornMs @1 :Int64;
+}
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -6,13 +6,13 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from quincespool.gateway.backends import AFFINITY_SLACK
-from quincespool.gateway.backends import FAILURES_TO_EJECT
 from quincespool.gateway.backends import LOAD_VALID_MS
 from quincespool.gateway.backends import Backends
 from quincespool.gateway.backends import EntryNews
 from quincespool.gateway.model import BackendEntry
 from quincespool.gateway.model import BackendLife
+from quincespool.policy.outliers import FAILURES_TO_EJECT
+from quincespool.policy.placement import AFFINITY_SLACK
 
 
 def _backends(*ids: str, slots: int = 10, seed: int = 1) -> Backends:
@@ -224,3 +224,26 @@
         assert (chosen is None) == (not serving)
         assert chosen is None or chosen.backend_id in serving
     assert backends.choose("nothing", now_ms=0) is None
+
+
+def test_what_other_daemons_report_is_passed_over_until_it_starts_again() -> None:
+    """Symptom: each daemon loses turns of its own at an engine that others know to be dark.
+
+    Events: an engine goes down; two other daemons see calls fail there. It starts again under its
+    id.
+    Cause: a daemon went by its own calls alone, of which hundreds of daemons have few each.
+    """
+    backends = _backends("e2", "e3")
+    backends.put(_entry(1_000))
+    for one in ("e2", "e3"):
+        backends.started(one)
+    assert _choose(backends) == "e1"
+    for reporter in ("a", "b", "a"):
+        backends.note_trouble(BackendLife("e1", 1_000), reporter, 0)
+    assert _choose(backends) != "e1"
+
+    backends.put(_entry(2_000))
+    assert _choose(backends) == "e1"
+    for reporter in ("a", "b", "a"):
+        assert backends.note_trouble(BackendLife("e1", 1_000), reporter, 0) is None
+    assert _choose(backends) == "e1"
