Placement goes by own calls and by how late answers begin; loads are told to nobody any more

Cause: heartbeats told what each daemon had under way, every 200 ms with eleven hosts and every 5.4 s with 195, while calls last 100 to 250 ms. All daemons filled what had been idle when they last heard of one another. Heartbeats carry no loads.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -139,7 +139,7 @@
             call_id=self._call.call_id,
             backend_id=entry.backend_id,
             service=entry.service,
-            load=services.backends.load(entry.backend_id),
+            load=services.backends.in_flight.get(entry.backend_id, 0),
             slots=entry.slots,
             connected_ms=now_ms() - self._started_ms,
         )
@@ -167,7 +167,7 @@
         if head.status < 300 and not head.stamped:
             # Whatever answers without the receipt is not the backend server of the call, or broken.
             return self.lose(Broken(f"status {head.status} without receipt", closed=False))
-        self._services.troubles.usual_times.observe(self.entry.service, took_s * 1000)
+        self._services.backends.began(self.entry, took_s * 1000, now_ms())
         return head
 
     async def body(self) -> bytes | Lost:
@@ -186,18 +186,16 @@
             if size_bytes > MAX_ANSWER_BYTES:
                 return self.lose(Broken("the answer is too large", closed=False))
 
-    def settle(self, *, sound: bool, latency_ms: float | None = None) -> None:
+    def settle(self, *, sound: bool) -> None:
         """The answer is whole: the connection may be used again.
 
         Args:
           sound: Whether the answer speaks for the backend server.
-          latency_ms: Counts for its latency; from the start of the attempt if not given.
         """
         self._settled = True
-        backend_id = self.entry.backend_id
         if sound:
-            took_ms = now_ms() - self._started_ms if latency_ms is None else latency_ms
-            self._services.backends.succeeded(backend_id, took_ms)
+            took_s = asyncio.get_running_loop().time() - self._sent_s
+            self._services.backends.succeeded(self.entry, took_s * 1000)
         else:
             self._blame("unsound")
         self._services.metrics.count("gateway_attempts_total", outcome="answered")
@@ -219,7 +217,7 @@
             call_id=self._call.call_id,
             backend_id=self.entry.backend_id,
             status=status,
-            load=self._services.backends.load(self.entry.backend_id),
+            load=self._services.backends.in_flight.get(self.entry.backend_id, 0),
         )
         if status == 421:
             # Another backend server has the address: this one has gone without a word.
@@ -257,7 +255,7 @@
     def _start_overdue(self) -> None:
         loop = asyncio.get_running_loop()
         self._sent_s = loop.time()
-        limit_ms = self._services.troubles.usual_times.overdue_ms(self.entry.service)
+        limit_ms = self._services.backends.times.overdue_ms(self.entry.service)
         if limit_ms is not None:
             due_s = self._sent_s + limit_ms / 1000
             self._overdue = loop.call_at(due_s, self._note_overdue, due_s)
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -5,12 +5,13 @@
 import random
 from enum import StrEnum
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from quincespool.policy.outliers import OwnFailures
 from quincespool.policy.outliers import SharedTrouble
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
+from quincespool.policy.service_times import BackendLatencies
+from quincespool.policy.service_times import ServiceTimes
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -18,15 +19,8 @@
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import BackendLife
 
-# Loads that another daemon told longer ago say nothing of now: calls last some 100 ms. Where each
-# daemon is heard less often than that, the last ones are better than none.
-LOAD_VALID_MS = 1_500
 # At most this part of a service is passed over at once: with more, the fault is likely our own.
 MAX_EJECTED_SHARE = 0.5
-# Weight of the newest measurement in the moving average of latencies.
-LATENCY_WEIGHT = 0.2
-
-
 # Ids whose last start is remembered, those heard of last; a few times the engines of the largest
 # plan.
 MAX_BIRTHS = 50_000
@@ -48,31 +42,25 @@
     STALE = "stale"
 
 
-class _PeerLoads(NamedTuple):
-    valid_until_ms: int
-    in_flight: dict[str, int]
-
-
 class Backends:
     """The backend servers known to one daemon.
 
     Attributes:
       entries: By id; those that may still be used.
       in_flight: Own calls under way, by id.
+      times: What is usual for answers, by service.
     """
 
     def __init__(self, *, zone: str, seed: int) -> None:
         self.entries: dict[str, BackendEntry] = {}
         self.in_flight: dict[str, int] = {}
+        self.times = ServiceTimes()
         self._zone = zone
         self._random = random.Random(seed)
         self._lapsing: dict[str, int] = {}
         self._own_failures = OwnFailures()
         self._shared_trouble = SharedTrouble()
-        self._peer_loads: dict[str, _PeerLoads] = {}
-        self._peer_totals: dict[str, int] = {}
-        self._loads_every_ms = 0
-        self._latency_ms: dict[str, float] = {}
+        self._latencies = BackendLatencies()
         # Of all ids seen, also those that are gone: an entry of an earlier life may come late.
         self._born_ms: dict[str, int] = {}
 
@@ -133,14 +121,7 @@
             self.remove(backend_id, now_ms=now_ms, lapses_until_ms=lapses_until_ms)
 
     def expire(self, now_ms: int) -> list[str]:
-        """Forgets entries that are still missing after their grace; returns their ids.
-
-        Also the loads that daemons told which are not heard any more.
-        """
-        for member_id, loads in list(self._peer_loads.items()):
-            if loads.valid_until_ms <= now_ms:
-                del self._peer_loads[member_id]
-                self._add_to_totals(loads.in_flight, -1)
+        """Forgets entries that are still missing after their grace; returns their ids."""
         over = [one for one, until_ms in self._lapsing.items() if until_ms <= now_ms]
         for backend_id in over:
             self._forget(backend_id)
@@ -158,11 +139,15 @@
         else:
             self.in_flight.pop(backend_id, None)
 
-    def succeeded(self, backend_id: str, latency_ms: float) -> None:
-        """Takes note of a sound answer and how long it took."""
-        self._own_failures.succeeded(backend_id)
-        known = self._latency_ms.get(backend_id, latency_ms)
-        self._latency_ms[backend_id] = known + LATENCY_WEIGHT * (latency_ms - known)
+    def began(self, entry: BackendEntry, took_ms: float, now_ms: int) -> None:
+        """Takes note of how long an answer took to begin, from when the call was sent."""
+        self._latencies.observe(entry.backend_id, took_ms, now_ms)
+        self.times.observe_begin(entry.service, took_ms)
+
+    def succeeded(self, entry: BackendEntry, took_ms: float) -> None:
+        """Takes note of a sound answer and how long it took to its end."""
+        self._own_failures.succeeded(entry.backend_id)
+        self.times.observe_whole(entry.service, took_ms)
 
     def failed(self, backend_id: str, now_ms: int, *, unreachable: bool = False) -> bool:
         """Takes note of a failure; returns whether the backend server is ejected for it."""
@@ -185,32 +170,9 @@
         group = [one.backend_id for one in self.entries.values() if one.service == entry.service]
         return self._shared_trouble.note(life.backend_id, reporter, group=group, now_ms=now_ms)
 
-    def hear_loads(
-        self, member_id: str, in_flight: dict[str, int], now_ms: int, *, every_ms: int
-    ) -> None:
-        """Takes note of another daemon's calls under way.
-
-        Args:
-          member_id: Whose.
-          in_flight: By id of the backend server.
-          now_ms: Steady clock.
-          every_ms: How often a daemon tells its loads.
-        """
-        known = self._peer_loads.get(member_id)
-        if known is not None:
-            self._add_to_totals(known.in_flight, -1)
-        valid_ms = max(LOAD_VALID_MS, every_ms * 3 // 2)
-        self._peer_loads[member_id] = _PeerLoads(now_ms + valid_ms, in_flight)
-        self._add_to_totals(in_flight, 1)
-        self._loads_every_ms = every_ms
-
     def latency_ms(self, backend_id: str) -> float:
-        """Returns the moving average of its latencies; 0 if none was seen."""
-        return self._latency_ms.get(backend_id, 0.0)
-
-    def load(self, backend_id: str) -> int:
-        """Returns the calls under way at a backend server, as far as known."""
-        return self.in_flight.get(backend_id, 0) + self._peer_totals.get(backend_id, 0)
+        """Returns how long its answers took to begin lately; 0 if none was seen."""
+        return self._latencies.mean_ms(backend_id)
 
     def choose(
         self,
@@ -241,28 +203,22 @@
         preferred = self.entries.get(prefer.backend_id) if prefer is not None else None
         holds_cache = preferred is not None and preferred.life == prefer
         chosen_id = place(
-            [self._candidate(entry) for entry in sound],
+            [self._candidate(entry, now_ms) for entry in sound],
             preferred_id=prefer.backend_id if prefer is not None and holds_cache else "",
-            loads_every_ms=self._loads_every_ms,
             rng=self._random,
         )
         return self.entries[chosen_id]
 
-    def _add_to_totals(self, in_flight: dict[str, int], sign: int) -> None:
-        for backend_id, count in in_flight.items():
-            total = self._peer_totals.get(backend_id, 0) + sign * count
-            if total:
-                self._peer_totals[backend_id] = total
-            else:
-                self._peer_totals.pop(backend_id, None)
-
-    def _candidate(self, entry: BackendEntry) -> Candidate:
+    def _candidate(self, entry: BackendEntry, now_ms: int) -> Candidate:
+        backend_id, service = entry.backend_id, entry.service
+        usual_ms = self.times.begin_ms(service)
+        late_ms = self._latencies.excess_ms(backend_id, usual_ms, now_ms)
         return Candidate(
-            backend_id=entry.backend_id,
-            busy=self.load(entry.backend_id) / max(1, entry.slots),
+            backend_id=backend_id,
+            busy=self.in_flight.get(backend_id, 0) / max(1, entry.slots),
             is_near=entry.zone == self._zone,
             is_cold=entry.cold_ms > 0,
-            latency_ms=self.latency_ms(entry.backend_id),
+            lateness=late_ms / max(1.0, self.times.whole_ms(service)),
         )
 
     def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
@@ -280,4 +236,4 @@
         self.entries.pop(backend_id, None)
         self._own_failures.forget(backend_id)
         self._shared_trouble.forget(backend_id)
-        self._latency_ms.pop(backend_id, None)
+        self._latencies.forget(backend_id)
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -176,8 +176,6 @@
         alive = self._members.is_alive(sender, now_ms)
         if sender == self._member_id or not self._members.hear(sender, beat, now_ms):
             return False
-        loads = {load.backend_id: load.in_flight for load in beat.loads}
-        self._backends.hear_loads(sender, loads, now_ms, every_ms=self._members.round_ms)
         if beat.configuration_version > self._routes.version:
             self.configuration.read_soon()
         if alive:
@@ -293,7 +291,7 @@
             "configuration_version": self._routes.version,
             "store_reachable": self._store_health.reachable,
             "backends": {
-                one: {"load": self._backends.load(one), **entry._asdict()}
+                one: {"in_flight": self._backends.in_flight.get(one, 0), **entry._asdict()}
                 for one, entry in self._backends.entries.items()
             },
             "daemons": {
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -210,7 +210,6 @@
             ),
             wire=self._wire,
             members=self._members,
-            backends=self._backends,
             beliefs=self._beliefs,
             ownership=self._ownership,
             partition_count=len(partitions),
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -18,13 +18,6 @@
     epoch: int
 
 
-class BackendLoad(NamedTuple):
-    """Calls of the sender that are under way at a backend server."""
-
-    backend_id: str
-    in_flight: int
-
-
 class Heartbeat(NamedTuple):
     """By datagram; each replaces the last one of its sender."""
 
@@ -34,7 +27,6 @@
     configuration_version: int
     generation: int
     claims: tuple[PartitionClaim, ...]
-    loads: tuple[BackendLoad, ...]
     store_reachable: bool
 
 
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -9,7 +9,6 @@
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
 from quincespool.gateway.heartbeats import Heartbeats
-from quincespool.gateway.messages import BackendLoad
 from quincespool.gateway.messages import CrashNotice
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
@@ -22,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.backends import Backends
     from quincespool.gateway.beliefs import Beliefs
     from quincespool.gateway.crashes import CrashWatch
     from quincespool.gateway.decision_log import DecisionLog
@@ -52,7 +50,6 @@
         *,
         wire: Wire,
         members: Members,
-        backends: Backends,
         beliefs: Beliefs,
         ownership: Ownership,
         partition_count: int,
@@ -65,7 +62,6 @@
         self._own = own
         self._wire = wire
         self._members = members
-        self._backends = backends
         self._beliefs = beliefs
         self._ownership = ownership
         self._partition_count = partition_count
@@ -182,7 +178,6 @@
 
     def _send_beat(self, daemons: list[Daemon]) -> None:
         self._sequence += 1
-        loads = tuple(BackendLoad(*item) for item in self._backends.in_flight.items())
         beat = Heartbeat(
             incarnation=self._own.incarnation,
             sequence=self._sequence,
@@ -190,7 +185,6 @@
             configuration_version=self._beliefs.configuration_version,
             generation=self._ownership.generation,
             claims=self._claims(),
-            loads=loads,
             store_reachable=self._beliefs.store_reachable,
         )
         self._heartbeats.send(daemons, beat)
--- a/src/quincespool/gateway/troubles.py
+++ b/src/quincespool/gateway/troubles.py
@@ -14,7 +14,6 @@
 from quincespool.gateway.messages import read_optional
 from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import BackendLife
-from quincespool.policy.overdue import UsualTimes
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,11 +25,7 @@
 
 
 class Troubles:
-    """Reports of one daemon and of the others.
-
-    Attributes:
-      usual_times: What answers are compared with.
-    """
+    """Reports of one daemon and of the others."""
 
     def __init__(
         self,
@@ -41,7 +36,6 @@
         metrics: Metrics,
         send: Callable[[TroubleNotice], None],
     ) -> None:
-        self.usual_times = UsualTimes()
         self._member_id = member_id
         self._backends = backends
         self._log = log
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -250,7 +250,6 @@
             await self._durable_start()
 
     async def _relay(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
-        first_ms = now_ms()
         if head.status != 200:
             body = await attempt.body()
             if isinstance(body, Lost):
@@ -267,7 +266,7 @@
                 self._hand_out(self._events.feed(event.data))
                 self._reply.piece(event.data)
             elif isinstance(event, End):
-                attempt.settle(sound=True, latency_ms=first_ms - self._began_ms)
+                attempt.settle(sound=True)
                 break
             elif isinstance(event, Broken):
                 self._handed_out += self._events.partial
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -47,7 +47,7 @@
   configurationVersion @3 :Int64;
   generation @4 :Int64;
   claims @5 :List(PartitionClaim);
-  loads @6 :List(BackendLoad);
+  obsolete6 @6 :List(BackendLoad);
   storeReachable @7 :Bool;
 }
 
--- /dev/null
+++ b/tests/policy/test_placement.py
@@ -0,0 +1,72 @@
+"""Which backend server gets a call, under loads that fill them unevenly."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from quincespool.policy.placement import AFFINITY_SLACK
+from quincespool.policy.placement import Candidate
+from quincespool.policy.placement import place
+from tests.policy.fleet import Fleet
+from tests.policy.fleet import Load
+
+SEEDS = (1, 2, 3)
+# Of 576 calls a second that 24 engines of six places take.
+BUSY_PER_S = 460.0
+
+
+def _candidate(name: str, busy: float = 0.0, *, near: bool = True, late: float = 0.0) -> Candidate:
+    return Candidate(name, busy, is_near=near, is_cold=False, lateness=late)
+
+
+def _mean_ms(load: Load) -> float:
+    return sum(Fleet(load, seed).run().mean_ms for seed in SEEDS) / len(SEEDS)
+
+
+def test_calls_wait_less_than_with_loads_that_are_told() -> None:
+    """Symptom: at hundreds of hosts some engines queue while others idle, in bursts for a second.
+
+    Events: 32 owners send turns to 24 engines at four fifths of their capacity.
+    Cause: each owner knew what the others had under way as of some seconds ago, and all of them
+    filled the same engines until they heard of one another again.
+    """
+    mean_ms = _mean_ms(Load(BUSY_PER_S))
+    told_ms = _mean_ms(Load(BUSY_PER_S, told_every_ms=5_400, seconds=10))
+    assert mean_ms < 50
+    assert 4 * mean_ms < told_ms
+
+
+def test_a_few_hosts_need_not_tell_their_loads_either() -> None:
+    """Ten owners before six engines of twelve places, told every 200 ms as few hosts can."""
+    load = Load(220.0, owners=10, engines=6, slots=12, zones=4)
+    assert _mean_ms(load) < _mean_ms(load._replace(told_every_ms=200))
+
+
+def test_engines_that_turn_slow_get_fewer_calls() -> None:
+    """Symptom: turns crawl while three engines of 24 are slow, and the rest has room.
+
+    Events: an eighth of the engines computes 4.5 times slower at a third of the load.
+    Cause: latency counted for next to nothing beside the calls under way.
+    """
+    load = Load(200.0, slow=frozenset({0, 7, 14}))
+    blind_ms = 3 / 24 * (load.slowness - 1) * 250
+    assert 2 * _mean_ms(load) < blind_ms
+
+
+@pytest.mark.parametrize("extra", [AFFINITY_SLACK - 0.01, AFFINITY_SLACK + 0.01])
+def test_a_cache_is_followed_until_its_engine_is_much_busier(extra: float) -> None:
+    candidates = [_candidate("holds", extra), _candidate("idle")]
+    chosen = place(candidates, preferred_id="holds", rng=random.Random(1))
+    assert chosen == ("holds" if extra < AFFINITY_SLACK else "idle")
+
+
+def test_a_cache_is_not_followed_to_an_engine_whose_answers_begin_late() -> None:
+    candidates = [_candidate("holds", late=2.0), _candidate("idle")]
+    assert place(candidates, preferred_id="holds", rng=random.Random(1)) == "idle"
+
+
+def test_the_own_zone_is_preferred_to_an_engine_that_is_a_little_less_busy() -> None:
+    candidates = [_candidate("near", 0.1), _candidate("far", near=False)]
+    assert place(candidates, preferred_id="", rng=random.Random(1)) == "near"
