The start of a turn is appended with its end where nothing else of its program is uncertain

The bound that lets turns run on while the store is away (what one turn may generate, programs that began here only) makes that wait needless while no other turn of the program is open. Ruled out: leaving the start out (a broken turn's record would not be settled against a reservation); deferring several at once (budget and two turns). Change: OwnedPartition.submit(urgent=False) appends with the next urgent record; what is uncertain is settled by program, as something of other programs may always wait now; a hand-over appends what waits.

--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/ownership.py
@@ -132,6 +132,8 @@
         self._wanted = False
         self._forget_dealt()
         self._poke.set()
+        for owned in self.owned.values():
+            owned.flush()
         for _ in range(20):
             if all(one.idle or one.stalled for one in self.owned.values()):
                 break
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/partition.py
@@ -58,6 +58,7 @@
     data: bytes
     program_id: str
     kept: asyncio.Future[None]
+    urgent: bool
 
 
 class LostPartitionError(Exception):
@@ -133,8 +134,14 @@
             return Settlement.NOT_HERE
         return Settlement.KEPT
 
-    def submit(self, record: Record) -> asyncio.Future[None]:
-        """Hands a record over; the future tells when it is kept."""
+    def submit(self, record: Record, *, urgent: bool = True) -> asyncio.Future[None]:
+        """Hands a record over; the future tells when it is kept.
+
+        Args:
+          record: Counts here from now on.
+          urgent: Whether it is appended at once. One that is not goes with the next one that is, so
+            that both cost one request to the store.
+        """
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
         future.add_done_callback(forget_error)
@@ -145,10 +152,17 @@
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        self._waiting.append(_Waiting(encode_record(record), record.program_id, future))
-        self._wake.set()
+        waiting = _Waiting(encode_record(record), record.program_id, future, urgent)
+        self._waiting.append(waiting)
+        if urgent:
+            self._wake.set()
         return future
 
+    def flush(self) -> None:
+        """Has everything appended that waits for a more urgent record."""
+        self._waiting = [one._replace(urgent=True) for one in self._waiting]
+        self._wake.set()
+
     async def confirm(self) -> None:
         """Returns once the store has said that nobody has taken the partition over.
 
@@ -216,7 +230,7 @@
             while True:
                 await self._wake.wait()
                 self._wake.clear()
-                while self._waiting:
+                while any(one.urgent for one in self._waiting):
                     await self._append_batch()
         except FencedError:
             self.lose("fenced")
@@ -273,8 +287,8 @@
             self.uncertain.kept(waiting.program_id)
             if not waiting.kept.done():
                 waiting.kept.set_result(None)
-        if not self._waiting:
-            self.uncertain.clear()
+        on_their_way = {waiting.program_id for waiting in self._waiting}
+        self.uncertain.settle({waiting.program_id for waiting in batch} - on_their_way)
 
     async def _append(self, records: list[bytes]) -> int:
         """Appends until the store has answered; the same sequence number makes that harmless."""
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -131,6 +131,7 @@
         self._may_have_run = False
         self._settled = False
         self._start_kept: asyncio.Future[None] | None = None
+        self._start_deferred = False
         # Whether the partition's next owner keeps the start, this one having lost it.
         self._start_settled = False
         self._began_ms = now_ms()
@@ -193,11 +194,19 @@
 
     def _submit_start(self) -> asyncio.Future[None]:
         uncertain, program_id = self._owned.uncertain, self._turn.program_id
-        start = self._owned.submit(self._start)
+        self._start_deferred = self._may_defer_start()
+        start = self._owned.submit(self._start, urgent=not self._start_deferred)
         uncertain.begin(program_id)
         start.add_done_callback(lambda _: uncertain.end(program_id))
         return start
 
+    def _may_defer_start(self) -> bool:
+        """Whether the start may be appended with the end, since nothing else is uncertain."""
+        uncertain, program_id = self._owned.uncertain, self._turn.program_id
+        if self._owned.stalled or not self._store_reachable():
+            return False
+        return uncertain.allows(program_id) and uncertain.is_clear(program_id)
+
     async def _settle_broken(self, kept: asyncio.Future[None], record: TurnBroken) -> None:
         """Tells the partition's next owner what was handed out while the store was away."""
         try:
@@ -240,6 +249,8 @@
         tokens again. What is handed out before is bounded by `UncertainTokens`.
         """
         assert self._start_kept is not None
+        if self._start_deferred:
+            return
         if not self._owned.uncertain.allows(self._turn.program_id):
             await self._durable_start()
             return
@@ -263,7 +274,7 @@
         while True:
             event = await attempt.next_event()
             if isinstance(event, Piece):
-                self._hand_out(self._events.feed(event.data))
+                await self._hand_out(self._events.feed(event.data))
                 self._reply.piece(event.data)
             elif isinstance(event, End):
                 attempt.settle(sound=True)
@@ -275,12 +286,16 @@
         await self._end_whole(attempt.entry)
         return None
 
-    def _hand_out(self, events: int) -> None:
+    async def _hand_out(self, events: int) -> None:
+        """Counts events that go to the caller next; waits if the bound asks for a durable start."""
         tokens = events * self._decision.service.tokens_per_event
         if not self._start_is_kept:
             program_id, most_tokens = self._turn.program_id, self._turn.most_tokens
             if not self._owned.uncertain.hand_out(program_id, tokens, most_tokens):
-                raise BrokenTurnError(may_have_run("store_away"))
+                if self._owned.stalled or not self._store_reachable():
+                    raise BrokenTurnError(may_have_run("store_away"))
+                self._owned.flush()
+                await self._durable_start()
         self._handed_out += events
 
     async def _end_whole(self, entry: BackendEntry) -> None:
--- a/src/quincespool/gateway/uncertain.py
+++ b/src/quincespool/gateway/uncertain.py
@@ -1,4 +1,8 @@
-"""Tokens that were handed out while the store is away, and that no durable record tells of yet."""
+"""Tokens that were handed out and that no durable record tells of yet.
+
+A turn's start need not be durable before its first token: within this bound it is appended with the
+turn's end, which saves a request to the store, and no token waits for a store that is slow or away.
+"""
 
 from __future__ import annotations
 
@@ -71,6 +75,11 @@
         self._tokens[program_id] = total
         return True
 
-    def clear(self) -> None:
-        """Everything that was submitted is durable."""
-        self._tokens.clear()
+    def is_clear(self, program_id: str) -> bool:
+        """Whether durable records tell of everything that a program was handed out."""
+        return program_id not in self._open and program_id not in self._tokens
+
+    def settle(self, program_ids: Iterable[str]) -> None:
+        """Takes note of programs all of whose records are durable."""
+        for program_id in program_ids:
+            self._tokens.pop(program_id, None)
--- a/tests/gateway/partition_walk.py
+++ b/tests/gateway/partition_walk.py
@@ -281,12 +281,18 @@
         if previous:
             assert owned.ledger.history(program, previous) == whole[previous]
         start = TurnStarted(turn, program, MOST_TOKENS, 0)
-        runs_on = self._runs_on and owned.stalled
+        uncertain = owned.uncertain
+        may_defer = uncertain.allows(program) and uncertain.is_clear(program)
+        defers = self._runs_on and not owned.stalled and may_defer
+        runs_on = self._runs_on and (owned.stalled or defers)
         if not runs_on and not await self._keep(owned, start):
             return
         tokens = self._chance.randint(0, MOST_TOKENS)
-        if runs_on and not self._begin_uncertain(owned, start, tokens):
-            return
+        start_kept = None
+        if runs_on:
+            start_kept = self._begin_uncertain(owned, start, tokens, urgent=not defers)
+            if start_kept is None:
+                return
         spent_tokens = self._handed_out.get(program, 0) + tokens
         self._handed_out[program] = spent_tokens
         assert spent_tokens <= self._bound_tokens
@@ -299,23 +305,25 @@
         text = turn.encode()
         ended = TurnEnded(turn, program, previous, text, b"!", tokens, RETENTION_MS, 0)
         # Handed over in this order, so that the end counts what the start has reserved.
-        if runs_on and not await self._keep(owned, start, handed_out=True):
+        ended_kept = owned.submit(ended)
+        if start_kept is not None and not await self._kept(start_kept, start, handed_out=True):
             return
-        if await self._keep(owned, ended):
+        if await self._kept(ended_kept, ended):
             self.told_whole += 1
             told = self._texts.setdefault(program, {})
             told[turn] = whole.get(previous, b"") + text + b"!"
 
-    def _begin_uncertain(self, owned: OwnedPartition, start: TurnStarted, tokens: int) -> bool:
-        """Hands tokens out before the start is durable; returns whether it may."""
+    def _begin_uncertain(
+        self, owned: OwnedPartition, start: TurnStarted, tokens: int, *, urgent: bool
+    ) -> asyncio.Future[None] | None:
+        """Hands tokens out before the start is durable; returns its future, None if it may not."""
         uncertain = owned.uncertain
         if not uncertain.may_begin(start.program_id, MOST_TOKENS):
-            return False
+            return None
         if not uncertain.hand_out(start.program_id, tokens, MOST_TOKENS):
-            return False
-        owned.submit(start)
+            return None
         self.uncertain += 1
-        return True
+        return owned.submit(start, urgent=urgent)
 
     async def _settle_broken(
         self, start: TurnStarted, broken: TurnBroken, kept: asyncio.Future[None]
@@ -342,8 +350,13 @@
         self, owned: OwnedPartition, record: Record, *, handed_out: bool = False
     ) -> bool:
         """Has a record kept, by the newest owner if the one that made it is shut out."""
+        return await self._kept(owned.submit(record), record, handed_out=handed_out)
+
+    async def _kept(
+        self, kept: asyncio.Future[None], record: Record, *, handed_out: bool = False
+    ) -> bool:
         try:
-            await owned.keep(record)
+            await asyncio.shield(kept)
         except LostPartitionError:
             newest = self._owners[-1]
             budget_tokens = None if handed_out else BUDGET_TOKENS
--- a/tests/gateway/test_store_away.py
+++ b/tests/gateway/test_store_away.py
@@ -9,11 +9,13 @@
 
 from quincespool.gateway.ledger import TurnStarted
 from quincespool.gateway.partition import OwnedPartition
+from quincespool.platform.store import PlatformStore
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
     from quincespool.gateway.ledger import Record
+    from quincespool.gateway.store import Partition
 
 # Less than the part of the route's time with which a caller is sent away to come back.
 WAITED_MS = 2_200
@@ -127,8 +129,10 @@
     """
     submit = OwnedPartition.submit
 
-    def submit_and_lose(owned: OwnedPartition, record: Record) -> asyncio.Future[None]:
-        future = submit(owned, record)
+    def submit_and_lose(
+        owned: OwnedPartition, record: Record, *, urgent: bool = True
+    ) -> asyncio.Future[None]:
+        future = submit(owned, record, urgent=urgent)
         if isinstance(record, TurnStarted) and record.turn_id == "t1":
             monkeypatch.setattr(OwnedPartition, "submit", submit)
             owned.lose("taken over")
@@ -139,3 +143,69 @@
         _, reply = await cluster.turn("a", "p1", call_id="t1")
         assert reply.status == 200
         assert reply.body.count(b"data:") == 3
+
+
+async def test_no_token_waits_for_a_store_that_is_slow() -> None:
+    """Symptom: with a store that answers in 200 ms each turn begins a fifth of a second late.
+
+    Events: a program goes on; its turn's start is on its way to the store.
+    Cause: the first token waited for the start, though no more than one turn was uncertain.
+    """
+    async with GatewayCluster(1) as cluster:
+        first_id, _ = await cluster.turn("a", "p1")
+        cluster.nodes["a"].store.knobs.delay_ms = 200
+        loop = asyncio.get_running_loop()
+        sent_s, came_s = loop.time(), []
+        _, reply = await cluster.turn(
+            "a", "p1", previous=first_id, on_data=lambda _: came_s.append(loop.time())
+        )
+        assert reply.status == 200
+        assert came_s[0] - sent_s < 0.15
+
+
+async def test_the_start_of_a_turn_is_appended_with_its_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: requests to the store are the dearest price of a calm day, two a turn.
+
+    Cause: the start was appended by itself, to be durable before the first token.
+    """
+    batches: list[int] = []
+    append = PlatformStore.append
+
+    async def count(
+        store: PlatformStore, partition: Partition, records: list[bytes], **fence: int
+    ) -> int:
+        if records:
+            batches.append(len(records))
+        return await append(store, partition, records, **fence)
+
+    monkeypatch.setattr(PlatformStore, "append", count)
+    async with GatewayCluster(1) as cluster:
+        previous, _ = await cluster.turn("a", "p1")
+        batches.clear()
+        for _ in range(4):
+            previous, reply = await cluster.turn("a", "p1", previous=previous)
+            assert reply.status == 200
+        assert batches == [2, 2, 2, 2]
+
+
+async def test_two_turns_of_a_program_at_once_have_durable_starts() -> None:
+    """Symptom: a program gets more tokens than its budget and one turn.
+
+    Events: helpers of a program run at the same moment; their owner dies.
+    Cause: the starts of all of them waited for their ends.
+    """
+    async with GatewayCluster(1) as cluster:
+        first_id, _ = await cluster.turn("a", "p1")
+        for engine in cluster.engines.values():
+            engine.knobs.gap_ms = 300
+        turns = [
+            asyncio.create_task(cluster.turn("a", "p1", previous=first_id, call_id=f"t{number}"))
+            for number in range(2)
+        ]
+        await cluster.until(lambda: cluster.runs("t0") and cluster.runs("t1"))
+        await asyncio.sleep(0.1)
+        owned = cluster.nodes["a"].daemon._ownership.owned.values()
+        assert all(one.idle for one in owned)
+        await asyncio.gather(*turns)
--- a/tests/gateway/test_uncertain.py
+++ b/tests/gateway/test_uncertain.py
@@ -21,7 +21,10 @@
     assert uncertain.hand_out("p", 10, MOST)
     assert uncertain.hand_out("q", MOST, MOST)
 
-    uncertain.clear()
+    uncertain.settle(["q"])
+    assert not uncertain.hand_out("p", 1, MOST)
+    uncertain.settle(["p"])
+    assert uncertain.is_clear("p")
     assert uncertain.hand_out("p", MOST, MOST)
 
 
