Answers that are overdue count as long latencies at all daemons, not as failures

Cause: passed over by all daemons at once, slow engines left the others more than they could take; these were overdue next, and so on in turn. Change: a report says for how long the answer has not begun; it goes into the latency that placement weighs, and fades.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -258,17 +258,17 @@
         limit_ms = self._services.backends.times.overdue_ms(self.entry.service)
         if limit_ms is not None:
             due_s = self._sent_s + limit_ms / 1000
-            self._overdue = loop.call_at(due_s, self._note_overdue, due_s)
+            self._overdue = loop.call_at(due_s, self._note_overdue, due_s, int(limit_ms))
 
     def _stop_overdue(self) -> None:
         if self._overdue is not None:
             self._overdue.cancel()
             self._overdue = None
 
-    def _note_overdue(self, due_s: float) -> None:
+    def _note_overdue(self, due_s: float, late_ms: int) -> None:
         """Tells of a backend server that has not begun to answer long after others would have."""
         if asyncio.get_running_loop().time() - due_s < LATE_TIMER_S:
-            self._services.troubles.report(self.entry, "overdue")
+            self._services.troubles.report_late(self.entry, late_ms)
 
     async def _check_crash(self) -> None:
         """Finds out whether the backend server went down with the call, and tells the others.
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -10,6 +10,7 @@
 from quincespool.policy.outliers import SharedTrouble
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
+from quincespool.policy.recent_reports import RecentReports
 from quincespool.policy.service_times import BackendLatencies
 from quincespool.policy.service_times import ServiceTimes
 
@@ -60,6 +61,7 @@
         self._lapsing: dict[str, int] = {}
         self._own_failures = OwnFailures()
         self._shared_trouble = SharedTrouble()
+        self._late_reports = RecentReports()
         self._latencies = BackendLatencies()
         # Of all ids seen, also those that are gone: an entry of an earlier life may come late.
         self._born_ms: dict[str, int] = {}
@@ -163,13 +165,29 @@
         Returns:
           For how long the backend server is passed over from now on, None if it is not for this.
         """
-        entry = self.entries.get(life.backend_id)
-        if entry is None or entry.life != life:
-            # Said of a process that is gone, or not known here yet.
+        entry = self._living(life)
+        if entry is None:
             return None
         group = [one.backend_id for one in self.entries.values() if one.service == entry.service]
         return self._shared_trouble.note(life.backend_id, reporter, group=group, now_ms=now_ms)
 
+    def note_late(self, life: BackendLife, reporter: str, late_ms: int, now_ms: int) -> bool:
+        """Takes in for how long an answer to some daemon has not begun that should have.
+
+        It counts as a long latency, not as a failure: passed over by all daemons at once, slow
+        backend servers would leave the others more than they can take, and so on in turn.
+
+        Returns:
+          Whether it is worth telling the others.
+        """
+        if self._living(life) is None:
+            return False
+        if not self._late_reports.has_room(life.backend_id, reporter, now_ms):
+            return False
+        self._late_reports.add(life.backend_id, reporter, now_ms)
+        self._latencies.observe(life.backend_id, late_ms, now_ms)
+        return True
+
     def latency_ms(self, backend_id: str) -> float:
         """Returns how long its answers took to begin lately; 0 if none was seen."""
         return self._latencies.mean_ms(backend_id)
@@ -209,6 +227,11 @@
         )
         return self.entries[chosen_id]
 
+    def _living(self, life: BackendLife) -> BackendEntry | None:
+        """Returns the entry of a process, None if it is gone or not known here yet."""
+        entry = self.entries.get(life.backend_id)
+        return entry if entry is not None and entry.life == life else None
+
     def _candidate(self, entry: BackendEntry, now_ms: int) -> Candidate:
         backend_id, service = entry.backend_id, entry.service
         usual_ms = self.times.begin_ms(service)
@@ -236,4 +259,5 @@
         self.entries.pop(backend_id, None)
         self._own_failures.forget(backend_id)
         self._shared_trouble.forget(backend_id)
+        self._late_reports.forget(backend_id)
         self._latencies.forget(backend_id)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -173,10 +173,12 @@
 
     Attributes:
       born_ms: Of the process that was sent the call; -1 where no backend server tells.
+      late_ms: For how long the answer has not begun, if that is all; -1 if the call has failed.
     """
 
     backend_id: str
     born_ms: int
+    late_ms: int
 
 
 class SilenceNotice(NamedTuple):
--- a/src/quincespool/gateway/troubles.py
+++ b/src/quincespool/gateway/troubles.py
@@ -44,18 +44,29 @@
 
     def report(self, entry: BackendEntry, reason: str) -> None:
         """Takes note of a call of this daemon that went wrong, and tells the others if it helps."""
-        at_ms = now_ms()
-        tell = self._backends.is_trouble_worth_telling(entry.backend_id, self._member_id, at_ms)
+        tell = self._backends.is_trouble_worth_telling(entry.backend_id, self._member_id, now_ms())
         self._note(entry.life, self._member_id, reason)
-        if not tell:
-            return
-        self._metrics.count("gateway_troubles_told_total", reason=reason)
-        self._send(TroubleNotice(entry.backend_id, write_optional(entry.born_ms)))
+        if tell:
+            self._tell(entry, None, reason)
+
+    def report_late(self, entry: BackendEntry, late_ms: int) -> None:
+        """Takes note of an answer that should have begun, and tells the others if it helps."""
+        if self._backends.note_late(entry.life, self._member_id, late_ms, now_ms()):
+            self._tell(entry, late_ms, "overdue")
 
     def hear(self, sender: str, notice: TroubleNotice) -> None:
         """Takes in what another daemon tells."""
         life = BackendLife(notice.backend_id, read_optional(notice.born_ms))
-        self._note(life, sender, "told")
+        late_ms = read_optional(notice.late_ms)
+        if late_ms is None:
+            self._note(life, sender, "told")
+        else:
+            self._backends.note_late(life, sender, late_ms, now_ms())
+
+    def _tell(self, entry: BackendEntry, late_ms: int | None, reason: str) -> None:
+        self._metrics.count("gateway_troubles_told_total", reason=reason)
+        born_ms = write_optional(entry.born_ms)
+        self._send(TroubleNotice(entry.backend_id, born_ms, write_optional(late_ms)))
 
     def _note(self, life: BackendLife, reporter: str, reason: str) -> None:
         hold_ms = self._backends.note_trouble(life, reporter, now_ms())
--- a/src/quincespool/policy/outliers.py
+++ b/src/quincespool/policy/outliers.py
@@ -1,18 +1,18 @@
 """Which backend servers are passed over for a while because calls there go wrong.
 
-Answers backend servers that crash, fall silent, fail part of their calls or turn slow, while load
-goes on. Each daemon judges by its own calls, and all together by what they tell one another: among
-hundreds of daemons each one sends a backend server a call every few seconds, so that alone each
-would pay for the same fault again, and would hardly ever see two failures in a row.
+Answers backend servers that crash, fall silent or fail part of their calls while load goes on. Each
+daemon judges by its own calls, and all together by what they tell one another: among hundreds of
+daemons each one sends a backend server a call every few seconds, so that alone each would pay for
+the same fault again, and would hardly ever see two failures in a row.
 """
 
 from __future__ import annotations
 
-from collections import Counter
-from collections import deque
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.recent_reports import RecentReports
+
 if TYPE_CHECKING:
     from collections.abc import Collection
 
@@ -26,17 +26,9 @@
 # Reports within the window that make an outlier. Where one answer in twenty is lost everywhere, a
 # backend server that takes ten calls a second gets three in one window once in twenty-five.
 REPORTS_NEEDED = 3
-# Of one daemon, so that two at least must agree: one that is cut off finds fault with everybody.
-MOST_OF_ONE_DAEMON = 2
-# Long enough for three calls at a backend server that takes a few each second, short enough that
-# chance failures don't add up.
-WINDOW_MS = 1_500
 # How many times the reports of the middle one of its service an outlier has at least: what befalls
 # most of them at once, as a burst does, is no fault of the one.
 OUTLIER_FACTOR = 3
-# Reports in a window after which nobody tells more. It bounds what a daemon receives to a third of
-# a percent of a core at 100 us each, and leaves room for ten outliers at once.
-MOST_REPORTS = 48
 # An outlier is tried again after this long; calls that meet the same fault once more double it. A
 # crashed process that starts again is known by its new life and need not wait.
 FIRST_HOLD_MS = 2_000
@@ -82,26 +74,16 @@
         self._health.pop(backend_id, None)
 
 
-class _Report(NamedTuple):
-    at_ms: int
-    backend_id: str
-    reporter: str
-
-
 class _Hold(NamedTuple):
     until_ms: int
     lasts_ms: int
 
 
 class SharedTrouble:
-    """What all daemons tell of calls that fail or take far longer than usual.
-
-    Who reports stops as soon as the others know enough, so what is sent does not grow with the
-    calls, and with the number of daemons only as each report goes to all of them.
-    """
+    """What all daemons tell of calls that fail."""
 
     def __init__(self) -> None:
-        self._reports: deque[_Report] = deque(maxlen=2 * MOST_REPORTS)
+        self._reports = RecentReports()
         self._holds: dict[str, _Hold] = {}
 
     def is_outlier(self, backend_id: str, now_ms: int) -> bool:
@@ -113,8 +95,7 @@
         """Whether a report of this daemon changes anything at the others."""
         if self.is_outlier(backend_id, now_ms):
             return False
-        self._drop_old(now_ms)
-        return len(self._reports) < MOST_REPORTS and self._counts(backend_id, reporter)
+        return self._reports.has_room(backend_id, reporter, now_ms)
 
     def note(
         self, backend_id: str, reporter: str, *, group: Collection[str], now_ms: int
@@ -127,10 +108,10 @@
           group: All backend servers of its service.
           now_ms: Steady clock.
         """
-        self._drop_old(now_ms)
-        if self.is_outlier(backend_id, now_ms) or not self._counts(backend_id, reporter):
+        if self.is_outlier(backend_id, now_ms):
+            return None
+        if not self._reports.add(backend_id, reporter, now_ms):
             return None
-        self._reports.append(_Report(now_ms, backend_id, reporter))
         if not self._stands_out(backend_id, group, now_ms):
             return None
         hold = self._next_hold(backend_id, now_ms)
@@ -140,16 +121,10 @@
     def forget(self, backend_id: str) -> None:
         """Drops what was told of a backend server that is gone, or has started again."""
         self._holds.pop(backend_id, None)
-        kept = [one for one in self._reports if one.backend_id != backend_id]
-        self._reports.clear()
-        self._reports.extend(kept)
-
-    def _counts(self, backend_id: str, reporter: str) -> bool:
-        told = [one.reporter for one in self._reports if one.backend_id == backend_id]
-        return told.count(reporter) < MOST_OF_ONE_DAEMON
+        self._reports.forget(backend_id)
 
     def _stands_out(self, backend_id: str, group: Collection[str], now_ms: int) -> bool:
-        counts = Counter(one.backend_id for one in self._reports)
+        counts = self._reports.counts()
         if counts[backend_id] < REPORTS_NEEDED:
             return False
         others = sorted(
@@ -169,7 +144,3 @@
         else:
             lasts_ms = min(MAX_HOLD_MS, 2 * last.lasts_ms)
         return _Hold(now_ms + lasts_ms, lasts_ms)
-
-    def _drop_old(self, now_ms: int) -> None:
-        while self._reports and now_ms - self._reports[0].at_ms >= WINDOW_MS:
-            self._reports.popleft()
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -178,4 +178,5 @@
   # A call of the sender went wrong at this backend server, or is far slower than usual.
   backendId @0 :Text;
   bornMs @1 :Int64;
+  lateMs @2 :Int64;
 }
--- a/tests/gateway/test_troubles.py
+++ b/tests/gateway/test_troubles.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quincespool.policy.outliers import MOST_OF_ONE_DAEMON
+from quincespool.policy.recent_reports import MOST_OF_ONE_DAEMON
 from tests.gateway.gateway_cluster import GatewayCluster
 
 if TYPE_CHECKING:
--- a/tests/policy/test_outliers.py
+++ b/tests/policy/test_outliers.py
@@ -11,11 +11,11 @@
 from quincespool.policy.outliers import FIRST_HOLD_MS
 from quincespool.policy.outliers import HOLD_MEMORY_MS
 from quincespool.policy.outliers import MAX_HOLD_MS
-from quincespool.policy.outliers import MOST_REPORTS
 from quincespool.policy.outliers import REPORTS_NEEDED
-from quincespool.policy.outliers import WINDOW_MS
 from quincespool.policy.outliers import OwnFailures
 from quincespool.policy.outliers import SharedTrouble
+from quincespool.policy.recent_reports import MOST_REPORTS
+from quincespool.policy.recent_reports import WINDOW_MS
 
 GROUP = tuple(f"e{number}" for number in range(24))
 
