Entries are read every 1.5 s at the most, whatever the number of daemons; connections to backend servers get 300 ms

Cause: the pause between reads grew by 10 ms with each daemon: 1.95 s at 195, 7.4 s at 740, while a leaving backend server serves for two seconds more at the least. A call to a host without power waited 600 ms before another backend server got it; an opening packet that is lost is sent again only after a second, so 300 ms lose nothing.

--- a/src/quincespool/explain/story.py
+++ b/src/quincespool/explain/story.py
@@ -12,6 +12,7 @@
     {
         "backend crashed",
         "backend lapsed",
+        "backend passed over",
         "backend removed",
         "configuration adopted",
         "daemon gone",
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -12,6 +12,7 @@
 
 from quincespool.gateway.backends import EntryNews
 from quincespool.gateway.follower import Follower
+from quincespool.policy.polling import entries_interval_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,9 +33,6 @@
 # noticed after it.
 CONFIGURATION_WAIT_MS = 2_000
 DAEMONS_WAIT_MS = 5_000
-# With more daemons each one reads the entries of backend servers less often: at a hundred daemons
-# once a second, a third of the shortest time that a leaving one still serves.
-BACKENDS_MS_PER_DAEMON = 10
 # An entry that lapses while the store is away is back within two seconds of its return.
 LAPSE_GRACE_MS = 2_200
 # Requests to the store that fail in a row, and time without any success, before it counts as lost:
@@ -137,9 +135,7 @@
             on_records=self._take_backends,
             on_listing=self._list_backends,
             wait_ms=0,
-            pause_ms=lambda: max(
-                backends_interval_ms(), BACKENDS_MS_PER_DAEMON * len(members.entries)
-            ),
+            pause_ms=lambda: entries_interval_ms(backends_interval_ms(), len(members.entries)),
         )
         self.daemon_entries = Follower(
             wire.DAEMONS_TOPIC,
--- a/src/quincespool/gateway/exchange.py
+++ b/src/quincespool/gateway/exchange.py
@@ -17,9 +17,10 @@
 
     from quincespool.gateway.model import Headers
 
-# A connection within a region is there in a few milliseconds; a lost opening packet is sent again
-# after a second, which is too late for most calls.
-CONNECT_LIMIT_S = 0.6
+# A connection within a region is there in a few milliseconds, and a lost opening packet is sent
+# again only after a second. Nothing has been sent yet, so the call goes to another backend server;
+# each tenth of a second of waiting before that is lost to it.
+CONNECT_LIMIT_S = 0.3
 # Sent data that stays unacknowledged for longer has met a host that is gone or a cut link.
 UNACKNOWLEDGED_MS = 1_500
 # An engine that says nothing of its idle limit closes after a few seconds at the least.
