Placement prefers backend servers to which a kept connection is idle

Cause: a host with a call or two a second spread them over all backend servers alike; kept connections are closed when idle for some seconds, so most calls opened one. Ruled out: keeping more connections open (backend servers bound them, and close idle ones). Change: a new connection counts a tenth of a batch in placement, less than one more call in a batch of six. Test: tests/policy/test_placement.py.

--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -199,6 +199,7 @@
         now_ms: int,
         exclude: frozenset[str] = frozenset(),
         prefer: BackendLife | None = None,
+        connected: frozenset[str] = frozenset(),
     ) -> BackendEntry | None:
         """Returns the backend server to send a call to, None if there is none.
 
@@ -207,6 +208,7 @@
           now_ms: Steady clock.
           exclude: Those that this call was sent to already.
           prefer: The one that holds what the call would have to read again.
+          connected: Those to which a kept connection is idle.
         """
         candidates = [
             entry
@@ -221,7 +223,7 @@
         preferred = self.entries.get(prefer.backend_id) if prefer is not None else None
         holds_cache = preferred is not None and preferred.life == prefer
         chosen_id = place(
-            [self._candidate(entry, now_ms) for entry in sound],
+            [self._candidate(entry, now_ms, connected) for entry in sound],
             preferred_id=prefer.backend_id if prefer is not None and holds_cache else "",
             rng=self._random,
         )
@@ -232,7 +234,7 @@
         entry = self.entries.get(life.backend_id)
         return entry if entry is not None and entry.life == life else None
 
-    def _candidate(self, entry: BackendEntry, now_ms: int) -> Candidate:
+    def _candidate(self, entry: BackendEntry, now_ms: int, connected: frozenset[str]) -> Candidate:
         backend_id, service = entry.backend_id, entry.service
         usual_ms = self.times.begin_ms(service)
         late_ms = self._latencies.excess_ms(backend_id, usual_ms, now_ms)
@@ -241,6 +243,7 @@
             busy=self.in_flight.get(backend_id, 0) / max(1, entry.slots),
             is_near=entry.zone == self._zone,
             is_cold=entry.cold_ms > 0,
+            is_connected=backend_id in connected,
             lateness=late_ms / max(1.0, self.times.whole_ms(service)),
         )
 
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/plain.py
@@ -53,7 +53,10 @@
         outcome: Whole | NotRun | Lost = NotRun("no_backend", sent=False)
         while sent < decision.route.max_attempts and refusals < MAX_REFUSALS:
             entry = self._services.backends.choose(
-                decision.service.name, now_ms=now_ms(), exclude=frozenset(tried)
+                decision.service.name,
+                now_ms=now_ms(),
+                exclude=frozenset(tried),
+                connected=self._services.pool.connected(),
             )
             if entry is None or now_ms() >= until_ms:
                 break
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/pool.py
@@ -76,6 +76,15 @@
         }
         return {backend_id: now_s - max(times) for backend_id, times in heard_s.items() if times}
 
+    def connected(self) -> frozenset[str]:
+        """Returns the backend servers to which a kept connection is idle."""
+        now_s = asyncio.get_running_loop().time()
+        return frozenset(
+            backend_id
+            for backend_id, idle in self._idle.items()
+            if any(one.usable and now_s < one.idle_until_s for one in idle)
+        )
+
     def drop(self, backend_id: str) -> None:
         """Closes the idle connections to a backend server that has gone or is suspect."""
         for connection in self._idle.pop(backend_id, []):
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -147,6 +147,7 @@
                 now_ms=now_ms(),
                 exclude=frozenset(tried),
                 prefer=self.engine,
+                connected=self._services.pool.connected(),
             )
             if entry is None:
                 break
--- a/src/quincespool/policy/placement.py
+++ b/src/quincespool/policy/placement.py
@@ -30,6 +30,9 @@
 # What an answer's beginning that is late by the time of a whole call counts, in parts of the slots.
 # A queue as long as the batch delays it by that much; half, since it is seen by chance, of few.
 LATENESS_LOAD = 0.5
+# What a new connection counts: it takes a round trip, a place at the backend server, and is paid
+# for. Less than one more call in a batch of six, so that calls at the same time still spread.
+CONNECT_LOAD = 0.1
 # Spreads ties, so that daemons with the same knowledge don't all choose alike.
 TIE_LOAD = 0.05
 
@@ -41,6 +44,7 @@
       busy: Own calls under way there, as a part of its slots.
       is_near: Whether it is in the availability zone of the daemon.
       is_cold: Whether it has started so lately that it is still slow.
+      is_connected: Whether a kept connection to it is idle.
       lateness: How much later than usual its answers begin, in usual times of a whole call.
     """
 
@@ -48,6 +52,7 @@
     busy: float
     is_near: bool
     is_cold: bool
+    is_connected: bool
     lateness: float
 
 
@@ -68,7 +73,8 @@
 
 def _cost(candidate: Candidate, rng: random.Random) -> float:
     far = 0.0 if candidate.is_near else OTHER_ZONE_LOAD
-    return _load(candidate) + far + rng.random() * TIE_LOAD
+    connect = 0.0 if candidate.is_connected else CONNECT_LOAD
+    return _load(candidate) + far + connect + rng.random() * TIE_LOAD
 
 
 def _load(candidate: Candidate) -> float:
--- a/tests/policy/fleet.py
+++ b/tests/policy/fleet.py
@@ -122,6 +122,7 @@
                 busy=(owner.in_flight[engine] + told[engine]) / self._load.slots,
                 is_near=engine % self._load.zones == owner.zone,
                 is_cold=False,
+                is_connected=True,
                 lateness=owner.latencies.excess_ms(str(engine), usual_ms, now_ms) / whole_ms,
             )
             for engine in range(self._load.engines)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -17,8 +17,10 @@
 BUSY_PER_S = 460.0
 
 
-def _candidate(name: str, busy: float = 0.0, *, near: bool = True, late: float = 0.0) -> Candidate:
-    return Candidate(name, busy, is_near=near, is_cold=False, lateness=late)
+def _candidate(
+    name: str, busy: float = 0.0, *, near: bool = True, late: float = 0.0, connected: bool = True
+) -> Candidate:
+    return Candidate(name, busy, is_near=near, is_cold=False, is_connected=connected, lateness=late)
 
 
 def _mean_ms(load: Load) -> float:
@@ -70,3 +72,19 @@
 def test_the_own_zone_is_preferred_to_an_engine_that_is_a_little_less_busy() -> None:
     candidates = [_candidate("near", 0.1), _candidate("far", near=False)]
     assert place(candidates, preferred_id="", rng=random.Random(1)) == "near"
+
+
+def test_a_kept_connection_is_used_again_while_its_engine_has_room() -> None:
+    """Symptom: hundreds of hosts open a connection for nearly every call to a plain service.
+
+    Events: each host sends a call or two a second; connections that are idle are closed soon.
+    Cause: the host spread these few calls over all backend servers alike.
+    """
+    rng, used = random.Random(2), set()
+    for _ in range(50):
+        candidates = [_candidate("kept"), *(_candidate(f"e{n}", connected=False) for n in range(5))]
+        used.add(place(candidates, preferred_id="", rng=rng))
+    assert used == {"kept"}
+
+    candidates = [_candidate("kept", 1 / 6), _candidate("e1", connected=False)]
+    assert place(candidates, preferred_id="", rng=rng) == "e1"
