--- a/specs/turns.py
+++ b/specs/turns.py
@@ -6,6 +6,10 @@
 freeze, and an append whose answer was lost may be applied late.
 
 A turn generates one token at most. The records are those of `quincespool.gateway.ledger`.
+
+With `defers`, an owner hands a token out while its turn's start is on the way, or not sent at all:
+of one turn at a time, and only if the program began at this owner and a record of it lasts. The
+next owner may never hear of it, so that the budget is exceeded by one token at most.
 """
 
 from __future__ import annotations
@@ -39,6 +43,7 @@
       settle_starts_elsewhere: If an owner was shut out before the start was durable, no token is
         handed out before the new owner has the start.
       admit_settled_starts: A new owner takes such a start only if the budget is still enough.
+      defer_where_it_began: Only the owner where a program began defers its starts.
     """
 
     store_fences: bool = True
@@ -50,6 +55,7 @@
     broken_spends: bool = True
     settle_starts_elsewhere: bool = True
     admit_settled_starts: bool = True
+    defer_where_it_began: bool = True
 
 
 class Record(NamedTuple):
@@ -68,12 +74,16 @@
       view: The records that it has folded in, own ones before they are durable.
       waiting: Own records not known to be durable; the first one is on its way.
       applied: Whether the store has applied the first one, whose answer is still to come.
+      inherits: Whether it found records of the program when it took over.
+      has_kept: Whether it has heard that a record of its own is kept.
     """
 
     stage: str = "absent"
     view: tuple[Record, ...] = ()
     waiting: tuple[Record, ...] = ()
     applied: bool = False
+    inherits: bool = False
+    has_kept: bool = False
 
 
 class Turn(NamedTuple):
@@ -109,9 +119,18 @@
 class Turns:
     """The steps under given guards."""
 
-    def __init__(self, guards: Guards, budget_tokens: int) -> None:
+    def __init__(
+        self,
+        guards: Guards,
+        budget_tokens: int,
+        *,
+        defers: bool = False,
+        previous: tuple[int | None, ...] = PREVIOUS,
+    ) -> None:
         self._guards = guards
         self._budget_tokens = budget_tokens
+        self._defers = defers
+        self._previous = previous
 
     def successors(self, state: State) -> Steps:
         """Yields every step from a state."""
@@ -132,7 +151,7 @@
             fenced = _with_owner(state, epoch, owner._replace(stage="fenced"))
             yield f"{epoch} fences", fenced._replace(fence=fence)
         elif owner.stage == "fenced":
-            ready = owner._replace(stage="ready", view=state.log)
+            ready = owner._replace(stage="ready", view=state.log, inherits=bool(state.log))
             yield f"{epoch} has read", _with_owner(state, epoch, ready)
 
     def _store_steps(self, state: State, epoch: int, owner: Owner) -> Steps:
@@ -145,6 +164,8 @@
             record = owner.waiting[0]
             view = owner.view if record in owner.view else (*owner.view, record)
             kept = owner._replace(view=view, waiting=owner.waiting[1:], applied=False)
+            if self._defers:
+                kept = kept._replace(has_kept=True)
             yield f"{epoch} hears that it is kept", _with_owner(state, epoch, kept)
 
     def _accepts(self, state: State, epoch: int) -> bool:
@@ -154,7 +175,7 @@
         for number, turn in enumerate(state.turns):
             if turn.epoch >= 0:
                 continue
-            previous = PREVIOUS[number]
+            previous = self._previous[number]
             ended = {record.turn for record in owner.view if record.kind == "ended"}
             if previous is not None and previous not in ended:
                 yield from self._absent_steps(state, epoch, number, previous)
@@ -181,7 +202,8 @@
         waits = any(started in owner.waiting for owner in state.owners[state.fence :])
         durable = started in state.log and not waits
         if not turn.handed_out and not turn.settled:
-            if durable or not self._guards.start_before_token:
+            deferred = self._may_defer(state, number, turn)
+            if durable or deferred or not self._guards.start_before_token:
                 handed = _with_turn(state, number, turn._replace(handed_out=True))
                 yield f"{number} hands out", handed
             yield from self._restart_steps(state, number, turn)
@@ -194,6 +216,14 @@
             told = _with_turn(state, number, turn._replace(told=True))
             yield f"{number} told whole", _see(told, "whole")
 
+    def _may_defer(self, state: State, number: int, turn: Turn) -> bool:
+        owner = state.owners[turn.epoch]
+        others = [one for one in owner.waiting if one.kind == "started" and one.turn != number]
+        began_here = owner.has_kept and not owner.inherits
+        if not self._guards.defer_where_it_began:
+            began_here = True
+        return self._defers and began_here and not others
+
     def _restart_steps(self, state: State, number: int, turn: Turn) -> Steps:
         """The owner was shut out before the start was durable; another one takes the start."""
         record = Record("started", number)
@@ -239,14 +269,21 @@
 
 
 def make_turns(
-    guards: Guards = ALL_GUARDS, *, owners: int = 2, budget_tokens: int = 2
+    guards: Guards = ALL_GUARDS,
+    *,
+    owners: int = 2,
+    budget_tokens: int = 2,
+    defers: bool = False,
+    previous: tuple[int | None, ...] = PREVIOUS,
 ) -> Specification[State]:
     """Returns the specification under given guards, for so many owners in turn."""
+    bound_tokens = budget_tokens + defers
+    turns = Turns(guards, budget_tokens, defers=defers, previous=previous)
     return Specification(
-        initial=State(owners=(Owner(),) * owners),
-        successors=Turns(guards, budget_tokens).successors,
+        initial=State(owners=(Owner(),) * owners, turns=(Turn(),) * len(previous)),
+        successors=turns.successors,
         rules={
-            "within budget": lambda s: sum(t.handed_out for t in s.turns) <= budget_tokens,
+            "within budget": lambda s: sum(t.handed_out for t in s.turns) <= bound_tokens,
             "whole is kept": lambda s: all(
                 Record("ended", number, 1) in s.log for number, t in enumerate(s.turns) if t.told
             ),
