Names: reports on backend servers, failures that daemons share; kept connections are taken in one place

'Trouble' is no term of the field. Renamed: Troubles to BackendReports, TroubleNotice to BackendReport, SharedTrouble to SharedFailures. ConnectionPool.take noted a busy connection in two places.

--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/attempt.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.gateway.backend_reports import BackendReports
     from quincespool.gateway.backends import Backends
     from quincespool.gateway.crashes import CrashWatch
     from quincespool.gateway.decision_log import DecisionLog
@@ -27,7 +28,6 @@
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Headers
     from quincespool.gateway.pool import ConnectionPool
-    from quincespool.gateway.troubles import Troubles
     from quincespool.gateway.wire import AnswerHead
     from quincespool.gateway.wire import Wire
     from quincespool.net.metrics import Metrics
@@ -78,7 +78,7 @@
     metrics: Metrics
     crashes: CrashWatch
     tell_crash: Callable[[str, str], None]
-    troubles: Troubles
+    backend_reports: BackendReports
 
 
 class Attempt:
@@ -249,7 +249,7 @@
     def _blame(self, reason: str, *, unreachable: bool = False) -> bool:
         """Counts a failure against the backend server; returns whether it is ejected for it."""
         services, entry = self._services, self.entry
-        services.troubles.report(entry, reason)
+        services.backend_reports.report(entry, reason)
         return services.backends.failed(entry.backend_id, now_ms(), unreachable=unreachable)
 
     def _start_overdue(self) -> None:
@@ -268,7 +268,7 @@
     def _note_overdue(self, due_s: float, late_ms: int) -> None:
         """Tells of a backend server that has not begun to answer long after others would have."""
         if asyncio.get_running_loop().time() - due_s < LATE_TIMER_S:
-            self._services.troubles.report_late(self.entry, late_ms)
+            self._services.backend_reports.report_late(self.entry, late_ms)
 
     async def _check_crash(self) -> None:
         """Finds out whether the backend server went down with the call, and tells the others.
--- a/src/quincespool/gateway/troubles.py
+++ b/src/quincespool/gateway/backend_reports.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.messages import TroubleNotice
+from quincespool.gateway.messages import BackendReport
 from quincespool.gateway.messages import read_optional
 from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import BackendLife
@@ -24,7 +24,7 @@
     from quincespool.net.metrics import Metrics
 
 
-class Troubles:
+class BackendReports:
     """Reports of one daemon and of the others."""
 
     def __init__(
@@ -34,7 +34,7 @@
         backends: Backends,
         log: DecisionLog,
         metrics: Metrics,
-        send: Callable[[TroubleNotice], None],
+        send: Callable[[BackendReport], None],
     ) -> None:
         self._member_id = member_id
         self._backends = backends
@@ -44,7 +44,7 @@
 
     def report(self, entry: BackendEntry, reason: str) -> None:
         """Takes note of a call of this daemon that went wrong, and tells the others if it helps."""
-        tell = self._backends.is_trouble_worth_telling(entry.backend_id, self._member_id, now_ms())
+        tell = self._backends.is_failure_worth_telling(entry.backend_id, self._member_id, now_ms())
         self._note(entry.life, self._member_id, reason)
         if tell:
             self._tell(entry, None, reason)
@@ -54,22 +54,22 @@
         if self._backends.note_late(entry.life, self._member_id, late_ms, now_ms()):
             self._tell(entry, late_ms, "overdue")
 
-    def hear(self, sender: str, notice: TroubleNotice) -> None:
+    def hear(self, sender: str, told: BackendReport) -> None:
         """Takes in what another daemon tells."""
-        life = BackendLife(notice.backend_id, read_optional(notice.born_ms))
-        late_ms = read_optional(notice.late_ms)
+        life = BackendLife(told.backend_id, read_optional(told.born_ms))
+        late_ms = read_optional(told.late_ms)
         if late_ms is None:
             self._note(life, sender, "told")
         else:
             self._backends.note_late(life, sender, late_ms, now_ms())
 
     def _tell(self, entry: BackendEntry, late_ms: int | None, reason: str) -> None:
-        self._metrics.count("gateway_troubles_told_total", reason=reason)
+        self._metrics.count("gateway_backend_reports_total", reason=reason)
         born_ms = write_optional(entry.born_ms)
-        self._send(TroubleNotice(entry.backend_id, born_ms, write_optional(late_ms)))
+        self._send(BackendReport(entry.backend_id, born_ms, write_optional(late_ms)))
 
     def _note(self, life: BackendLife, reporter: str, reason: str) -> None:
-        hold_ms = self._backends.note_trouble(life, reporter, now_ms())
+        hold_ms = self._backends.note_failure(life, reporter, now_ms())
         if hold_ms is None:
             return
         self._metrics.count("gateway_outliers_total")
--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from quincespool.policy.outliers import OwnFailures
-from quincespool.policy.outliers import SharedTrouble
+from quincespool.policy.outliers import SharedFailures
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
 from quincespool.policy.recent_reports import RecentReports
@@ -60,7 +60,7 @@
         self._random = random.Random(seed)
         self._lapsing: dict[str, int] = {}
         self._own_failures = OwnFailures()
-        self._shared_trouble = SharedTrouble()
+        self._shared_failures = SharedFailures()
         self._late_reports = RecentReports()
         self._latencies = BackendLatencies()
         # Of all ids seen, also those that are gone: an entry of an earlier life may come late.
@@ -155,11 +155,11 @@
         """Takes note of a failure; returns whether the backend server is ejected for it."""
         return self._own_failures.failed(backend_id, now_ms, unreachable=unreachable)
 
-    def is_trouble_worth_telling(self, backend_id: str, reporter: str, now_ms: int) -> bool:
+    def is_failure_worth_telling(self, backend_id: str, reporter: str, now_ms: int) -> bool:
         """Whether a report of this daemon changes anything at the others."""
-        return self._shared_trouble.is_worth_telling(backend_id, reporter, now_ms)
+        return self._shared_failures.is_worth_telling(backend_id, reporter, now_ms)
 
-    def note_trouble(self, life: BackendLife, reporter: str, now_ms: int) -> int | None:
+    def note_failure(self, life: BackendLife, reporter: str, now_ms: int) -> int | None:
         """Takes in that a call of some daemon went wrong at a backend server.
 
         Returns:
@@ -169,7 +169,7 @@
         if entry is None:
             return None
         group = [one.backend_id for one in self.entries.values() if one.service == entry.service]
-        return self._shared_trouble.note(life.backend_id, reporter, group=group, now_ms=now_ms)
+        return self._shared_failures.note(life.backend_id, reporter, group=group, now_ms=now_ms)
 
     def note_late(self, life: BackendLife, reporter: str, late_ms: int, now_ms: int) -> bool:
         """Takes in for how long an answer to some daemon has not begun that should have.
@@ -249,7 +249,7 @@
 
     def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
         own = self._own_failures.is_ejected(backend_id, now_ms)
-        return own or self._shared_trouble.is_outlier(backend_id, now_ms)
+        return own or self._shared_failures.is_outlier(backend_id, now_ms)
 
     def _note_birth(self, backend_id: str, born_ms: int) -> None:
         self._born_ms.pop(backend_id, None)
@@ -261,6 +261,6 @@
         self._lapsing.pop(backend_id, None)
         self.entries.pop(backend_id, None)
         self._own_failures.forget(backend_id)
-        self._shared_trouble.forget(backend_id)
+        self._shared_failures.forget(backend_id)
         self._late_reports.forget(backend_id)
         self._latencies.forget(backend_id)
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from quincespool.gateway.attempt import Services
+from quincespool.gateway.backend_reports import BackendReports
 from quincespool.gateway.backends import Backends
 from quincespool.gateway.beliefs import Beliefs
 from quincespool.gateway.beliefs import StoreHealth
@@ -38,7 +39,6 @@
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
 from quincespool.gateway.ticker import Ticker
-from quincespool.gateway.troubles import Troubles
 from quincespool.gateway.turns import TurnRunner
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
@@ -52,7 +52,7 @@
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.ledger import Record
     from quincespool.gateway.links import Link
-    from quincespool.gateway.messages import TroubleNotice
+    from quincespool.gateway.messages import BackendReport
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.settings import GatewaySettings
     from quincespool.gateway.store import Partition
@@ -121,12 +121,12 @@
         )
         self._members = Members(settings.member_id)
         self._crashes = CrashWatch()
-        self._troubles = Troubles(
+        self._backend_reports = BackendReports(
             settings.member_id,
             backends=self._backends,
             log=self._log,
             metrics=self._metrics,
-            send=self._tell_trouble,
+            send=self._tell_report,
         )
         self._services = Services(
             self._backends,
@@ -136,7 +136,7 @@
             self._metrics,
             self._crashes,
             self._tell_crash,
-            self._troubles,
+            self._backend_reports,
         )
         self._beliefs = Beliefs(
             member_id=settings.member_id,
@@ -214,7 +214,7 @@
             ownership=self._ownership,
             partition_count=len(partitions),
             crashes=self._crashes,
-            troubles=self._troubles,
+            backend_reports=self._backend_reports,
             log=self._log,
             on_silent=lambda daemon: self._links.drop(daemon.peer_address),
         )
@@ -224,8 +224,8 @@
     def _tell_crash(self, mark: str, backend_id: str) -> None:
         self._presence.tell_crash(mark, backend_id)
 
-    def _tell_trouble(self, notice: TroubleNotice) -> None:
-        self._presence.tell_trouble(notice)
+    def _tell_report(self, report: BackendReport) -> None:
+        self._presence.tell_report(report)
 
     def _greet(self, daemon: Daemon) -> None:
         self._presence.greet(daemon)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -168,7 +168,7 @@
     backend_id: str
 
 
-class TroubleNotice(NamedTuple):
+class BackendReport(NamedTuple):
     """A call of the sender went wrong at this backend server, or is far slower than usual.
 
     Attributes:
@@ -201,7 +201,7 @@
     incarnation: int
 
 
-Datagram = Heartbeat | CrashNotice | TroubleNotice | SilenceNotice | SilenceQuestion
+Datagram = Heartbeat | CrashNotice | BackendReport | SilenceNotice | SilenceQuestion
 LinkMessage = (
     RelayCall
     | RelayCancel
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/pool.py
@@ -27,21 +27,7 @@
         Raises:
           ConnectError: if none can be made.
         """
-        now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get(entry.backend_id, [])
-        while idle:
-            connection = idle.pop()
-            if connection.usable and now_s < connection.idle_until_s:
-                self._busy.setdefault(entry.backend_id, set()).add(connection)
-                return connection
-            connection.close()
-        connection = BackendConnection()
-        try:
-            await connection.connect(entry.address)
-        except BaseException:
-            connection.close()
-            raise
-        self._on_open()
+        connection = self._take_idle(entry.backend_id) or await self._open(entry.address)
         self._busy.setdefault(entry.backend_id, set()).add(connection)
         return connection
 
@@ -105,6 +91,26 @@
             else:
                 del self._idle[backend_id]
 
+    def _take_idle(self, backend_id: str) -> BackendConnection | None:
+        now_s = asyncio.get_running_loop().time()
+        idle = self._idle.get(backend_id, [])
+        while idle:
+            connection = idle.pop()
+            if connection.usable and now_s < connection.idle_until_s:
+                return connection
+            connection.close()
+        return None
+
+    async def _open(self, address: str) -> BackendConnection:
+        connection = BackendConnection()
+        try:
+            await connection.connect(address)
+        except BaseException:
+            connection.close()
+            raise
+        self._on_open()
+        return connection
+
     def _release(self, entry: BackendEntry, connection: BackendConnection) -> None:
         busy = self._busy.get(entry.backend_id)
         if busy is None:
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/presence.py
@@ -9,18 +9,19 @@
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
 from quincespool.gateway.heartbeats import Heartbeats
+from quincespool.gateway.messages import BackendReport
 from quincespool.gateway.messages import CrashNotice
 from quincespool.gateway.messages import Heartbeat
 from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import SilenceNotice
 from quincespool.gateway.messages import SilenceQuestion
-from quincespool.gateway.messages import TroubleNotice
 from quincespool.gateway.store import Partition
 from quincespool.gateway.store import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.gateway.backend_reports import BackendReports
     from quincespool.gateway.beliefs import Beliefs
     from quincespool.gateway.crashes import CrashWatch
     from quincespool.gateway.decision_log import DecisionLog
@@ -28,7 +29,6 @@
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.ownership import Ownership
     from quincespool.gateway.store import Store
-    from quincespool.gateway.troubles import Troubles
     from quincespool.gateway.wire import Wire
 
 REGISTER_RETRY_S = 0.3
@@ -54,7 +54,7 @@
         ownership: Ownership,
         partition_count: int,
         crashes: CrashWatch,
-        troubles: Troubles,
+        backend_reports: BackendReports,
         log: DecisionLog,
         on_silent: Callable[[Daemon], None],
     ) -> None:
@@ -66,7 +66,7 @@
         self._ownership = ownership
         self._partition_count = partition_count
         self._crashes = crashes
-        self._troubles = troubles
+        self._backend_reports = backend_reports
         self._log = log
         self._on_silent = on_silent
         self._releasing: set[asyncio.Task[None]] = set()
@@ -193,9 +193,9 @@
         """Tells the others of a backend server that went down with a request."""
         self._heartbeats.send(self._members.others, CrashNotice(mark, backend_id))
 
-    def tell_trouble(self, notice: TroubleNotice) -> None:
+    def tell_report(self, report: BackendReport) -> None:
         """Tells the others of a call that went wrong at a backend server."""
-        self._heartbeats.send(self._members.others, notice)
+        self._heartbeats.send(self._members.others, report)
 
     def follow_isolation(self) -> None:
         """Owns nothing while no other daemon can reach this one.
@@ -220,8 +220,8 @@
         if isinstance(message, CrashNotice):
             self._crashes.note(message.fingerprint, message.backend_id, now_ms())
             return
-        if isinstance(message, TroubleNotice):
-            self._troubles.hear(sender, message)
+        if isinstance(message, BackendReport):
+            self._backend_reports.hear(sender, message)
             return
         if isinstance(message, SilenceNotice):
             self._hear_silence(sender, message)
--- a/src/quincespool/gateway/quiet_backends.py
+++ b/src/quincespool/gateway/quiet_backends.py
@@ -53,7 +53,7 @@
             if entry is None or not quiet:
                 continue
             self._not_before_s[backend_id] = now_s + AGAIN_S
-            self._services.troubles.report(entry, "quiet")
+            self._services.backend_reports.report(entry, "quiet")
             self._spawn_try(entry, silent_s)
 
     def _spawn_try(self, entry: BackendEntry, silent_s: float) -> None:
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -82,7 +82,7 @@
     "gateway_call_ms": MetricSpec("histogram", "From a whole request to the end of its answer."),
     "gateway_record_ms": MetricSpec("histogram", "From a whole turn to its durable record."),
     "gateway_attempts_total": MetricSpec("counter", "Attempts at backend servers by outcome."),
-    "gateway_troubles_told_total": MetricSpec(
+    "gateway_backend_reports_total": MetricSpec(
         "counter", "Calls that went wrong and were told to the other daemons, by reason."
     ),
     "gateway_outliers_total": MetricSpec(
--- a/src/quincespool/policy/outliers.py
+++ b/src/quincespool/policy/outliers.py
@@ -79,7 +79,7 @@
     lasts_ms: int
 
 
-class SharedTrouble:
+class SharedFailures:
     """What all daemons tell of calls that fail."""
 
     def __init__(self) -> None:
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -24,7 +24,7 @@
     turnAbsent @15 :TurnAbsent;
     silenceNotice @16 :SilenceNotice;
     silenceQuestion @17 :SilenceQuestion;
-    troubleNotice @18 :TroubleNotice;
+    backendReport @18 :BackendReport;
   }
 }
 
@@ -174,7 +174,7 @@
   backendId @1 :Text;
 }
 
-struct TroubleNotice {
+struct BackendReport {
   # A call of the sender went wrong at this backend server, or is far slower than usual.
   backendId @0 :Text;
   bornMs @1 :Int64;
--- a/tests/gateway/test_troubles.py
+++ b/tests/gateway/test_backend_reports.py
@@ -23,7 +23,7 @@
         entry = nodes["a"].daemon._backends.entries["e1"]
         for name in ("a", "b"):
             for _ in range(MOST_OF_ONE_DAEMON):
-                nodes[name].daemon._troubles.report(entry, "lost")
+                nodes[name].daemon._backend_reports.report(entry, "lost")
         await asyncio.sleep(0.1)
 
         for number in range(4):
@@ -44,7 +44,7 @@
         cluster.engines["s1"].knobs.gap_ms = 300
         heard: list[str] = []
         monkeypatch.setattr(
-            cluster.nodes["b"].daemon._troubles,
+            cluster.nodes["b"].daemon._backend_reports,
             "hear",
             lambda _, notice: heard.append(notice.backend_id),
         )
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -238,11 +238,11 @@
         backends.started(one)
     assert _choose(backends) == "e1"
     for reporter in ("a", "b", "a"):
-        backends.note_trouble(BackendLife("e1", 1_000), reporter, 0)
+        backends.note_failure(BackendLife("e1", 1_000), reporter, 0)
     assert _choose(backends) != "e1"
 
     backends.put(_entry(2_000))
     assert _choose(backends) == "e1"
     for reporter in ("a", "b", "a"):
-        assert backends.note_trouble(BackendLife("e1", 1_000), reporter, 0) is None
+        assert backends.note_failure(BackendLife("e1", 1_000), reporter, 0) is None
     assert _choose(backends) == "e1"
--- a/tests/policy/test_outliers.py
+++ b/tests/policy/test_outliers.py
@@ -13,29 +13,29 @@
 from quincespool.policy.outliers import MAX_HOLD_MS
 from quincespool.policy.outliers import REPORTS_NEEDED
 from quincespool.policy.outliers import OwnFailures
-from quincespool.policy.outliers import SharedTrouble
+from quincespool.policy.outliers import SharedFailures
 from quincespool.policy.recent_reports import MOST_REPORTS
 from quincespool.policy.recent_reports import WINDOW_MS
 
 GROUP = tuple(f"e{number}" for number in range(24))
 
 
-def _report(trouble: SharedTrouble, backend_id: str, *reporters: str, now_ms: int = 0) -> None:
+def _report(shared: SharedFailures, backend_id: str, *reporters: str, now_ms: int = 0) -> None:
     for reporter in reporters:
-        trouble.note(backend_id, reporter, group=GROUP, now_ms=now_ms)
+        shared.note(backend_id, reporter, group=GROUP, now_ms=now_ms)
 
 
-def _outliers(trouble: SharedTrouble, now_ms: int) -> set[str]:
-    return {one for one in GROUP if trouble.is_outlier(one, now_ms)}
+def _outliers(shared: SharedFailures, now_ms: int) -> set[str]:
+    return {one for one in GROUP if shared.is_outlier(one, now_ms)}
 
 
 def test_what_several_daemons_report_is_passed_over_for_a_while() -> None:
-    trouble = SharedTrouble()
-    _report(trouble, "e1", "a", "b")
-    assert not trouble.is_outlier("e1", 0)
-    _report(trouble, "e1", "c")
-    assert trouble.is_outlier("e1", FIRST_HOLD_MS - 1)
-    assert not trouble.is_outlier("e1", FIRST_HOLD_MS)
+    shared = SharedFailures()
+    _report(shared, "e1", "a", "b")
+    assert not shared.is_outlier("e1", 0)
+    _report(shared, "e1", "c")
+    assert shared.is_outlier("e1", FIRST_HOLD_MS - 1)
+    assert not shared.is_outlier("e1", FIRST_HOLD_MS)
 
 
 def test_a_daemon_that_is_cut_off_imposes_nothing() -> None:
@@ -44,10 +44,10 @@
     Events: one daemon loses its way to them; each of its calls there fails and is told to all.
     Cause: the word of one daemon was enough.
     """
-    trouble = SharedTrouble()
+    shared = SharedFailures()
     for backend_id in GROUP[:8]:
-        _report(trouble, backend_id, *["cut"] * 10)
-    assert not _outliers(trouble, 0)
+        _report(shared, backend_id, *["cut"] * 10)
+    assert not _outliers(shared, 0)
 
 
 def test_a_burst_that_slows_all_engines_makes_no_outlier() -> None:
@@ -56,62 +56,62 @@
     Events: a burst fills all engines alike; answers everywhere are overdue.
     Cause: reports were counted for each engine without regard to the rest.
     """
-    trouble = SharedTrouble()
+    shared = SharedFailures()
     rng = random.Random(3)
     for step in range(2_000):
         backend_id, reporter = rng.choice(GROUP), f"d{rng.randrange(32)}"
-        if trouble.is_worth_telling(backend_id, reporter, step):
-            _report(trouble, backend_id, reporter, now_ms=step)
-    assert len(_outliers(trouble, 2_000)) <= len(GROUP) // 8
+        if shared.is_worth_telling(backend_id, reporter, step):
+            _report(shared, backend_id, reporter, now_ms=step)
+    assert len(_outliers(shared, 2_000)) <= len(GROUP) // 8
 
 
 def test_repeated_faults_double_the_pause_up_to_a_bound() -> None:
-    trouble = SharedTrouble()
+    shared = SharedFailures()
     now_ms, pauses = 0, []
     for _ in range(3):
         for reporter in ("a", "b", "c"):
-            hold_ms = trouble.note("e1", reporter, group=GROUP, now_ms=now_ms)
+            hold_ms = shared.note("e1", reporter, group=GROUP, now_ms=now_ms)
         assert hold_ms is not None
         pauses.append(hold_ms)
         now_ms += hold_ms
     assert pauses == [FIRST_HOLD_MS, 2 * FIRST_HOLD_MS, MAX_HOLD_MS]
 
     now_ms += HOLD_MEMORY_MS + 1
-    _report(trouble, "e1", "a", "b", "c", now_ms=now_ms)
-    assert not trouble.is_outlier("e1", now_ms + FIRST_HOLD_MS)
+    _report(shared, "e1", "a", "b", "c", now_ms=now_ms)
+    assert not shared.is_outlier("e1", now_ms + FIRST_HOLD_MS)
 
 
 def test_old_reports_and_those_of_an_earlier_life_do_not_count() -> None:
-    trouble = SharedTrouble()
-    _report(trouble, "e1", "a", "b")
-    _report(trouble, "e1", "c", now_ms=WINDOW_MS)
-    assert not trouble.is_outlier("e1", WINDOW_MS)
+    shared = SharedFailures()
+    _report(shared, "e1", "a", "b")
+    _report(shared, "e1", "c", now_ms=WINDOW_MS)
+    assert not shared.is_outlier("e1", WINDOW_MS)
 
-    _report(trouble, "e1", "d", now_ms=WINDOW_MS)
-    trouble.forget("e1")
-    _report(trouble, "e1", "e", now_ms=WINDOW_MS)
-    assert not trouble.is_outlier("e1", WINDOW_MS)
+    _report(shared, "e1", "d", now_ms=WINDOW_MS)
+    shared.forget("e1")
+    _report(shared, "e1", "e", now_ms=WINDOW_MS)
+    assert not shared.is_outlier("e1", WINDOW_MS)
 
 
 def test_nobody_tells_more_than_the_others_need() -> None:
-    trouble = SharedTrouble()
-    _report(trouble, "e1", "a", "b", "c")
-    assert not trouble.is_worth_telling("e1", "d", 1)
+    shared = SharedFailures()
+    _report(shared, "e1", "a", "b", "c")
+    assert not shared.is_worth_telling("e1", "d", 1)
     for number in range(MOST_REPORTS):
-        _report(trouble, GROUP[2 + number % 20], f"d{number}")
-    assert not trouble.is_worth_telling("e23", "d", 1)
-    assert trouble.is_worth_telling("e23", "d", WINDOW_MS)
+        _report(shared, GROUP[2 + number % 20], f"d{number}")
+    assert not shared.is_worth_telling("e23", "d", 1)
+    assert shared.is_worth_telling("e23", "d", WINDOW_MS)
 
 
 @settings(derandomize=True, deadline=None)
 @given(st.lists(st.tuples(st.integers(0, 5), st.integers(0, 3), st.integers(0, 900)), max_size=80))
 def test_at_most_half_of_a_service_stands_out(steps: list[tuple[int, int, int]]) -> None:
     """Whoever reports what: the middle one of the others has to be far below."""
-    trouble, group, now_ms = SharedTrouble(), GROUP[:6], 0
+    shared, group, now_ms = SharedFailures(), GROUP[:6], 0
     for number, reporter, pause_ms in steps:
         now_ms += pause_ms
-        trouble.note(group[number], f"d{reporter}", group=group, now_ms=now_ms)
-        assert sum(trouble.is_outlier(one, now_ms) for one in group) <= len(group) // 2
+        shared.note(group[number], f"d{reporter}", group=group, now_ms=now_ms)
+        assert sum(shared.is_outlier(one, now_ms) for one in group) <= len(group) // 2
 
 
 class _Fleet:
@@ -126,7 +126,7 @@
         self._rng = random.Random(7)
         self._daemons = [f"d{number}" for number in range(daemons)]
         self._own = {one: OwnFailures() for one in self._daemons}
-        self._shared = SharedTrouble() if shared else None
+        self._shared = SharedFailures() if shared else None
         self._due: list[tuple[int, str]] = []
 
     def lost_calls(self) -> int:
@@ -171,8 +171,8 @@
 
 
 def test_reports_needed_come_from_more_than_one_daemon() -> None:
-    trouble = SharedTrouble()
-    _report(trouble, "e1", *["a"] * (REPORTS_NEEDED + 2))
-    assert not trouble.is_outlier("e1", 0)
-    _report(trouble, "e1", "b")
-    assert trouble.is_outlier("e1", 0)
+    shared = SharedFailures()
+    _report(shared, "e1", *["a"] * (REPORTS_NEEDED + 2))
+    assert not shared.is_outlier("e1", 0)
+    _report(shared, "e1", "b")
+    assert shared.is_outlier("e1", 0)
