--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.backends import EntryNews
 from quincespool.gateway.follower import Follower
 from quincespool.policy.polling import entries_interval_ms
+from quincespool.policy.polling import members_pause_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,7 +144,7 @@
             on_records=self._take_daemons,
             on_listing=lambda _: None,
             wait_ms=DAEMONS_WAIT_MS,
-            pause_ms=lambda: 0,
+            pause_ms=lambda: members_pause_ms(len(members.entries)),
         )
 
     @property
