--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -47,6 +47,7 @@
   configurationVersion @3 :Int64;
   generation @4 :Int64;
   claims @5 :List(PartitionClaim);
+  # Loads, as daemons of earlier releases tell them; not read any more.
   obsolete6 @6 :List(BackendLoad);
   storeReachable @7 :Bool;
 }
