--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -220,8 +220,7 @@
         sound = [e for e in candidates if not self._is_ejected(e.backend_id, now_ms)]
         if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
             sound = candidates
-        preferred = self.entries.get(prefer.backend_id) if prefer is not None else None
-        holds_cache = preferred is not None and preferred.life == prefer
+        holds_cache = prefer is not None and self._living(prefer) is not None
         chosen_id = place(
             [self._candidate(entry, now_ms, connected) for entry in sound],
             preferred_id=prefer.backend_id if prefer is not None and holds_cache else "",
