--- /dev/null
+++ b/src/quincespool/gateway/account_limits.py
@@ -0,0 +1,292 @@
+"""Has each call allowed by the home of its account, and answers as the home of others.
+
+An account's home is the owner of the partition into which its name falls, so the store's lease
+makes sure that there is one. While the partition has no living owner, one of the daemons that are
+alive acts for it. `quincespool.limits` decides; this module carries questions and answers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from enum import StrEnum
+from typing import TYPE_CHECKING
+from typing import Any
+
+from quincespool.gateway.clock import now_ms
+from quincespool.gateway.futures import start_kept
+from quincespool.gateway.messages import PermitAnswer
+from quincespool.gateway.messages import PermitQuestion
+from quincespool.gateway.messages import PermitReturn
+from quincespool.gateway.model import not_run
+from quincespool.gateway.ownership import partition_of
+from quincespool.limits.bucket import Allowance
+from quincespool.limits.home import Ask
+from quincespool.limits.home import Denial
+from quincespool.limits.home import Grant
+from quincespool.limits.home import LimitsHome
+from quincespool.limits.order import make_programs_first
+from quincespool.limits.unanswered import UnansweredCalls
+from quincespool.stable_hash import stable_hash
+
+if TYPE_CHECKING:
+    from quincespool.gateway.decision_log import DecisionLog
+    from quincespool.gateway.links import Link
+    from quincespool.gateway.links import Links
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.model import Account
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Daemon
+    from quincespool.gateway.model import Decision
+    from quincespool.gateway.model import Refusal
+    from quincespool.gateway.ownership import Ownership
+    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.store import Partition
+    from quincespool.limits.home import Verdict
+    from quincespool.net.metrics import Metrics
+
+# A home answers in a round trip, on a busy host in some tens of milliseconds; after this long the
+# call goes on without it rather than lose more of its time.
+ANSWER_LIMIT_MS = 120
+# A home that has not answered is not asked again for so long: each call would wait as long in vain.
+MUTE_MS = 400
+# Homes that one call tries, since the first may say that it is none any more.
+MAX_HOMES = 2
+# A daemon that acts for a home starts anew after so long: others may have acted meanwhile.
+ACTING_TERM_MS = 10_000
+LIMIT_STATUS = 429
+# A caller whose account's home does not answer finds another one about then.
+NO_HOME_RETRY_MS = 400
+
+
+class PermitOutcome(StrEnum):
+    """What a home answers."""
+
+    GRANTED = "granted"
+    DENIED = "denied"
+    NOT_HOME = "not_home"
+
+
+class AccountLimits:
+    """Both sides of accounts' limits at one daemon."""
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        partitions: list[Partition],
+        routes: RouteTable,
+        members: Members,
+        ownership: Ownership,
+        links: Links,
+        log: DecisionLog,
+        metrics: Metrics,
+        slack_calls: int,
+    ) -> None:
+        """Makes the parts of one daemon.
+
+        Args:
+          member_id: Of this daemon.
+          partitions: All of them, of which each account has one.
+          routes: Have the accounts in force.
+          members: Tell who owns what.
+          ownership: Tells what this daemon owns.
+          links: Carry questions and answers.
+          log: Takes refusals.
+          metrics: Count what was decided, not by account: there are too many of them.
+          slack_calls: By how many calls the operators let an account pass its limit in any window.
+        """
+        self._member_id = member_id
+        self._partitions = partitions
+        self._routes = routes
+        self._members = members
+        self._ownership = ownership
+        self._links = links
+        self._log = log
+        self._metrics = metrics
+        # The other half is for homes that are new and do not know what the last one gave out.
+        self._capacity_slack = slack_calls / 2
+        self._home = LimitsHome(make_programs_first)
+        self._unanswered = UnansweredCalls()
+        self._ids = itertools.count(1)
+        self._pending: dict[int, tuple[Link, asyncio.Future[PermitAnswer]]] = {}
+        self._mute_until_ms: dict[str, int] = {}
+        self._returning: set[asyncio.Task[None]] = set()
+
+    async def admit(self, call: Call, decision: Decision, *, until_ms: int) -> Refusal | None:
+        """Returns None once the call may run, else its refusal."""
+        account = self._routes.account(decision.account)
+        if account is None or not account.rate_per_s:
+            return None
+        began_ms = now_ms()
+        may_begin = call.turn is not None and not call.turn.previous_id
+        verdict = await self._ask(account, Ask(call.program_id, may_begin))
+        if isinstance(verdict, Grant) and verdict.wait_ms >= until_ms - now_ms():
+            self.give_back(decision)
+            verdict = Denial(verdict.wait_ms)
+        if isinstance(verdict, Grant):
+            if verdict.wait_ms:
+                await asyncio.sleep(verdict.wait_ms / 1000)
+            refusal = None
+        elif isinstance(verdict, Denial):
+            retry_ms = verdict.retry_after_ms
+            refusal = not_run("account_limit", status=LIMIT_STATUS, retry_after_ms=retry_ms)
+        elif self._goes_unanswered(account):
+            refusal = None
+        else:
+            refusal = not_run("no_account_home", retry_after_ms=NO_HOME_RETRY_MS)
+        self._metrics.count("gateway_limits_total", outcome=_outcome(verdict, refusal))
+        self._metrics.observe("gateway_limit_ms", now_ms() - began_ms)
+        if refusal is not None:
+            self._log.write(
+                "limit refused",
+                call_id=call.call_id,
+                program_id=call.program_id,
+                account=account.name,
+                may_begin=may_begin,
+                reason=refusal.reason,
+                retry_after_ms=refusal.retry_after_ms,
+                configuration_version=self._routes.version,
+            )
+        return refusal
+
+    def give_back(self, decision: Decision) -> None:
+        """Takes back a call that was let through and has reached no backend server."""
+        account = self._routes.account(decision.account)
+        if account is None or not account.rate_per_s:
+            return
+        home, _ = self._home_of(account.name)
+        if home is None:
+            self._home.give_back(account.name, self._allowance(account))
+        else:
+            start_kept(self._return_to(home, account.name), self._returning)
+
+    def on_message(self, link: Link, message: Any) -> None:
+        """Takes a question or an answer of another daemon."""
+        if isinstance(message, PermitQuestion):
+            link.send(self._answer(message))
+        elif isinstance(message, PermitReturn):
+            account = self._routes.account(message.account)
+            if account is not None:
+                self._home.give_back(account.name, self._allowance(account))
+        elif isinstance(message, PermitAnswer):
+            pending = self._pending.get(message.permit_id)
+            if pending is not None and not pending[1].done():
+                pending[1].set_result(message)
+
+    def on_lost(self, link: Link) -> None:
+        """Ends the questions on a link."""
+        for other, answer in list(self._pending.values()):
+            if other is link and not answer.done():
+                answer.cancel()
+
+    def dump(self) -> dict[str, float]:
+        """Returns the levels of the accounts that were asked for here, for people to read."""
+        return self._home.levels()
+
+    async def _ask(self, account: Account, ask: Ask) -> Verdict | None:
+        """Returns what the account's home says, None if there is no answer."""
+        for _ in range(MAX_HOMES):
+            home, term = self._home_of(account.name)
+            if home is None:
+                return self._decide(account, ask, term)
+            answer = await self._ask_at(home, account.name, ask)
+            if answer is None:
+                return None
+            if answer.outcome == PermitOutcome.NOT_HOME:
+                continue
+            verdict = _read_verdict(answer)
+            self._unanswered.note(account.name, verdict, now_ms())
+            return verdict
+        return None
+
+    async def _ask_at(self, home: Daemon, name: str, ask: Ask) -> PermitAnswer | None:
+        if now_ms() < self._mute_until_ms.get(home.member_id, 0):
+            return None
+        permit_id = next(self._ids)
+        try:
+            async with asyncio.timeout(ANSWER_LIMIT_MS / 1000):
+                link = await self._links.get(home.peer_address)
+                if link is None:
+                    self._members.suspect(home.member_id)
+                    return PermitAnswer(permit_id, PermitOutcome.NOT_HOME, 0, False)
+                answer: asyncio.Future[PermitAnswer] = asyncio.get_running_loop().create_future()
+                self._pending[permit_id] = link, answer
+                link.send(PermitQuestion(permit_id, name, ask.program_id, ask.may_begin))
+                await asyncio.wait({answer})
+                return None if answer.cancelled() else answer.result()
+        except TimeoutError:
+            self._mute_until_ms[home.member_id] = now_ms() + MUTE_MS
+            return None
+        finally:
+            self._pending.pop(permit_id, None)
+
+    def _answer(self, question: PermitQuestion) -> PermitAnswer:
+        account = self._routes.account(question.account)
+        home, term = self._home_of(question.account)
+        if home is not None or account is None:
+            return PermitAnswer(question.permit_id, PermitOutcome.NOT_HOME, 0, False)
+        ask = Ask(question.program_id, question.may_begin)
+        verdict = self._decide(account, ask, term)
+        if isinstance(verdict, Denial):
+            after_ms = verdict.retry_after_ms
+            return PermitAnswer(question.permit_id, PermitOutcome.DENIED, after_ms, True)
+        return PermitAnswer(
+            question.permit_id, PermitOutcome.GRANTED, verdict.wait_ms, verdict.is_pressed
+        )
+
+    def _decide(self, account: Account, ask: Ask, term: int) -> Verdict:
+        if not account.rate_per_s:
+            return Grant(0, is_pressed=False)
+        allowance = self._allowance(account)
+        return self._home.ask(account.name, ask, allowance, term=term, now_ms=now_ms())
+
+    def _home_of(self, name: str) -> tuple[Daemon | None, int]:
+        """Returns an account's home, None if it is here, and the term for which it is."""
+        partition = partition_of(f"account {name}", self._partitions)
+        owned = self._ownership.serving(partition)
+        if owned is not None:
+            return None, owned.epoch
+        owner = self._members.owner(partition, now_ms())
+        if owner is not None and owner[0].member_id != self._member_id:
+            return owner[0], 0
+        # Without an owner all agree on the one whose hash with the name is the highest.
+        alive = [one for one in self._members.others if self._members.serves(one, now_ms())]
+        best = max(alive, key=lambda one: _rendezvous(name, one.member_id), default=None)
+        acting_term = -1 - now_ms() // ACTING_TERM_MS
+        if best is None or _rendezvous(name, self._member_id) > _rendezvous(name, best.member_id):
+            return None, acting_term
+        return best, 0
+
+    def _goes_unanswered(self, account: Account) -> bool:
+        daemons = len(self._members.entries)
+        return self._unanswered.lets_through(
+            account.name, account.rate_per_s, daemons=daemons, now_ms=now_ms()
+        )
+
+    def _allowance(self, account: Account) -> Allowance:
+        capacity_calls = max(1.0, account.burst + self._capacity_slack)
+        return Allowance(account.rate_per_s, capacity_calls)
+
+    async def _return_to(self, home: Daemon, name: str) -> None:
+        link = await self._links.get(home.peer_address)
+        if link is not None:
+            link.send(PermitReturn(name))
+
+
+def _outcome(verdict: Verdict | None, refusal: Refusal | None) -> str:
+    if refusal is not None:
+        return refusal.reason
+    if verdict is None:
+        return "unanswered"
+    return "waited" if isinstance(verdict, Grant) and verdict.wait_ms else "granted"
+
+
+def _read_verdict(answer: PermitAnswer) -> Verdict:
+    if answer.outcome == PermitOutcome.GRANTED:
+        return Grant(answer.after_ms, answer.is_pressed)
+    return Denial(answer.after_ms)
+
+
+def _rendezvous(name: str, member_id: str) -> int:
+    return stable_hash(f"{name} {member_id}")
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/beliefs.py
@@ -23,6 +23,7 @@
     from quincespool.gateway.members import Members
     from quincespool.gateway.messages import Heartbeat
     from quincespool.gateway.model import BackendEntry
+    from quincespool.gateway.model import Configuration
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.pool import ConnectionPool
     from quincespool.gateway.routes import RouteTable
@@ -109,6 +110,8 @@
         backends_interval_ms: Callable[[], int],
         on_new_daemon: Callable[[Daemon], None],
         on_predecessor: Callable[[int], None],
+        on_newer_configuration: Callable[[str, int], None],
+        on_configuration: Callable[[], None],
     ) -> None:
         self._member_id = member_id
         self._incarnation = incarnation
@@ -122,6 +125,8 @@
         self._now_ms = now_ms
         self._on_new_daemon = on_new_daemon
         self._on_predecessor = on_predecessor
+        self._on_newer_configuration = on_newer_configuration
+        self._on_configuration = on_configuration
         self.configuration = Follower(
             wire.CONFIGURATION_TOPIC,
             store=store,
@@ -175,11 +180,16 @@
             return False
         if beat.configuration_version > self._routes.version:
             self.configuration.read_soon()
+            self._on_newer_configuration(sender, beat.configuration_version)
         if alive:
             return False
         self._log.write("daemon heard", peer_id=sender, incarnation=beat.incarnation)
         return sender in self._members.entries
 
+    def adopt_copy(self, configuration: Configuration, peer_id: str) -> None:
+        """Puts a configuration in force that another daemon has handed on, if it is newer."""
+        self._adopt(configuration, offset=-1, source=peer_id)
+
     def expire(self) -> None:
         """Forgets what was not renewed in time."""
         for backend_id in self._backends.expire(self._now_ms()):
@@ -199,13 +209,22 @@
                     "configuration unreadable", offset=record.offset, detail=str(error)
                 )
                 continue
-            if self._routes.adopt(configuration):
-                self._log.write_always(
-                    "configuration adopted",
-                    configuration_version=configuration.version,
-                    offset=record.offset,
-                    routes=len(configuration.routes),
-                )
+            self._adopt(configuration, offset=record.offset, source="store")
+
+    def _adopt(self, configuration: Configuration, *, offset: int, source: str) -> None:
+        if not self._routes.adopt(configuration):
+            return
+        self._on_configuration()
+        accounts = configuration.accounts
+        self._log.write_always(
+            "configuration adopted",
+            configuration_version=configuration.version,
+            source=source,
+            offset=offset,
+            routes=len(configuration.routes),
+            accounts=len(accounts.by_name) if accounts is not None else 0,
+            keys=len(accounts.by_key) if accounts is not None else 0,
+        )
 
     def _take_backends(self, records: list[KeyedRecord]) -> None:
         for record in records:
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -16,30 +16,21 @@
 from quincespool.gateway.caller_limits import connection_limits
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.crashes import CrashWatch
-from quincespool.gateway.finder import TurnFinder
 from quincespool.gateway.front import Front
 from quincespool.gateway.hedged_calls import HedgedCalls
 from quincespool.gateway.http_port import HttpPort
-from quincespool.gateway.links import Links
 from quincespool.gateway.live_settings import LiveSettings
 from quincespool.gateway.members import Members
-from quincespool.gateway.messages import FindTurn
-from quincespool.gateway.messages import TurnAbsent
-from quincespool.gateway.messages import TurnFound
 from quincespool.gateway.model import Daemon
-from quincespool.gateway.ownership import Ownership
-from quincespool.gateway.ownership import list_partitions
-from quincespool.gateway.ownership import partition_of
 from quincespool.gateway.plain import PlainCalls
 from quincespool.gateway.planned_stop import PlannedStop
 from quincespool.gateway.pool import ConnectionPool
 from quincespool.gateway.presence import Presence
+from quincespool.gateway.program_parts import ProgramParts
 from quincespool.gateway.quiet_backends import QuietBackends
-from quincespool.gateway.relay import Relay
 from quincespool.gateway.routes import RouteTable
 from quincespool.gateway.side_ports import SidePorts
 from quincespool.gateway.ticker import Ticker
-from quincespool.gateway.turns import TurnRunner
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
@@ -50,12 +41,9 @@
     from collections.abc import Coroutine
 
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.links import Link
     from quincespool.gateway.messages import BackendReport
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.settings import GatewaySettings
-    from quincespool.gateway.store import Partition
     from quincespool.gateway.store import Store
     from quincespool.gateway.wire import Wire
     from quincespool.net.http_connection import ConnectionLimits
@@ -152,54 +140,28 @@
             now_ms=now_ms,
             backends_interval_ms=lambda: self._live.current.backends_interval_ms,
             on_new_daemon=self._greet,
+            on_newer_configuration=self._ask_for_configuration,
+            on_configuration=self._note_configuration,
             on_predecessor=self._release_predecessor,
         )
 
     def _make_program_parts(self) -> None:
         settings = self._settings
-        topics = settings.owner_topic_names
-        partitions = list_partitions(topics, settings.store_partitions)
-        self._ownership = Ownership(
-            member_id=settings.member_id,
+        self._parts = ProgramParts(
+            settings,
             incarnation=self._incarnation,
-            topics=topics,
-            lease_ms=settings.owner_lease_ms,
             store=self._store,
             hedged=self._hedged,
-            store_reachable=lambda: self._store_health.reachable,
-            on_change=self._note_partition,
-            on_assignment=lambda generation, count: self._log.write(
-                "partitions assigned", generation=generation, partitions=count
-            ),
-        )
-
-        self._links = Links(
-            settings.member_id,
-            on_message=self._take_message,
-            on_lost=self._lose_link,
-            on_refused=self._note_refused,
-        )
-        self._finder = TurnFinder(
-            partitions=partitions,
-            members=self._members,
-            ownership=self._ownership,
-            links=self._links,
-        )
-        self._turns = TurnRunner(
-            self._services,
-            settle_elsewhere=self._settle_elsewhere,
-            finder=self._finder,
-            store_reachable=lambda: self._store_health.reachable,
-        )
-        self._relay = Relay(
-            member_id=settings.member_id,
-            partition_for=lambda program_id: partition_of(program_id, partitions),
+            store_health=self._store_health,
+            services=self._services,
             members=self._members,
-            ownership=self._ownership,
-            links=self._links,
-            turns=self._turns,
-            store_reachable=lambda: self._store_health.reachable,
+            routes=self._routes,
+            beliefs=self._beliefs,
+            on_partition=self._note_partition,
+            on_refused=self._note_refused,
         )
+        self._ownership = self._parts.ownership
+        self._links = self._parts.links
         self._presence = Presence(
             Daemon(
                 member_id=settings.member_id,
@@ -212,7 +174,7 @@
             members=self._members,
             beliefs=self._beliefs,
             ownership=self._ownership,
-            partition_count=len(partitions),
+            partition_count=self._parts.partition_count,
             crashes=self._crashes,
             backend_reports=self._backend_reports,
             log=self._log,
@@ -233,30 +195,23 @@
     def _note_refused(self, peer_address: str) -> None:
         self._presence.note_refused(peer_address)
 
-    def _lose_link(self, link: Link) -> None:
-        self._relay.on_lost(link)
+    def _ask_for_configuration(self, peer_id: str, version: int) -> None:
+        self._parts.copies.heard(peer_id, version)
+
+    def _note_configuration(self) -> None:
+        self._parts.copies.caught_up()
 
     def _release_predecessor(self, incarnation: int) -> None:
         """Frees what the process before this one owned; it has not lived to do so itself."""
         self._spawn(self._ownership.release(self._settings.member_id, incarnation))
 
-    def _take_message(self, link: Link, sender: str, message: Any) -> None:
-        if isinstance(message, FindTurn | TurnFound | TurnAbsent):
-            self._finder.on_message(link, message)
-        else:
-            self._relay.on_message(link, sender, message)
-
-    async def _settle_elsewhere(
-        self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
-    ) -> bool:
-        return await self._relay.settle_elsewhere(partition, record, budget_tokens, left_ms)
-
     def _make_ports(self) -> None:
         front = Front(
             self._services,
             routes=self._routes,
+            limits=self._parts.limits,
             plain=PlainCalls(self._services),
-            relay=self._relay,
+            relay=self._parts.relay,
         )
         self._front_port = HttpPort(
             front,
@@ -285,14 +240,14 @@
             members=self._members,
             links=self._links,
             ownership=self._ownership,
-            turns=self._turns,
+            turns=self._parts.turns,
             quiet_backends=QuietBackends(self._services),
         )
         self._stop = PlannedStop(
             ownership=self._ownership,
             presence=self._presence,
             front_port=self._front_port,
-            relay=self._relay,
+            relay=self._parts.relay,
             live=self._live,
             log=self._log,
         )
@@ -394,6 +349,7 @@
             "incarnation": self._incarnation,
             "draining": self._presence.draining,
             "generation": self._ownership.generation,
+            "account_levels": self._parts.limits.dump(),
             "partitions": [one.dump() for one in self._ownership.owned.values()],
             **self._beliefs.dump(),
         }
--- a/src/quincespool/gateway/finder.py
+++ b/src/quincespool/gateway/finder.py
@@ -12,6 +12,7 @@
 from quincespool.gateway.messages import FindTurn
 from quincespool.gateway.messages import PartitionClaim
 from quincespool.gateway.messages import TurnAbsent
+from quincespool.gateway.messages import TurnForeign
 from quincespool.gateway.messages import TurnFound
 from quincespool.gateway.partition import LostPartitionError
 from quincespool.gateway.store import Partition
@@ -32,6 +33,9 @@
 FIRST_ROUND_MS = 60
 
 
+FinderMessage = FindTurn | TurnFound | TurnAbsent | TurnForeign
+
+
 class FoundTurn(NamedTuple):
     """The texts of a turn and all before it; none if it is certain that there is no such turn."""
 
@@ -44,6 +48,7 @@
 
     def __init__(self) -> None:
         self.found: FoundTurn | None = None
+        self.foreign = False
         self.absent: set[Partition] = set()
         self.news = asyncio.Event()
 
@@ -67,8 +72,13 @@
         self._searches: dict[int, _Search] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
-    async def find(self, turn_id: str) -> FoundTurn | None:
-        """Returns what there is of a turn, None if that cannot be made certain now."""
+    async def find(self, turn_id: str, account: str) -> FoundTurn | None:
+        """Returns what there is of a turn, None if that cannot be made certain now.
+
+        Args:
+          turn_id: Which one.
+          account: Whose programs may go on with it; a turn of another account counts as none.
+        """
         search = _Search()
         find_id = next(self._ids)
         self._searches[find_id] = search
@@ -76,17 +86,17 @@
         try:
             certain = False
             while now_ms() < until_ms:
-                await self._ask(search, FindTurn(find_id, turn_id, certain))
+                await self._ask(search, FindTurn(find_id, turn_id, certain, account))
                 certain = True
                 if search.found is not None:
                     return search.found
-                if search.absent >= self._partitions:
+                if search.foreign or search.absent >= self._partitions:
                     return FoundTurn(None, 0)
             return None
         finally:
             del self._searches[find_id]
 
-    def on_message(self, link: Link, message: FindTurn | TurnFound | TurnAbsent) -> None:
+    def on_message(self, link: Link, message: FinderMessage) -> None:
         """Takes a question or an answer of another daemon."""
         if isinstance(message, FindTurn):
             start_kept(self._answer(link, message), self._tasks)
@@ -96,6 +106,9 @@
             return
         if isinstance(message, TurnFound):
             search.found = FoundTurn(message.history, message.retention_ms)
+        elif isinstance(message, TurnForeign):
+            # Waited on all the same: whoever has the account's own turn of that id answers as soon.
+            search.foreign = True
         else:
             search.absent.update(Partition(one.topic, one.number) for one in message.partitions)
         search.news.set()
@@ -112,7 +125,8 @@
                 link = await self._links.get(daemon.peer_address)
                 if link is not None:
                     link.send(question)
-        search.found = search.found or self._look(question.turn_id)
+        search.found = search.found or self._look(question)
+        search.foreign = search.foreign or self._is_foreign(question)
         if search.found is None and question.certain:
             search.absent.update(await self._confirmed())
         round_ends_ms = now_ms() + (ROUND_LIMIT_MS if question.certain else FIRST_ROUND_MS)
@@ -128,21 +142,35 @@
                 return
 
     async def _answer(self, link: Link, message: FindTurn) -> None:
-        found = self._look(message.turn_id)
+        found = self._look(message)
         if found is not None and found.history is not None:
             link.send(TurnFound(message.find_id, found.history, found.retention_ms))
             return
+        if self._is_foreign(message):
+            link.send(TurnForeign(message.find_id))
+            return
         if not message.certain:
             return
         claims = tuple(PartitionClaim(*one, epoch=0) for one in await self._confirmed())
         if claims:
             link.send(TurnAbsent(message.find_id, claims))
 
-    def _look(self, turn_id: str) -> FoundTurn | None:
+    def _is_foreign(self, question: FindTurn) -> bool:
+        """Whether the turn is known here, and is not of the account that asks.
+
+        That is certain without the store: the partitions of an account's programs need not be asked
+        for a turn that another one has.
+        """
+        return any(
+            owned.ledger.is_foreign(question.turn_id, question.account)
+            for owned in self._ownership.owned.values()
+        )
+
+    def _look(self, question: FindTurn) -> FoundTurn | None:
         for owned in self._ownership.owned.values():
-            program_id = owned.ledger.find(turn_id)
+            program_id = owned.ledger.find(question.turn_id, question.account)
             if owned.ready and program_id:
-                history = owned.ledger.history(program_id, turn_id)
+                history = owned.ledger.history(program_id, question.turn_id)
                 return FoundTurn(history, owned.ledger.retention_ms(program_id))
         return None
 
--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/front.py
@@ -12,10 +12,12 @@
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Turn
 from quincespool.gateway.model import not_run
+from quincespool.gateway.model import scoped_program
 from quincespool.net.http_connection import HttpResponse
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
+    from quincespool.gateway.account_limits import AccountLimits
     from quincespool.gateway.attempt import Services
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
@@ -33,10 +35,17 @@
     """Answers callers."""
 
     def __init__(
-        self, services: Services, *, routes: RouteTable, plain: PlainCalls, relay: Relay
+        self,
+        services: Services,
+        *,
+        routes: RouteTable,
+        limits: AccountLimits,
+        plain: PlainCalls,
+        relay: Relay,
     ) -> None:
         self._services = services
         self._routes = routes
+        self._limits = limits
         self._plain = plain
         self._relay = relay
 
@@ -55,20 +64,37 @@
             self._note(call, None, reply, started_ms, served_by="")
             return
         decision = decided.ok
-        until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
+        call = _of_account(call, decision)
         served_by = ""
+        try:
+            served_by = await self._serve(call, decision, reply, started_ms)
+        finally:
+            self._note(call, decision, reply, started_ms, served_by=served_by)
+
+    async def _serve(
+        self, call: Call, decision: Decision, reply: _ConnectionReply, started_ms: int
+    ) -> str:
+        """Answers a call that the configuration allows; returns which daemon did, if it is a turn.
+
+        A turn is served by the owner of its program; what it may cost its account is decided here,
+        as for all calls.
+        """
         if self._services.crashes.is_refused(fingerprint(call), now_ms()):
             reply.refuse(not_run("crashes_backends"))
-            self._note(call, decision, reply, started_ms, served_by="")
-            return
+            return ""
+        until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
+        refusal = await self._limits.admit(call, decision, until_ms=until_ms)
+        if refusal is not None:
+            reply.refuse(refusal)
+            return ""
         try:
             if decision.route.kind is CallKind.STREAMING:
-                call = _as_turn(call)
-                served_by = await self._relay.run(call, decision, reply, until_ms=until_ms)
-            else:
-                reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
+                return await self._relay.run(call, decision, reply, until_ms=until_ms)
+            reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
+            return ""
         finally:
-            self._note(call, decision, reply, started_ms, served_by=served_by)
+            if reply.verdict is Verdict.NOT_RUN:
+                self._limits.give_back(decision)
 
     def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
         """Returns the answer to a request that cannot be read."""
@@ -96,7 +122,8 @@
         self._services.log.write(
             "call answered",
             call_id=call.call_id,
-            program_id=call.turn.program_id if call.turn is not None else "",
+            program_id=call.program_id,
+            account=decision.account if decision is not None else "",
             route=route,
             service=decision.service.name if decision is not None else "",
             configuration_version=decision.version if decision is not None else 0,
@@ -108,11 +135,20 @@
         )
 
 
-def _as_turn(call: Call) -> Call:
-    """Returns a streamed call as a turn; one without a program is a program of its own."""
-    if call.turn is not None:
+def _of_account(call: Call, decision: Decision) -> Call:
+    """Returns a call with its program as that of its account.
+
+    A streamed call without a program is a program of its own.
+    """
+    turn = call.turn
+    if turn is None and decision.route.kind is CallKind.STREAMING:
+        turn = Turn(call.call_id, "", None, 0, None)
+    if turn is not None:
+        scoped = scoped_program(decision.account, turn.program_id)
+        return call._replace(program_id=scoped, turn=turn._replace(program_id=scoped))
+    if not call.program_id:
         return call
-    return call._replace(turn=Turn(call.call_id, "", None, 0, None))
+    return call._replace(program_id=scoped_program(decision.account, call.program_id))
 
 
 class _ConnectionReply:
@@ -121,11 +157,13 @@
     Attributes:
       outcome: How it ended; empty if it has not.
       status: Sent to the caller; 0 if nothing was.
+      verdict: Whether the call may have run, of an answer of the gateway's own; None without one.
     """
 
     def __init__(self, connection: Connection, call: Call, services: Services) -> None:
         self.outcome = ""
         self.status = 0
+        self.verdict: Verdict | None = None
         self._connection = connection
         self._call = call
         self._services = services
@@ -153,6 +191,7 @@
 
     def refuse(self, refusal: Refusal) -> None:
         self.outcome = refusal.reason
+        self.verdict = refusal.verdict
         if self.status:
             # The caller must not take what it has for a whole answer.
             self._connection.abort()
--- a/src/quincespool/gateway/ledger.py
+++ b/src/quincespool/gateway/ledger.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from quincespool.gateway.model import account_of
+
 # Records of the store take 256 KiB; the rest is room for ids.
 MAX_PART_BYTES = 200_000
 
@@ -102,7 +104,8 @@
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
-        self._program_of: dict[str, str] = {}
+        # One program for each account: ids are the callers', and two of them may choose the same.
+        self._programs_of: dict[str, tuple[str, ...]] = {}
 
     def apply(self, record: Record) -> None:
         """Folds one record in. A record that was applied already changes nothing."""
@@ -122,9 +125,14 @@
         if isinstance(record, TurnEnded):
             self._keep(program, record, record.input + record.output)
 
-    def find(self, turn_id: str) -> str:
-        """Returns the id of the program with a turn, empty if there is none."""
-        return self._program_of.get(turn_id, "")
+    def find(self, turn_id: str, account: str) -> str:
+        """Returns the id of an account's program with a turn, empty if there is none."""
+        programs = self._programs_of.get(turn_id, ())
+        return next((one for one in programs if account_of(one) == account), "")
+
+    def is_foreign(self, turn_id: str, account: str) -> bool:
+        """Whether only other accounts have such a turn."""
+        return turn_id in self._programs_of and not self.find(turn_id, account)
 
     def admit(
         self, *, program_id: str, previous_id: str, budget_tokens: int | None, most_tokens: int
@@ -174,13 +182,21 @@
         ]
         for program_id in over:
             for turn_id in self.programs.pop(program_id).turns:
-                self._program_of.pop(turn_id, None)
+                self._forget_turn(account_of(program_id), turn_id)
         return len(over)
 
+    def _forget_turn(self, account: str, turn_id: str) -> None:
+        programs = self._programs_of.pop(turn_id, ())
+        left = tuple(one for one in programs if account_of(one) != account)
+        if left:
+            self._programs_of[turn_id] = left
+
     def _keep(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
         program.turns[record.turn_id] = _Kept(record.previous_id, text)
         # The first program with a turn is the one that made it; others only continue from it.
-        self._program_of.setdefault(record.turn_id, record.program_id)
+        if not self.find(record.turn_id, account_of(record.program_id)):
+            others = self._programs_of.get(record.turn_id, ())
+            self._programs_of[record.turn_id] = (*others, record.program_id)
         program.retention_ms = record.retention_ms
         until_ms = record.at_ms + record.retention_ms
         program.kept_until_ms = max(program.kept_until_ms, until_ms)
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -167,6 +167,11 @@
             return now_ms - seen.heard_ms < self._silence_limit_ms(member_id)
         return now_ms - self._entered_ms.get(member_id, 0) < ARRIVAL_GRACE_MS
 
+    def serves(self, daemon: Daemon, now_ms: int) -> bool:
+        """Whether a daemon was heard of lately and has not said that it is stopping."""
+        alive = self.is_alive(daemon.member_id, now_ms)
+        return alive and not self.is_draining(daemon.member_id)
+
     def suspect(self, member_id: str) -> None:
         """Takes note that a daemon could not be reached; its next heartbeat clears it.
 
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -68,6 +68,7 @@
     tokens_per_event: int
     resident_tokens: int
     max_pin_ms: int
+    account: str
 
 
 class RelayCancel(NamedTuple):
@@ -133,11 +134,13 @@
 
     Attributes:
       certain: Whether the others, too, are to answer, for the partitions that they surely own.
+      account: Whose turn it is to be; empty where there are no accounts.
     """
 
     find_id: int
     turn_id: str
     certain: bool
+    account: str
 
 
 class TurnFound(NamedTuple):
@@ -148,6 +151,65 @@
     retention_ms: int
 
 
+class TurnForeign(NamedTuple):
+    """The receiver asked for a turn that is of another account."""
+
+    find_id: int
+
+
+class ConfigurationQuestion(NamedTuple):
+    """The sender knows no newer configuration than this, and cannot read one from the store."""
+
+    version: int
+
+
+class ConfigurationCopy(NamedTuple):
+    """A whole configuration, with digests in place of keys.
+
+    Attributes:
+      data: As `configuration_copy` writes it.
+    """
+
+    version: int
+    data: bytes
+
+
+class PermitQuestion(NamedTuple):
+    """A call wants to run; the receiver is asked as the home of its account.
+
+    Attributes:
+      program_id: Empty for a call that belongs to no program.
+      may_begin: Whether the call may be the first of its program.
+    """
+
+    permit_id: int
+    account: str
+    program_id: str
+    may_begin: bool
+
+
+class PermitAnswer(NamedTuple):
+    """Whether the call may run.
+
+    Attributes:
+      outcome: As in `PermitOutcome`.
+      after_ms: Of a call that may run, how long it waits first; of one that may not, when a place
+        is free.
+      is_pressed: Whether the account has used most of what it may.
+    """
+
+    permit_id: int
+    outcome: str
+    after_ms: int
+    is_pressed: bool
+
+
+class PermitReturn(NamedTuple):
+    """A call of the account that was let through has reached no backend server."""
+
+    account: str
+
+
 class TurnAbsent(NamedTuple):
     """The turn is in none of these partitions, whose ownership the store has just confirmed."""
 
@@ -214,6 +276,12 @@
     | FindTurn
     | TurnFound
     | TurnAbsent
+    | TurnForeign
+    | ConfigurationQuestion
+    | ConfigurationCopy
+    | PermitQuestion
+    | PermitAnswer
+    | PermitReturn
     | LinkProbe
 )
 
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -22,7 +23,7 @@
     """One model call of a program.
 
     Attributes:
-      program_id: The program.
+      program_id: The program; from the front on with its account, as `scoped_program` writes it.
       previous_id: Call id of the turn that this one continues; empty for the first of its line.
       budget_tokens: What all turns of the program together may generate; None if unlimited.
       most_tokens: The most that this turn generates.
@@ -45,6 +46,9 @@
       headers: Those that the backend server gets as the caller sent them.
       left_ms: How long the caller waits, from when the request was read.
       turn: Set if the call belongs to a program and generates tokens.
+      program_id: The caller's program, also for calls that generate no tokens; empty if none.
+      key_digest: Of the key that the caller sent; empty if none.
+      object_key: The same for calls that concern the same object; empty if the caller names none.
     """
 
     call_id: str
@@ -55,6 +59,9 @@
     body: bytes
     left_ms: int
     turn: Turn | None
+    program_id: str = ""
+    key_digest: str = ""
+    object_key: str = ""
 
 
 class Share(NamedTuple):
@@ -73,6 +80,8 @@
       max_attempts: Backend servers that one call may be sent to.
       keeps_history: Whether turns carry only their new input and the gateway adds what came before.
       retention_ms: How long a whole turn can be continued from.
+      is_public: Whether callers need no key.
+      is_sticky: Whether a backend server works faster on an object that it has handled lately.
     """
 
     name: str
@@ -86,6 +95,8 @@
     max_attempts: int
     keeps_history: bool
     retention_ms: int
+    is_public: bool = False
+    is_sticky: bool = False
 
 
 class Service(NamedTuple):
@@ -114,13 +125,45 @@
     idle_ms: int = 75_000
 
 
+class Account(NamedTuple):
+    """A client account.
+
+    Attributes:
+      rank: Importance of its calls, in place of that of the route; None leaves that one.
+      rate_per_s: Calls a second that it may have run, at all daemons together; 0 if unlimited.
+      burst: Calls beyond the rate that it may have run at once.
+    """
+
+    name: str
+    rank: int | None
+    rate_per_s: float
+    burst: int
+
+
+class Accounts(NamedTuple):
+    """The client accounts of a configuration.
+
+    Attributes:
+      by_name: All of them.
+      by_key: Name of the account of each key, by the key's digest.
+    """
+
+    by_name: dict[str, Account]
+    by_key: dict[str, str]
+
+
 class Configuration(NamedTuple):
-    """Everything that operators set, as of one version."""
+    """Everything that operators set, as of one version.
+
+    Attributes:
+      accounts: None where callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: CallerLimits
+    accounts: Accounts | None = None
 
 
 class BackendEntry(NamedTuple):
@@ -195,11 +238,39 @@
 
 
 class Decision(NamedTuple):
-    """Where the configuration in force sends one call; travels with it to the program's owner."""
+    """Where the configuration in force sends one call; travels with it to the program's owner.
+
+    Attributes:
+      account: Name of the caller's account; empty if there is none.
+    """
 
     version: int
     route: Route
     service: Service
+    account: str = ""
+
+
+def digest_key(key: str) -> str:
+    """Returns what stands for a caller's key everywhere behind the front.
+
+    A key that were kept itself would get into logs, dumps and messages.
+    """
+    return hashlib.blake2b(key.encode(), digest_size=16).hexdigest()
+
+
+def scoped_program(account: str, program_id: str) -> str:
+    """Returns a program's id among those of all accounts.
+
+    Neither an account's name nor a program's id has spaces in it. Without the account, a caller of
+    one account that names a program of another would go on with its history and its budget.
+    """
+    return f"{account} {program_id}" if account else program_id
+
+
+def account_of(program_id: str) -> str:
+    """Returns the account in what `scoped_program` has returned, empty if there is none."""
+    account, space, _ = program_id.partition(" ")
+    return account if space else ""
 
 
 def not_run(reason: str, *, retry_after_ms: int = 0, status: int = 503) -> Refusal:
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/plain.py
@@ -82,10 +82,10 @@
             limit_ms = int(left_ms * FIRST_ATTEMPT_SHARE)
         headers = self._services.wire.write_attempt_headers(
             call,
+            account=decision.account,
             backend_id=entry.backend_id,
             left_ms=max(1, left_ms - WAY_MS),
             priority=None,
-            pin_ms=0,
         )
         async with Attempt(self._services, entry, call) as attempt:
             try:
--- /dev/null
+++ b/src/quincespool/gateway/program_parts.py
@@ -0,0 +1,146 @@
+"""The parts that daemons share work by: who owns what, the links, and what goes over them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from quincespool.gateway.account_limits import AccountLimits
+from quincespool.gateway.configuration_copies import ConfigurationCopies
+from quincespool.gateway.finder import TurnFinder
+from quincespool.gateway.links import Links
+from quincespool.gateway.messages import ConfigurationCopy
+from quincespool.gateway.messages import ConfigurationQuestion
+from quincespool.gateway.messages import FindTurn
+from quincespool.gateway.messages import PermitAnswer
+from quincespool.gateway.messages import PermitQuestion
+from quincespool.gateway.messages import PermitReturn
+from quincespool.gateway.messages import TurnAbsent
+from quincespool.gateway.messages import TurnForeign
+from quincespool.gateway.messages import TurnFound
+from quincespool.gateway.ownership import Ownership
+from quincespool.gateway.ownership import list_partitions
+from quincespool.gateway.ownership import partition_of
+from quincespool.gateway.relay import Relay
+from quincespool.gateway.turns import TurnRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.beliefs import Beliefs
+    from quincespool.gateway.beliefs import StoreHealth
+    from quincespool.gateway.hedged_calls import HedgedCalls
+    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.links import Link
+    from quincespool.gateway.members import Members
+    from quincespool.gateway.partition import OwnedPartition
+    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.settings import GatewaySettings
+    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store import Store
+
+
+class ProgramParts:
+    """Makes the parts and hands each message to the one that it is for.
+
+    Attributes:
+      partition_count: Partitions of program records, of all daemons together.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        incarnation: int,
+        store: Store,
+        hedged: HedgedCalls,
+        store_health: StoreHealth,
+        services: Services,
+        members: Members,
+        routes: RouteTable,
+        beliefs: Beliefs,
+        on_partition: Callable[[OwnedPartition, str], None],
+        on_refused: Callable[[str], None],
+    ) -> None:
+        topics = settings.owner_topic_names
+        partitions = list_partitions(topics, settings.store_partitions)
+        log = services.log
+        self.partition_count = len(partitions)
+        self.ownership = Ownership(
+            member_id=settings.member_id,
+            incarnation=incarnation,
+            topics=topics,
+            lease_ms=settings.owner_lease_ms,
+            store=store,
+            hedged=hedged,
+            store_reachable=lambda: store_health.reachable,
+            on_change=on_partition,
+            on_assignment=lambda generation, count: log.write(
+                "partitions assigned", generation=generation, partitions=count
+            ),
+        )
+        self.links = Links(
+            settings.member_id,
+            on_message=self._take_message,
+            on_lost=self._lose_link,
+            on_refused=on_refused,
+        )
+        self.finder = TurnFinder(
+            partitions=partitions,
+            members=members,
+            ownership=self.ownership,
+            links=self.links,
+        )
+        self.turns = TurnRunner(
+            services,
+            settle_elsewhere=self._settle_elsewhere,
+            finder=self.finder,
+            store_reachable=lambda: store_health.reachable,
+        )
+        self.relay = Relay(
+            member_id=settings.member_id,
+            partition_for=lambda program_id: partition_of(program_id, partitions),
+            members=members,
+            ownership=self.ownership,
+            links=self.links,
+            turns=self.turns,
+            store_reachable=lambda: store_health.reachable,
+        )
+        self.limits = AccountLimits(
+            member_id=settings.member_id,
+            partitions=partitions,
+            routes=routes,
+            members=members,
+            ownership=self.ownership,
+            links=self.links,
+            log=log,
+            metrics=services.metrics,
+            slack_calls=settings.limit_slack_calls,
+        )
+        self.copies = ConfigurationCopies(
+            routes=routes,
+            members=members,
+            links=self.links,
+            log=log,
+            adopt=beliefs.adopt_copy,
+        )
+
+    def _take_message(self, link: Link, sender: str, message: Any) -> None:
+        if isinstance(message, FindTurn | TurnFound | TurnAbsent | TurnForeign):
+            self.finder.on_message(link, message)
+        elif isinstance(message, PermitQuestion | PermitAnswer | PermitReturn):
+            self.limits.on_message(link, message)
+        elif isinstance(message, ConfigurationQuestion | ConfigurationCopy):
+            self.copies.on_message(link, sender, message)
+        else:
+            self.relay.on_message(link, sender, message)
+
+    def _lose_link(self, link: Link) -> None:
+        self.relay.on_lost(link)
+        self.limits.on_lost(link)
+
+    async def _settle_elsewhere(
+        self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
+    ) -> bool:
+        return await self.relay.settle_elsewhere(partition, record, budget_tokens, left_ms)
--- a/src/quincespool/gateway/relay_codec.py
+++ b/src/quincespool/gateway/relay_codec.py
@@ -50,6 +50,7 @@
         tokens_per_event=service.tokens_per_event,
         resident_tokens=service.resident_tokens,
         max_pin_ms=service.max_pin_ms,
+        account=decision.account,
     )
 
 
@@ -92,7 +93,7 @@
         keeps_history=message.keeps_history,
         retention_ms=message.retention_ms,
     )
-    return call, Decision(message.configuration_version, route, service)
+    return call, Decision(message.configuration_version, route, service, message.account)
 
 
 def write_headers(headers: Headers) -> tuple[HeaderPair, ...]:
--- a/src/quincespool/gateway/routes.py
+++ b/src/quincespool/gateway/routes.py
@@ -19,6 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.gateway.model import Account
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Route
 
@@ -61,19 +62,42 @@
         self._by_host = by_host
         return True
 
+    def account(self, name: str) -> Account | None:
+        """Returns an account of the configuration in force."""
+        configuration = self.configuration
+        if configuration is None or configuration.accounts is None:
+            return None
+        return configuration.accounts.by_name.get(name)
+
     def decide(self, call: Call) -> Result[Decision, Refusal]:
-        """Returns the route of the longest matching prefix and a service drawn by weight."""
+        """Returns the route of the longest matching prefix, a service drawn by weight, the account.
+
+        The error is the refusal of a call that no route or no key allows.
+        """
         configuration = self.configuration
         if configuration is None:
             retry_ms = UNCONFIGURED_RETRY_MS if self._store_prompt() else STORE_AWAY_RETRY_MS
             return Error(not_run("no_configuration", retry_after_ms=retry_ms))
         for route in self._by_host.get(call.host, ()):
             if call.target.startswith(route.path_prefix):
-                service = _draw(configuration, route, call)
-                return Ok(Decision(configuration.version, route, service))
+                return _decide(configuration, route, call)
         return Error(not_run("no_route", status=404))
 
 
+def _decide(configuration: Configuration, route: Route, call: Call) -> Result[Decision, Refusal]:
+    service = _draw(configuration, route, call)
+    accounts = configuration.accounts
+    if accounts is None or route.is_public:
+        return Ok(Decision(configuration.version, route, service))
+    name = accounts.by_key.get(call.key_digest)
+    if name is None:
+        return Error(not_run("unknown_key", status=401))
+    rank = accounts.by_name[name].rank
+    if rank is not None:
+        route = route._replace(rank=rank)
+    return Ok(Decision(configuration.version, route, service, name))
+
+
 def _draw(configuration: Configuration, route: Route, call: Call) -> Service:
     """Draws by a hash of the program, so that the turns of one program share an engine's cache."""
     key = call.turn.program_id if call.turn is not None else call.call_id
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -221,10 +221,10 @@
             history = self._owned.ledger.history(turn.program_id, turn.previous_id)
         headers = self._services.wire.write_attempt_headers(
             call,
+            account=self._decision.account,
             backend_id=entry.backend_id,
             left_ms=max(1, self._until_ms - now_ms() - WAY_MS),
             priority=turn_priority(self._decision.route.rank, turn.program_left_ms),
-            pin_ms=0,
         )
         async with Attempt(self._services, entry, call) as attempt:
             failed = await attempt.send(history + call.body, headers)
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -115,7 +115,7 @@
         self, call: Call, turn: Turn, decision: Decision, owned: OwnedPartition
     ) -> Refusal | None:
         """Brings the history of another program's turn here, so that this program can go on."""
-        found = await self._finder.find(turn.previous_id)
+        found = await self._finder.find(turn.previous_id, decision.account)
         if found is None:
             return not_run("turn_not_found_yet", retry_after_ms=STALLED_RETRY_MS)
         self._services.log.write(
--- a/src/quincespool/gateway/wire.py
+++ b/src/quincespool/gateway/wire.py
@@ -59,9 +59,23 @@
         """Returns the call id of a request, empty if it has none."""
 
     def write_attempt_headers(
-        self, call: Call, *, backend_id: str, left_ms: int, priority: int | None, pin_ms: int
+        self,
+        call: Call,
+        *,
+        account: str,
+        backend_id: str,
+        left_ms: int,
+        priority: int | None,
     ) -> Headers:
-        """Returns the headers of one attempt at a backend server."""
+        """Returns the headers of one attempt at a backend server.
+
+        Args:
+          call: With the headers that are passed on.
+          account: Told in place of the caller's key; empty if there is none.
+          backend_id: The only one that may run it.
+          left_ms: How long it may take.
+          priority: Among the calls that wait there; 0 goes first.
+        """
 
     def read_answer_head(self, status: int, pairs: Headers) -> AnswerHead:
         """Returns what the head of a backend server's answer says."""
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from quincespool.gateway.model import Account
+from quincespool.gateway.model import Accounts
 from quincespool.gateway.model import BackendEntry
 from quincespool.gateway.model import CallerLimits
 from quincespool.gateway.model import CallKind
@@ -15,6 +17,7 @@
 from quincespool.gateway.model import Route
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import Share
+from quincespool.gateway.model import digest_key
 from quincespool.settings import address_fault
 
 CONFIGURATION_TOPIC = "keyed.op"
@@ -50,6 +53,9 @@
     retention_s: float = 0
     # Longest pause between events with which a stream is in time.
     target_gap_ms: float = 0
+    public: bool = False
+    # Calls that name the same object are best handled by the same backend server.
+    sticky_sessions: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -72,10 +78,22 @@
     idle_timeout_ms: float = 15_000
 
 
+class _Tenant(msgspec.Struct):
+    # It becomes a header of calls, and part of the ids of programs.
+    name: Annotated[str, msgspec.Meta(pattern="^[!-~]{1,128}$")]
+    api_keys: list[str] = []
+    priority: int | None = None
+    # 0 means that there is no limit.
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
+    # Requests carry keys only if there are any.
+    tenants: list[_Tenant] | None = None
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
@@ -103,7 +121,7 @@
     """Returns the configuration in a record.
 
     Raises:
-      msgspec.DecodeError: if it holds none.
+      msgspec.DecodeError: if it holds none, or gives one key to two accounts.
     """
     config = msgspec.json.decode(value, type=_Config)
     return Configuration(
@@ -116,6 +134,7 @@
             head_ms=int(config.limits.header_timeout_ms),
             idle_ms=int(config.limits.idle_timeout_ms),
         ),
+        accounts=None if config.tenants is None else _accounts(config.tenants),
     )
 
 
@@ -179,9 +198,27 @@
         max_attempts=max(1, route.max_attempts),
         keeps_history=route.retain_context,
         retention_ms=int(route.retention_s * 1000),
+        is_public=route.public,
+        is_sticky=route.sticky_sessions,
     )
 
 
+def _accounts(tenants: list[_Tenant]) -> Accounts:
+    by_name: dict[str, Account] = {}
+    by_key: dict[str, str] = {}
+    for tenant in tenants:
+        by_name[tenant.name] = Account(
+            name=tenant.name,
+            rank=tenant.priority,
+            rate_per_s=tenant.rate_per_s,
+            burst=int(tenant.burst),
+        )
+        for key in tenant.api_keys:
+            if by_key.setdefault(digest_key(key), tenant.name) != tenant.name:
+                raise msgspec.ValidationError("a key of two accounts")
+    return Accounts(by_name, by_key)
+
+
 def _patience_ms(route: _Route) -> int:
     longest_ms = max(
         LEAST_PATIENCE_MS,
--- a/src/quincespool/platform/requests.py
+++ b/src/quincespool/platform/requests.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.model import Call
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import Turn
+from quincespool.gateway.model import digest_key
 from quincespool.gateway.wire import AddressQuestion
 from quincespool.gateway.wire import AnswerHead
 from quincespool.net.requests import RequestError
@@ -28,6 +29,7 @@
     {
         "connection",
         "content-length",
+        "credential",
         "deadline-ms",
         "expect",
         "expect-instance",
@@ -43,6 +45,7 @@
         "proxy-connection",
         "request-priority",
         "te",
+        "tenant-id",
         "trailer",
         "transfer-encoding",
         "upgrade",
@@ -51,6 +54,18 @@
 _NOT_RETURNED = frozenset(
     {"connection", "content-length", "keep-alive", "proxy-connection", "transfer-encoding"}
 )
+# Of two such lines the backend server might heed the one that was not read here.
+_READ_ONCE = (
+    "affinity-key",
+    "credential",
+    "deadline-ms",
+    "host",
+    "previous-turn",
+    "program-id",
+    "request-id",
+    "tenant-id",
+    "token-budget",
+)
 _ID = re.compile(r"[!-~]{1,128}")
 _NUMBER = re.compile(r"[0-9]{1,12}")
 _MAX_LEFT_MS = 600_000
@@ -71,6 +86,9 @@
     left_text = headers.get("deadline-ms", "")
     if left_text and not _NUMBER.fullmatch(left_text):
         return Error(RequestError(400, "Deadline-Ms is not a number"))
+    program_id = headers.get("program-id", "")
+    if program_id and not _ID.fullmatch(program_id):
+        return Error(RequestError(400, "Program-Id is malformed"))
     turn = _read_turn(headers)
     if turn.is_error():
         return Error(turn.error)
@@ -84,6 +102,9 @@
             body=request.body,
             left_ms=min(int(left_text or _MAX_LEFT_MS), _MAX_LEFT_MS),
             turn=turn.ok,
+            program_id=program_id,
+            key_digest=digest_key(headers["credential"]) if "credential" in headers else "",
+            object_key=headers.get("affinity-key", ""),
         )
     )
 
@@ -112,14 +133,14 @@
 
 
 def write_attempt_headers(
-    call: Call, *, backend_id: str, left_ms: int, priority: int | None, pin_ms: int
+    call: Call, *, account: str, backend_id: str, left_ms: int, priority: int | None
 ) -> Headers:
     """Returns the headers of one attempt at a backend server."""
     headers = [*call.headers, ("deadline-ms", str(left_ms)), ("expect-instance", backend_id)]
+    if account:
+        headers.append(("tenant-id", account))
     if priority is not None:
         headers.append(("request-priority", str(priority)))
-    if pin_ms:
-        headers.append(("pin-ms", str(pin_ms)))
     return tuple(headers)
 
 
@@ -172,8 +193,7 @@
 
 def _repeats_own(pairs: Headers) -> bool:
     names = [name for name, _ in pairs]
-    own = ("request-id", "deadline-ms", "program-id", "previous-turn", "token-budget", "host")
-    return any(names.count(name) > 1 for name in own)
+    return any(names.count(name) > 1 for name in _READ_ONCE)
 
 
 def _read_idle_s(text: str) -> float | None:
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -25,6 +25,12 @@
     silenceNotice @16 :SilenceNotice;
     silenceQuestion @17 :SilenceQuestion;
     backendReport @18 :BackendReport;
+    turnForeign @19 :TurnForeign;
+    configurationQuestion @20 :ConfigurationQuestion;
+    configurationCopy @21 :ConfigurationCopy;
+    permitQuestion @22 :PermitQuestion;
+    permitAnswer @23 :PermitAnswer;
+    permitReturn @24 :PermitReturn;
   }
 }
 
@@ -89,6 +95,7 @@
   residentTokens @26 :Int64;
   maxPinMs @27 :Int64;
   patienceMs @28 :Int64;  # 0 from earlier versions.
+  account @29 :Text;
 }
 
 struct RelayCancel {
@@ -139,6 +146,43 @@
   findId @0 :Int64;
   turnId @1 :Text;
   certain @2 :Bool;
+  account @3 :Text;
+}
+
+struct TurnForeign {
+  # The turn is of another account.
+  findId @0 :Int64;
+}
+
+struct PermitQuestion {
+  # A call wants to run; the receiver is asked as the home of its account.
+  permitId @0 :Int64;
+  account @1 :Text;
+  programId @2 :Text;
+  mayBegin @3 :Bool;
+}
+
+struct PermitAnswer {
+  permitId @0 :Int64;
+  outcome @1 :Text;
+  afterMs @2 :Int64;
+  isPressed @3 :Bool;
+}
+
+struct PermitReturn {
+  # A call of the account that was let through has reached no backend server.
+  account @0 :Text;
+}
+
+struct ConfigurationQuestion {
+  # The sender knows no newer configuration than this.
+  version @0 :Int64;
+}
+
+struct ConfigurationCopy {
+  # A whole configuration, with digests in place of keys.
+  version @0 :Int64;
+  data @1 :Data;
 }
 
 struct TurnFound {
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -28,6 +28,7 @@
 
     from tests.support.client import Reply
     from tests.support.standins.platform_engine import PlatformEngine
+    from tests.support.standins.platform_engine import Run
     from tests.support.standins.platform_store import PlatformStoreStandIn
 
 LEASE_MS = 1_000
@@ -126,6 +127,18 @@
         await node.daemon.start()
         return node
 
+    def set_store(self, *names: str, down: bool) -> None:
+        """Has the store turn some daemons away, or take them again."""
+        for name in names:
+            self.nodes[name].store.knobs.down = down
+
+    async def lose_store(self, *names: str) -> None:
+        """Has the store turn some daemons away; returns when they have noticed."""
+        self.set_store(*names, down=True)
+        await self.until(
+            lambda: not any(self.nodes[name].daemon._store_health.reachable for name in names)
+        )
+
     async def lose_node(self, name: str) -> None:
         """Ends a daemon as a crash does: nothing is handed over."""
         node = self.nodes.pop(name)
@@ -153,10 +166,15 @@
         )
 
     def configure(
-        self, version: int, *, limits: Mapping[str, object] | None = None, **changes: object
+        self,
+        version: int,
+        *,
+        limits: Mapping[str, object] | None = None,
+        accounts: list[dict[str, object]] | None = None,
+        **changes: object,
     ) -> None:
         """Writes a configuration; the changes are for the streaming route."""
-        body = make_configuration(version, limits=limits, stream_changes=changes)
+        body = make_configuration(version, limits=limits, accounts=accounts, stream_changes=changes)
         self.state.put("keyed.op", "config", body)
 
     def is_settled(self) -> bool:
@@ -194,6 +212,7 @@
         budget: int | None = None,
         most: int = 30,
         deadline_ms: int = 3_000,
+        key: str = "",
         on_data: Callable[[bytes], None] | None = None,
     ) -> tuple[str, Reply]:
         """Sends a turn; returns its id and the answer."""
@@ -209,29 +228,36 @@
             headers["Previous-Turn"] = previous
         if budget is not None:
             headers["Token-Budget"] = str(budget)
+        if key:
+            headers["Credential"] = key
         address = self.nodes[node].address
         return call_id, await fetch(
             address, "POST", "/stream/x", headers=_lowered(headers), body=body, on_data=on_data
         )
 
-    async def call(self, node: str, kind: str, *, body: bytes = b"") -> Reply:
+    async def call(
+        self, node: str, kind: str, *, body: bytes = b"", key: str = "", program_id: str = ""
+    ) -> Reply:
         """Sends a plain call."""
         headers = {
             "Host": HOST_NAME,
             "Request-Id": f"call-{next(self._ids)}",
             "Deadline-Ms": "1000",
         }
+        if key:
+            headers["Credential"] = key
+        if program_id:
+            headers["Program-Id"] = program_id
         address = self.nodes[node].address
         return await fetch(address, "POST", f"/{kind}/x", headers=_lowered(headers), body=body)
 
     def runs(self, call_id: str) -> list[bytes]:
         """Returns the bodies with which backend servers ran a call."""
-        return [
-            run.body
-            for engine in self.engines.values()
-            for run in engine.runs
-            if run.call_id == call_id
-        ]
+        return [run.body for run in self.all_runs() if run.call_id == call_id]
+
+    def all_runs(self) -> list[Run]:
+        """Returns what backend servers ran."""
+        return [run for engine in self.engines.values() for run in engine.runs]
 
 
 def _lowered(headers: dict[str, str]) -> dict[str, str]:
--- a/tests/gateway/test_ledger_machine.py
+++ b/tests/gateway/test_ledger_machine.py
@@ -100,7 +100,7 @@
         for program, texts in self.texts.items():
             for turn, text in texts.items():
                 assert self.ledger.history(program, turn) == text
-                assert self.ledger.find(turn) == program
+                assert self.ledger.find(turn, "") == program
 
 
 LedgerMachine.TestCase.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
@@ -134,4 +134,4 @@
 
     assert ledger.expire(60_000, grace_ms=1_000) == 0
     assert ledger.expire(62_001, grace_ms=1_000) == 1
-    assert ledger.find("t") == ""
+    assert ledger.find("t", "") == ""
--- a/tests/gateway/test_programs.py
+++ b/tests/gateway/test_programs.py
@@ -180,7 +180,7 @@
 
 def _owns(cluster: GatewayCluster, name: str, program: str) -> bool:
     daemon = cluster.nodes[name].daemon
-    return daemon._relay._partition_for(program) in daemon._ownership.owned
+    return daemon._parts.relay._partition_for(program) in daemon._ownership.owned
 
 
 async def test_a_daemon_that_outlives_all_others_serves_alone() -> None:
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from quincespool.gateway.model import Account
+from quincespool.gateway.model import Accounts
 from quincespool.gateway.model import Call
 from quincespool.gateway.model import CallerLimits
 from quincespool.gateway.model import CallKind
@@ -9,6 +11,7 @@
 from quincespool.gateway.model import Route
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import Share
+from quincespool.gateway.model import digest_key
 from quincespool.gateway.routes import STORE_AWAY_RETRY_MS
 from quincespool.gateway.routes import UNCONFIGURED_RETRY_MS
 from quincespool.gateway.routes import RouteTable
@@ -27,6 +30,49 @@
     return Call(call_id, "GET", host, target, (), b"", 1000, None)
 
 
+def _with_accounts(version: int, keys: dict[str, str], *routes: Route) -> Configuration:
+    """Returns a configuration whose account `ranked` has rank 0 in place of that of the route."""
+    by_name = {"ranked": Account("ranked", 0, 0, 0), "plain": Account("plain", None, 0, 0)}
+    by_key = {digest_key(key): name for key, name in keys.items()}
+    return _configuration(version, *routes)._replace(accounts=Accounts(by_name, by_key))
+
+
+def _call_with(key: str, target: str = "/a/x") -> Call:
+    return _call(target)._replace(key_digest=digest_key(key) if key else "")
+
+
+def test_a_key_tells_the_account() -> None:
+    table = RouteTable(store_prompt=lambda: True)
+    route = _route("/a/", Share("s", 1))
+    table.adopt(_with_accounts(1, {"k1": "ranked", "k2": "plain"}, route))
+
+    ranked, plain = table.decide(_call_with("k1")).ok, table.decide(_call_with("k2")).ok
+    assert (ranked.account, ranked.route.rank) == ("ranked", 0)
+    assert (plain.account, plain.route.rank) == ("plain", route.rank)
+    for key in ("", "k3", "ranked"):
+        assert table.decide(_call_with(key)).error.status == 401
+    assert table.decide(_call_with("k3", "/b/")).error.status == 404
+
+
+def test_a_public_route_needs_no_key_and_tells_no_account() -> None:
+    table = RouteTable(store_prompt=lambda: True)
+    public = _route("/a/", Share("s", 1))._replace(is_public=True)
+    table.adopt(_with_accounts(1, {"k1": "ranked"}, public))
+
+    for key in ("", "k1", "k3"):
+        assert table.decide(_call_with(key)).ok.account == ""
+
+
+def test_a_key_that_is_taken_away_is_refused_from_then_on() -> None:
+    table = RouteTable(store_prompt=lambda: True)
+    route = _route("/a/", Share("s", 1))
+    table.adopt(_with_accounts(2, {"k2": "plain"}, route))
+    assert not table.adopt(_with_accounts(1, {"k1": "ranked", "k2": "plain"}, route))
+
+    assert table.decide(_call_with("k1")).error.status == 401
+    assert table.decide(_call_with("k2")).is_ok()
+
+
 def test_the_longest_prefix_wins() -> None:
     table = RouteTable(store_prompt=lambda: True)
     table.adopt(_configuration(1, _route("/a/", Share("s", 1)), _route("/a/b/", Share("t", 1))))
--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -33,11 +33,17 @@
 }
 
 
-def _render() -> str:
+def _render(**more: object) -> str:
+    fields = {**FIELDS, **more}
+
+    def section(match: re.Match[str]) -> str:
+        return match[2] if match[1] in fields else ""
+
     def value(match: re.Match[str]) -> str:
-        return msgspec.json.encode(FIELDS[match[1].removesuffix("|json")]).decode()
+        return msgspec.json.encode(fields[match[1].removesuffix("|json")]).decode()
 
-    return re.sub(r"\{\{([^}]+)\}\}", value, TEMPLATE.read_text())
+    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, TEMPLATE.read_text(), flags=re.S)
+    return re.sub(r"\{\{([^}]+)\}\}", value, text)
 
 
 def _write(folder: Path, **changes: object) -> Path:
@@ -55,6 +61,13 @@
     assert (settings.peer_port, settings.owner_lease_ms) == (7381, 1000)
 
 
+def test_the_slack_of_limits_is_that_of_the_platform_or_none() -> None:
+    without = msgspec.json.decode(_render(), type=GatewaySettings)
+    given = msgspec.json.decode(_render(**{"bounds.quota_slack": 20}), type=GatewaySettings)
+
+    assert (without.limit_slack_calls, given.limit_slack_calls) == (0, 20)
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
--- a/tests/gateway/test_store_away.py
+++ b/tests/gateway/test_store_away.py
@@ -22,18 +22,6 @@
 EVENTS_TOKENS = 30
 
 
-def _set_store(cluster: GatewayCluster, *names: str, down: bool) -> None:
-    for name in names:
-        cluster.nodes[name].store.knobs.down = down
-
-
-async def _lose_store(cluster: GatewayCluster, *names: str) -> None:
-    _set_store(cluster, *names, down=True)
-    await cluster.until(
-        lambda: not any(cluster.nodes[name].daemon._store_health.reachable for name in names)
-    )
-
-
 async def test_a_turn_of_a_caller_that_has_waited_ends_when_the_store_is_back() -> None:
     """Symptom: programs fail in an outage that their callers' few tries do not outlast.
 
@@ -42,7 +30,7 @@
     """
     async with GatewayCluster(2) as cluster:
         first_id, _ = await cluster.turn("a", "p1")
-        await _lose_store(cluster, "a", "b")
+        await cluster.lose_store("a", "b")
         pieces: list[bytes] = []
         turn = cluster.turn(
             "a", "p1", previous=first_id, deadline_ms=WAITED_MS, on_data=pieces.append
@@ -50,7 +38,7 @@
         running = asyncio.create_task(turn)
         await cluster.until(lambda: b"".join(pieces).count(b"data:") == 3, limit_s=1.5)
         assert not running.done()
-        _set_store(cluster, "a", "b", down=False)
+        cluster.set_store("a", "b", down=False)
         call_id, reply = await running
         assert reply.status == 200
 
@@ -62,7 +50,7 @@
 async def test_a_turn_whose_records_are_not_kept_is_not_told_whole() -> None:
     async with GatewayCluster(1) as cluster:
         await cluster.turn("a", "p1")
-        await _lose_store(cluster, "a")
+        await cluster.lose_store("a")
         with pytest.raises(ConnectionLostError):
             await cluster.turn("a", "p1", deadline_ms=WAITED_MS)
 
@@ -75,14 +63,14 @@
     """
     async with GatewayCluster(1) as cluster:
         await cluster.turn("a", "p1")
-        await _lose_store(cluster, "a")
+        await cluster.lose_store("a")
         with pytest.raises(ConnectionLostError):
             await cluster.turn("a", "p1", most=EVENTS_TOKENS, deadline_ms=WAITED_MS)
         call_id, reply = await cluster.turn("a", "p1", most=EVENTS_TOKENS, deadline_ms=WAITED_MS)
         assert reply.status == 503
         assert cluster.runs(call_id) == []
 
-        _set_store(cluster, "a", down=False)
+        cluster.set_store("a", down=False)
         owned = cluster.nodes["a"].daemon._ownership.owned
         await cluster.until(lambda: all(one.idle and not one.stalled for one in owned.values()))
         _, reply = await cluster.turn("a", "p1", budget=2 * EVENTS_TOKENS + 29, most=EVENTS_TOKENS)
@@ -100,10 +88,10 @@
         program = next(
             name
             for name in (f"p{number}" for number in range(100))
-            if daemon._relay._partition_for(name) in daemon._ownership.owned
+            if daemon._parts.relay._partition_for(name) in daemon._ownership.owned
         )
         await cluster.turn("a", program)
-        await _lose_store(cluster, "a")
+        await cluster.lose_store("a")
         call_id, reply = await cluster.turn("a", program, deadline_ms=WAITED_MS)
         assert reply.status == 200
 
@@ -113,7 +101,7 @@
 
 async def test_a_program_of_which_nothing_lasts_is_refused() -> None:
     async with GatewayCluster(1) as cluster:
-        await _lose_store(cluster, "a")
+        await cluster.lose_store("a")
         call_id, reply = await cluster.turn("a", "p1", deadline_ms=WAITED_MS)
         assert reply.status == 503
         assert cluster.runs(call_id) == []
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limits of client accounts."""
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -8,9 +8,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from quincespool.gateway.model import Account
+from quincespool.gateway.model import Accounts
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Daemon
 from quincespool.gateway.model import Share
+from quincespool.gateway.model import digest_key
 from quincespool.platform.entries import read_backend
 from quincespool.platform.entries import read_configuration
 from quincespool.platform.entries import read_daemon
@@ -28,6 +31,47 @@
 "max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"""
 
 
+TENANTS = [
+    {"name": "hule930", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 183, "burst": 90},
+    {"name": "other", "api_keys": ["k3"]},
+]
+
+
+def _with_tenants(tenants: object) -> bytes:
+    return msgspec.json.encode({**msgspec.json.decode(CONFIGURATION), "tenants": tenants})
+
+
+def test_accounts_are_read_without_their_keys() -> None:
+    configuration = read_configuration(_with_tenants(TENANTS))
+    accounts = configuration.accounts
+
+    assert accounts is not None
+    assert accounts.by_name["hule930"] == Account("hule930", 1, 183.0, 90)
+    assert accounts.by_name["other"] == Account("other", None, 0.0, 0)
+    assert accounts.by_key[digest_key("k2")] == "hule930"
+    assert "k1" not in repr(configuration).replace(digest_key("k1"), "")
+
+
+def test_no_accounts_are_told_from_an_empty_list() -> None:
+    assert read_configuration(CONFIGURATION).accounts is None
+    assert read_configuration(_with_tenants([])).accounts == Accounts({}, {})
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [{"name": "a", "api_keys": ["k"]}, {"name": "b", "api_keys": ["k"]}],
+        [{"name": "a b", "api_keys": []}],
+        [{"name": "", "api_keys": []}],
+        [{"name": "a", "rate_per_s": -1}],
+        [{"api_keys": ["k"]}],
+    ],
+)
+def test_accounts_that_cannot_be_meant_are_refused(tenants: object) -> None:
+    with pytest.raises(msgspec.ValidationError):
+        read_configuration(_with_tenants(tenants))
+
+
 def test_a_configuration_is_read() -> None:
     configuration = read_configuration(CONFIGURATION)
     first, second = configuration.routes
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -68,9 +68,12 @@
     assert result.error.status == 400
 
 
-@pytest.mark.parametrize("name", ["request-id", "program-id", "deadline-ms", "token-budget"])
+@pytest.mark.parametrize(
+    "name",
+    ["request-id", "program-id", "deadline-ms", "token-budget", "credential", "tenant-id"],
+)
 def test_a_repeated_header_is_refused(name: str) -> None:
-    assert read_call(_request(TURN, (name, "7"))).is_error()
+    assert read_call(_request({**TURN, name: "7"}, (name, "7"))).is_error()
 
 
 def test_two_framings_are_refused() -> None:
@@ -91,7 +94,7 @@
     """
     own = {"hold": "1", "pin-ms": "9", "kv-backup": "x", "kv-from": "y", "request-priority": "0"}
     call = read_call(_request({**TURN, **own, "x-other": "kept"})).ok
-    headers = write_attempt_headers(call, backend_id="i-1", left_ms=90, priority=None, pin_ms=0)
+    headers = write_attempt_headers(call, account="", backend_id="i-1", left_ms=90, priority=None)
 
     names = [name for name, _ in headers]
     assert not set(own) & set(names)
@@ -101,6 +104,35 @@
     assert names.count("deadline-ms") == 1
 
 
+def test_a_backend_server_gets_the_account_and_not_the_key() -> None:
+    """Symptom: a backend server sees the keys of callers, or an account of a caller's choice.
+
+    Events: a caller sends its key, and a header that names another account.
+    Cause: both were forwarded as the caller sent them.
+    """
+    sent = {**TURN, "credential": "92cqf75rjvz48wuakn2f", "tenant-id": "another"}
+    call = read_call(_request(sent)).ok
+    headers = write_attempt_headers(
+        call, account="hule930", backend_id="i-1", left_ms=90, priority=None
+    )
+
+    assert [value for name, value in headers if name == "tenant-id"] == ["hule930"]
+    assert "92cqf75rjvz48wuakn2f" not in repr((call, headers))
+
+
+def test_without_an_account_none_is_told() -> None:
+    call = read_call(_request({**TURN, "tenant-id": "another"})).ok
+    headers = write_attempt_headers(call, account="", backend_id="i-1", left_ms=90, priority=None)
+    assert "tenant-id" not in dict(headers)
+
+
+def test_calls_of_a_program_and_on_an_object_are_told_apart() -> None:
+    plain = {"request-id": "r", "program-id": "3fa81c", "affinity-key": "17"}
+    call = read_call(_request(plain)).ok
+    assert (call.turn, call.program_id, call.object_key) == (None, "3fa81c", "17")
+    assert read_call(_request({**plain, "program-id": "a b"})).error.status == 400
+
+
 def test_an_answer_without_receipt_or_encoded_is_not_stamped() -> None:
     assert read_answer_head(200, (("server-stamp", "s"),)).stamped
     assert not read_answer_head(200, ()).stamped
--- a/tests/support/platform_entries.py
+++ b/tests/support/platform_entries.py
@@ -18,9 +18,13 @@
     *,
     plain_limit_ms: int = 1_000,
     limits: Mapping[str, object] | None = None,
+    accounts: list[dict[str, object]] | None = None,
     stream_changes: Mapping[str, object] | None = None,
 ) -> bytes:
-    """Returns a configuration with a streaming route and a plain one of each kind."""
+    """Returns a configuration with a streaming route and a plain one of each kind.
+
+    Callers need keys if there are accounts, each as operators write it.
+    """
     stream = {
         "name": "stream",
         "hostname": HOST_NAME,
@@ -56,6 +60,8 @@
         "services": services,
         "limits": limits or {},
     }
+    if accounts is not None:
+        body["tenants"] = accounts
     return msgspec.json.encode(body)
 
 
