Owners of partitions are looked up by partition

Cause: each turn, and now each call of a limited account, asks for the owner of a partition; it was looked for among the claims of all daemons. Change: claims are kept by partition and change only with a heartbeat that brings others. Figures (timeit, mean of 2,000): 30 daemons 17.8 us before, 1.0 after; 61: 28.2, 1.1; 195: 69.9, 2.3; 740: 437.9, 6.2.

--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from quincespool.gateway.messages import Heartbeat
+    from quincespool.gateway.messages import PartitionClaim
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.store import Partition
 
@@ -58,6 +59,8 @@
         self.round_ms = BEAT_MS
         self._member_id = member_id
         self._seen: dict[str, _Seen] = {}
+        # Epochs by claimed partition and member id, as last heard.
+        self._claims: dict[tuple[str, int], dict[str, int]] = {}
         self._entered_ms: dict[str, int] = {}
         # In the order in which they follow this one in the ring.
         self._ring: list[Daemon] = []
@@ -88,6 +91,7 @@
         """Forgets a daemon that has left for good."""
         self.entries.pop(member_id, None)
         self._seen.pop(member_id, None)
+        self._note_claims(member_id, ())
         self._order()
 
     def hear(self, member_id: str, beat: Heartbeat, now_ms: int) -> bool:
@@ -100,6 +104,8 @@
             elif not self._is_current(member_id, beat) and now_ms - seen.heard_ms < RESTART_MS:
                 # Delayed on its way, from before the daemon's restart.
                 return False
+        if seen is None or seen.beat.claims != beat.claims:
+            self._note_claims(member_id, beat.claims)
         self._seen[member_id] = _Seen(now_ms, beat)
         self._heard_ms = max(self._heard_ms, now_ms)
         return True
@@ -198,15 +204,12 @@
     def owner(self, partition: Partition, now_ms: int) -> tuple[Daemon, int] | None:
         """Returns the daemon that claims a partition under the highest epoch, and that epoch."""
         best: tuple[Daemon, int] | None = None
-        for member_id, seen in self._seen.items():
+        for member_id, epoch in self._claims.get(partition, {}).items():
             daemon = self.entries.get(member_id)
             if daemon is None or not self.is_alive(member_id, now_ms):
                 continue
-            for claim in seen.beat.claims:
-                if (claim.topic, claim.number) != partition:
-                    continue
-                if best is None or claim.epoch > best[1]:
-                    best = (daemon, claim.epoch)
+            if best is None or epoch > best[1]:
+                best = (daemon, epoch)
         return best
 
     def caller_addresses(self, now_ms: int, *, own_serves: bool, zone: str = "") -> list[str]:
@@ -227,6 +230,17 @@
                 serving.append(daemon)
         return serving
 
+    def _note_claims(self, member_id: str, claims: tuple[PartitionClaim, ...]) -> None:
+        """Keeps the claims by partition: each call asks for an owner, heartbeats seldom change one.
+
+        Looked for among the claims of all, an owner took 28 us with 61 daemons and 438 us with 740;
+        this way 1.1 and 6.2 us (timeit, mean of 2,000).
+        """
+        for claimants in self._claims.values():
+            claimants.pop(member_id, None)
+        for claim in claims:
+            self._claims.setdefault((claim.topic, claim.number), {})[member_id] = claim.epoch
+
     @property
     def _is_large(self) -> bool:
         return len(self._ring) > BEAT_FANOUT
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -175,3 +175,16 @@
         members.hear(f"d{number}", _beat(), 10_000)
     assert not members.is_isolated(10_000 + SILENCE_MS - 1)
     assert members.is_isolated(10_000 + SILENCE_MS)
+
+
+def test_an_owner_is_the_one_that_claims_a_partition_last() -> None:
+    """Claims that are heard no more don't count, and neither do those of a daemon that has left."""
+    members = _members("a", "b")
+    members.hear("a", _beat(sequence=1, epoch=5), 0)
+    members.hear("b", _beat(sequence=1, epoch=6), 0)
+    assert members.owner(PARTITION, 0) == (_daemon("b"), 6)
+
+    members.hear("b", _beat(sequence=2), 0)
+    assert members.owner(PARTITION, 0) == (_daemon("a"), 5)
+    members.remove("a")
+    assert members.owner(PARTITION, 0) is None
