--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/front.py
@@ -11,6 +11,7 @@
 from quincespool.gateway.crashes import fingerprint
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Turn
+from quincespool.gateway.model import make_terms
 from quincespool.gateway.model import not_run
 from quincespool.gateway.model import scoped_program
 from quincespool.net.http_connection import HttpResponse
@@ -89,7 +90,7 @@
             return ""
         try:
             if decision.route.kind is CallKind.STREAMING:
-                return await self._relay.run(call, decision, reply, until_ms=until_ms)
+                return await self._relay.run(call, make_terms(decision), reply, until_ms=until_ms)
             reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
             return ""
         finally:
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -38,7 +38,11 @@
 
 
 class RelayCall(NamedTuple):
-    """A turn for the owner of its program. Numbers of -1 mean that the caller did not say."""
+    """A turn for the owner of its program. Numbers of -1 mean that the caller did not say.
+
+    Attributes:
+      kind: Of the route, as daemons of earlier releases read it; turns are always streams.
+    """
 
     relay_id: int
     call_id: str
@@ -54,8 +58,6 @@
     most_tokens: int
     program_left_ms: int
     configuration_version: int
-    route_name: str
-    path_prefix: str
     kind: str
     timeout_ms: int
     patience_ms: int
@@ -64,10 +66,7 @@
     keeps_history: bool
     retention_ms: int
     service: str
-    max_connections: int
     tokens_per_event: int
-    resident_tokens: int
-    max_pin_ms: int
     account: str
 
 
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -103,17 +103,11 @@
     """A group of like backend servers.
 
     Attributes:
-      max_connections: What one backend server accepts from all daemons together.
       tokens_per_event: Generated tokens in each event of a stream; 0 for plain services.
-      resident_tokens: Tokens that fit into the memory of one model engine; 0 for plain services.
-      max_pin_ms: How long a finished turn's cache can be kept from eviction; 0 if never.
     """
 
     name: str
-    max_connections: int
     tokens_per_event: int
-    resident_tokens: int
-    max_pin_ms: int
 
 
 class CallerLimits(NamedTuple):
@@ -238,7 +232,7 @@
 
 
 class Decision(NamedTuple):
-    """Where the configuration in force sends one call; travels with it to the program's owner.
+    """Where the configuration in force sends one call.
 
     Attributes:
       account: Name of the caller's account; empty if there is none.
@@ -250,6 +244,51 @@
     account: str = ""
 
 
+class TurnTerms(NamedTuple):
+    """What the owner of a program needs to know of the decision on a turn; travels with it.
+
+    Attributes:
+      version: Of the configuration that was in force where the turn came in.
+      account: Name of the caller's account; empty if there is none.
+      service: Name of the service whose engines run it.
+      tokens_per_event: Generated tokens in each event of its stream.
+      rank: Importance; 0 goes first.
+      timeout_ms: The longest that operators want it kept waiting.
+      patience_ms: How long callers wait for a stream's next event before they leave.
+      max_attempts: Engines that it may be sent to.
+      keeps_history: Whether the gateway adds what came before the turn.
+      retention_ms: How long the turn can be continued from.
+    """
+
+    version: int
+    account: str
+    service: str
+    tokens_per_event: int
+    rank: int
+    timeout_ms: int
+    patience_ms: int
+    max_attempts: int
+    keeps_history: bool
+    retention_ms: int
+
+
+def make_terms(decision: Decision) -> TurnTerms:
+    """Returns the part of a decision that a turn's owner needs."""
+    route, service = decision.route, decision.service
+    return TurnTerms(
+        version=decision.version,
+        account=decision.account,
+        service=service.name,
+        tokens_per_event=service.tokens_per_event,
+        rank=route.rank,
+        timeout_ms=route.timeout_ms,
+        patience_ms=route.patience_ms,
+        max_attempts=route.max_attempts,
+        keeps_history=route.keeps_history,
+        retention_ms=route.retention_ms,
+    )
+
+
 def digest_key(key: str) -> str:
     """Returns what stands for a caller's key everywhere behind the front.
 
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -43,8 +43,8 @@
     from quincespool.gateway.members import Members
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Daemon
-    from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Headers
+    from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.ownership import Ownership
     from quincespool.gateway.reply import Reply
     from quincespool.gateway.turns import TurnRunner
@@ -130,7 +130,7 @@
         """Turns of other daemons' callers under way here."""
         return len(self._serving)
 
-    async def run(self, call: Call, decision: Decision, reply: Reply, *, until_ms: int) -> str:
+    async def run(self, call: Call, terms: TurnTerms, reply: Reply, *, until_ms: int) -> str:
         """Answers a turn; returns the member id of the daemon that did, empty if none."""
         assert call.turn is not None
         partition = self._partition_for(call.turn.program_id)
@@ -140,10 +140,10 @@
             owned = self._ownership.serving(partition)
             owner = self._members.owner(partition, now_ms())
             if owned is not None:
-                await self._turns.run(call, decision, owned, reply, until_ms=until_ms)
+                await self._turns.run(call, terms, owned, reply, until_ms=until_ms)
                 return self._member_id
             if owner is not None:
-                refusal = await self._hand_over(owner[0], call, decision, reply, until_ms)
+                refusal = await self._hand_over(owner[0], call, terms, reply, until_ms)
                 if refusal is None:
                     return owner[0].member_id
                 if refusal.reason != NOT_OWNER:
@@ -204,7 +204,7 @@
                 pending.done.set_result(may_have_run("owner_lost"))
 
     async def _hand_over(
-        self, owner: Daemon, call: Call, decision: Decision, reply: Reply, until_ms: int
+        self, owner: Daemon, call: Call, terms: TurnTerms, reply: Reply, until_ms: int
     ) -> Refusal | None:
         """Relays a turn to its owner; returns None if it was answered, else the refusal."""
         link = await self._links.get(owner.peer_address)
@@ -216,7 +216,7 @@
         pending.link = link
         self._pending[relay_id] = pending
         left_ms = until_ms - now_ms()
-        if not link.send(write_relay(relay_id, call, decision, left_ms=left_ms)):
+        if not link.send(write_relay(relay_id, call, terms, left_ms=left_ms)):
             del self._pending[relay_id]
             return not_run(NOT_OWNER)
         link.waiting += 1
@@ -251,14 +251,14 @@
             pending.done.set_result(refusal)
 
     def _serve(self, link: Link, message: RelayCall) -> None:
-        call, decision = read_relay(message)
+        call, terms = read_relay(message)
         reply = _RemoteReply(link, message.relay_id)
         owned = self._ownership.serving(self._partition_for(message.program_id))
         if owned is None:
             reply.refuse(not_run(NOT_OWNER))
             return
         until_ms = now_ms() + message.left_ms
-        run = self._turns.run(call, decision, owned, reply, until_ms=until_ms)
+        run = self._turns.run(call, terms, owned, reply, until_ms=until_ms)
         task = start_kept(run, self._tasks)
         key = (link, message.relay_id)
         self._serving[key] = task
--- a/src/quincespool/gateway/relay_codec.py
+++ b/src/quincespool/gateway/relay_codec.py
@@ -1,4 +1,4 @@
-"""A call and its route as one message between daemons, and back."""
+"""A turn and its terms as one message between daemons, and back."""
 
 from __future__ import annotations
 
@@ -8,19 +8,15 @@
 from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import Call
 from quincespool.gateway.model import CallKind
-from quincespool.gateway.model import Decision
 from quincespool.gateway.model import Headers
-from quincespool.gateway.model import Route
-from quincespool.gateway.model import Service
-from quincespool.gateway.model import Share
 from quincespool.gateway.model import Turn
+from quincespool.gateway.model import TurnTerms
 
 
-def write_relay(relay_id: int, call: Call, decision: Decision, *, left_ms: int) -> RelayCall:
-    """Returns the message for a turn and the route that the receiver has decided on."""
+def write_relay(relay_id: int, call: Call, terms: TurnTerms, *, left_ms: int) -> RelayCall:
+    """Returns the message for a turn and what the receiver has decided on it."""
     turn = call.turn
     assert turn is not None
-    route, service = decision.route, decision.service
     return RelayCall(
         relay_id=relay_id,
         call_id=call.call_id,
@@ -35,27 +31,22 @@
         budget_tokens=write_optional(turn.budget_tokens),
         most_tokens=turn.most_tokens,
         program_left_ms=write_optional(turn.program_left_ms),
-        configuration_version=decision.version,
-        route_name=route.name,
-        path_prefix=route.path_prefix,
-        kind=route.kind.value,
-        timeout_ms=route.timeout_ms,
-        patience_ms=route.patience_ms,
-        rank=route.rank,
-        max_attempts=route.max_attempts,
-        keeps_history=route.keeps_history,
-        retention_ms=route.retention_ms,
-        service=service.name,
-        max_connections=service.max_connections,
-        tokens_per_event=service.tokens_per_event,
-        resident_tokens=service.resident_tokens,
-        max_pin_ms=service.max_pin_ms,
-        account=decision.account,
+        configuration_version=terms.version,
+        kind=CallKind.STREAMING,
+        timeout_ms=terms.timeout_ms,
+        patience_ms=terms.patience_ms,
+        rank=terms.rank,
+        max_attempts=terms.max_attempts,
+        keeps_history=terms.keeps_history,
+        retention_ms=terms.retention_ms,
+        service=terms.service,
+        tokens_per_event=terms.tokens_per_event,
+        account=terms.account,
     )
 
 
-def read_relay(message: RelayCall) -> tuple[Call, Decision]:
-    """Returns the call and the route in a message."""
+def read_relay(message: RelayCall) -> tuple[Call, TurnTerms]:
+    """Returns the call and the terms in a message."""
     turn = Turn(
         program_id=message.program_id,
         previous_id=message.previous_id,
@@ -72,28 +63,21 @@
         body=message.body,
         left_ms=message.left_ms,
         turn=turn,
+        program_id=message.program_id,
     )
-    service = Service(
-        name=message.service,
-        max_connections=message.max_connections,
+    terms = TurnTerms(
+        version=message.configuration_version,
+        account=message.account,
+        service=message.service,
         tokens_per_event=message.tokens_per_event,
-        resident_tokens=message.resident_tokens,
-        max_pin_ms=message.max_pin_ms,
-    )
-    route = Route(
-        name=message.route_name,
-        host=message.host,
-        path_prefix=message.path_prefix,
-        kind=CallKind(message.kind),
-        shares=(Share(message.service, 1),),
+        rank=message.rank,
         timeout_ms=message.timeout_ms,
         patience_ms=message.patience_ms,
-        rank=message.rank,
         max_attempts=message.max_attempts,
         keeps_history=message.keeps_history,
         retention_ms=message.retention_ms,
     )
-    return call, Decision(message.configuration_version, route, service, message.account)
+    return call, terms
 
 
 def write_headers(headers: Headers) -> tuple[HeaderPair, ...]:
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -35,9 +35,9 @@
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
-    from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import Turn
+    from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.reply import Reply
     from quincespool.gateway.store import Partition
@@ -97,7 +97,7 @@
         services: Services,
         call: Call,
         turn: Turn,
-        decision: Decision,
+        terms: TurnTerms,
         owned: OwnedPartition,
         *,
         reply: Reply,
@@ -112,11 +112,11 @@
         self._services = services
         self._call = call
         self._turn = turn
-        self._decision = decision
+        self._terms = terms
         self._owned = owned
         self._reply = reply
         self._until_ms = until_ms
-        told_ms = max(LEAST_PATIENCE_MS, decision.route.patience_ms)
+        told_ms = max(LEAST_PATIENCE_MS, terms.patience_ms)
         self._patience_ms = told_ms - PATIENCE_MARGIN_MS
         self._start = TurnStarted(
             turn_id=call.call_id,
@@ -141,9 +141,9 @@
         refusals = 0
         reason = "no_backend"
         self._start_kept = self._submit_start()
-        while sent < self._decision.route.max_attempts and refusals < MAX_REFUSALS:
+        while sent < self._terms.max_attempts and refusals < MAX_REFUSALS:
             entry = self._services.backends.choose(
-                self._decision.service.name,
+                self._terms.service,
                 now_ms=now_ms(),
                 exclude=frozenset(tried),
                 prefer=self.engine,
@@ -173,7 +173,7 @@
         """Settles a turn that has not ended whole."""
         if self._start_kept is not None and not self._settled:
             self._settled = True
-            tokens = self._handed_out * self._decision.service.tokens_per_event
+            tokens = self._handed_out * self._terms.tokens_per_event
             record = TurnBroken(
                 turn_id=self._call.call_id,
                 program_id=self._turn.program_id,
@@ -217,14 +217,14 @@
     async def _attempt(self, entry: BackendEntry) -> NotRun | Lost | None:
         call, turn = self._call, self._turn
         history = b""
-        if self._decision.route.keeps_history:
+        if self._terms.keeps_history:
             history = self._owned.ledger.history(turn.program_id, turn.previous_id)
         headers = self._services.wire.write_attempt_headers(
             call,
-            account=self._decision.account,
+            account=self._terms.account,
             backend_id=entry.backend_id,
             left_ms=max(1, self._until_ms - now_ms() - WAY_MS),
-            priority=turn_priority(self._decision.route.rank, turn.program_left_ms),
+            priority=turn_priority(self._terms.rank, turn.program_left_ms),
         )
         async with Attempt(self._services, entry, call) as attempt:
             failed = await attempt.send(history + call.body, headers)
@@ -287,7 +287,7 @@
 
     async def _hand_out(self, events: int) -> None:
         """Counts events that go to the caller next; waits if the bound asks for a durable start."""
-        tokens = events * self._decision.service.tokens_per_event
+        tokens = events * self._terms.tokens_per_event
         if not self._start_is_kept:
             program_id, most_tokens = self._turn.program_id, self._turn.most_tokens
             if not self._owned.uncertain.hand_out(program_id, tokens, most_tokens):
@@ -308,8 +308,8 @@
             previous_id=previous_id,
             input=text,
             output=self._events.text,
-            tokens=self._handed_out * self._decision.service.tokens_per_event,
-            retention_ms=self._decision.route.retention_ms,
+            tokens=self._handed_out * self._terms.tokens_per_event,
+            retention_ms=self._terms.retention_ms,
             at_ms=wall_ms(),
         )
         ended_ms = now_ms()
@@ -346,7 +346,7 @@
             self._turn.program_id,
             self._call.body,
             previous_id=self._turn.previous_id,
-            retention_ms=self._decision.route.retention_ms,
+            retention_ms=self._terms.retention_ms,
             at_ms=wall_ms(),
         )
         for part in parts:
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -22,9 +22,9 @@
     from quincespool.gateway.finder import TurnFinder
     from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
-    from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import Turn
+    from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.reply import Reply
     from quincespool.gateway.turn_run import SettleElsewhere
@@ -60,13 +60,13 @@
         self._last_engine: dict[str, BackendLife] = {}
 
     async def run(
-        self, call: Call, decision: Decision, owned: OwnedPartition, reply: Reply, *, until_ms: int
+        self, call: Call, terms: TurnTerms, owned: OwnedPartition, reply: Reply, *, until_ms: int
     ) -> None:
         """Answers one turn.
 
         Args:
           call: With `turn` set.
-          decision: Where it goes.
+          terms: Where it goes, and how long it may take.
           owned: The partition of its program.
           reply: Takes the answer.
           until_ms: Steady clock at which the caller or the route has waited long enough.
@@ -74,10 +74,10 @@
         turn = call.turn
         assert turn is not None
         left_ms = until_ms - now_ms()
-        is_patient = left_ms > PATIENT_SHARE * decision.route.timeout_ms
+        is_patient = left_ms > PATIENT_SHARE * terms.timeout_ms
         refusal = self._admit(call, turn, owned, is_patient=is_patient)
         if refusal is not None and refusal.status == NO_SUCH_TURN_STATUS:
-            refusal = await self._import(call, turn, decision, owned)
+            refusal = await self._import(call, turn, terms, owned)
         elif refusal is not None:
             refusal = await _confirmed(refusal, owned)
         if refusal is not None:
@@ -87,7 +87,7 @@
             self._services,
             call,
             turn,
-            decision,
+            terms,
             owned,
             reply=reply,
             until_ms=until_ms,
@@ -112,10 +112,10 @@
             del self._last_engine[program_id]
 
     async def _import(
-        self, call: Call, turn: Turn, decision: Decision, owned: OwnedPartition
+        self, call: Call, turn: Turn, terms: TurnTerms, owned: OwnedPartition
     ) -> Refusal | None:
         """Brings the history of another program's turn here, so that this program can go on."""
-        found = await self._finder.find(turn.previous_id, decision.account)
+        found = await self._finder.find(turn.previous_id, terms.account)
         if found is None:
             return not_run("turn_not_found_yet", retry_after_ms=STALLED_RETRY_MS)
         self._services.log.write(
@@ -131,7 +131,7 @@
             turn.previous_id,
             turn.program_id,
             found.history,
-            retention_ms=max(found.retention_ms, decision.route.retention_ms),
+            retention_ms=max(found.retention_ms, terms.retention_ms),
             at_ms=wall_ms(),
         )
         for part in parts:
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -61,13 +61,10 @@
 class _Engine(msgspec.Struct):
     # Tokens that one event stands for, not a distance.
     stream_stride: int = 1
-    kv_capacity: int = 0
-    pin_ms: float = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = 100
     engine: _Engine | None = None
 
 
@@ -232,8 +229,5 @@
     engine = service.engine
     return Service(
         name=service.name,
-        max_connections=service.max_connections,
         tokens_per_event=engine.stream_stride if engine is not None else 0,
-        resident_tokens=engine.kv_capacity if engine is not None else 0,
-        max_pin_ms=int(engine.pin_ms) if engine is not None else 0,
     )
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -64,7 +64,7 @@
 }
 
 struct RelayCall {
-  # A turn for the owner of its program, with the route that the receiver has decided on. Numbers of -1
+  # A turn for the owner of its program, with what was decided on where it came in. Numbers of -1
   # mean that the caller did not say.
   relayId @0 :Int64;
   callId @1 :Text;
@@ -80,8 +80,9 @@
   mostTokens @11 :Int64;
   programLeftMs @12 :Int64;
   configurationVersion @13 :Int64;
-  routeName @14 :Text;
-  pathPrefix @15 :Text;
+  # Of earlier versions, neither written nor read: objectiveMs and those that say obsolete.
+  obsolete14 @14 :Text;
+  obsolete15 @15 :Text;
   kind @16 :Text;
   timeoutMs @17 :Int64;
   objectiveMs @18 :Int64;  # Of earlier versions; neither written nor read.
@@ -90,10 +91,10 @@
   keepsHistory @21 :Bool;
   retentionMs @22 :Int64;
   service @23 :Text;
-  maxConnections @24 :Int64;
+  obsolete24 @24 :Int64;
   tokensPerEvent @25 :Int64;
-  residentTokens @26 :Int64;
-  maxPinMs @27 :Int64;
+  obsolete26 @26 :Int64;
+  obsolete27 @27 :Int64;
   patienceMs @28 :Int64;  # 0 from earlier versions.
   account @29 :Text;
 }
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/test_routes.py
@@ -22,7 +22,7 @@
 
 
 def _configuration(version: int, *routes: Route) -> Configuration:
-    services = {name: Service(name, 10, 0, 0, 0) for name in ("s", "t")}
+    services = {name: Service(name, 0) for name in ("s", "t")}
     return Configuration(version, routes, services, CallerLimits())
 
 
