Hosts that are cut off don't act as homes of accounts

Change: only daemons that hear half of all or more have an acting home; the others let their part through, of accounts that were not pressed. Test: a daemon without its peers serves one call of five and refuses the others as not run.

--- a/src/quincespool/gateway/account_limits.py
+++ b/src/quincespool/gateway/account_limits.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import NamedTuple
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
@@ -67,6 +68,12 @@
     NOT_HOME = "not_home"
 
 
+class _Here(NamedTuple):
+    """This daemon is the home, for a term as `LimitsHome.ask` has it."""
+
+    term: int
+
+
 class AccountLimits:
     """Both sides of accounts' limits at one daemon."""
 
@@ -155,10 +162,10 @@
         account = self._routes.account(decision.account)
         if account is None or not account.rate_per_s:
             return
-        home, _ = self._home_of(account.name)
-        if home is None:
+        home = self._home_of(account.name)
+        if isinstance(home, _Here):
             self._home.give_back(account.name, self._allowance(account))
-        else:
+        elif home is not None:
             start_kept(self._return_to(home, account.name), self._returning)
 
     def on_message(self, link: Link, message: Any) -> None:
@@ -187,9 +194,11 @@
     async def _ask(self, account: Account, ask: Ask) -> Verdict | None:
         """Returns what the account's home says, None if there is no answer."""
         for _ in range(MAX_HOMES):
-            home, term = self._home_of(account.name)
+            home = self._home_of(account.name)
             if home is None:
-                return self._decide(account, ask, term)
+                return None
+            if isinstance(home, _Here):
+                return self._decide(account, ask, home.term)
             answer = await self._ask_at(home, account.name, ask)
             if answer is None:
                 return None
@@ -223,11 +232,11 @@
 
     def _answer(self, question: PermitQuestion) -> PermitAnswer:
         account = self._routes.account(question.account)
-        home, term = self._home_of(question.account)
-        if home is not None or account is None:
+        home = self._home_of(question.account)
+        if account is None or not isinstance(home, _Here):
             return PermitAnswer(question.permit_id, PermitOutcome.NOT_HOME, 0, False)
         ask = Ask(question.program_id, question.may_begin)
-        verdict = self._decide(account, ask, term)
+        verdict = self._decide(account, ask, home.term)
         if isinstance(verdict, Denial):
             after_ms = verdict.retry_after_ms
             return PermitAnswer(question.permit_id, PermitOutcome.DENIED, after_ms, True)
@@ -241,22 +250,31 @@
         allowance = self._allowance(account)
         return self._home.ask(account.name, ask, allowance, term=term, now_ms=now_ms())
 
-    def _home_of(self, name: str) -> tuple[Daemon | None, int]:
-        """Returns an account's home, None if it is here, and the term for which it is."""
+    def _home_of(self, name: str) -> Daemon | _Here | None:
+        """Returns an account's home, None if there is none to be had."""
         partition = partition_of(f"account {name}", self._partitions)
         owned = self._ownership.serving(partition)
         if owned is not None:
-            return None, owned.epoch
+            return _Here(owned.epoch)
         owner = self._members.owner(partition, now_ms())
         if owner is not None and owner[0].member_id != self._member_id:
-            return owner[0], 0
-        # Without an owner all agree on the one whose hash with the name is the highest.
+            return owner[0]
+        return self._acting_home(name)
+
+    def _acting_home(self, name: str) -> Daemon | _Here | None:
+        """Returns the home of an account whose partition has no owner that lives.
+
+        Among those that hear half of all daemons or more, all agree on the one whose hash with the
+        name is the highest. Hosts that are cut off from the others, each for itself or a few
+        together, have none: each would give out the whole rate.
+        """
         alive = [one for one in self._members.others if self._members.serves(one, now_ms())]
+        if 2 * (len(alive) + 1) < len(self._members.entries):
+            return None
         best = max(alive, key=lambda one: _rendezvous(name, one.member_id), default=None)
-        acting_term = -1 - now_ms() // ACTING_TERM_MS
         if best is None or _rendezvous(name, self._member_id) > _rendezvous(name, best.member_id):
-            return None, acting_term
-        return best, 0
+            return _Here(-1 - now_ms() // ACTING_TERM_MS)
+        return best
 
     def _goes_unanswered(self, account: Account) -> bool:
         daemons = len(self._members.entries)
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 from typing import Protocol
 
 from quincespool.gateway.attempt import Attempt
@@ -36,7 +37,6 @@
     from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Refusal
-    from quincespool.gateway.model import Turn
     from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.partition import OwnedPartition
     from quincespool.gateway.reply import Reply
@@ -85,6 +85,20 @@
         """See above."""
 
 
+class TurnServices(NamedTuple):
+    """What turns share.
+
+    Attributes:
+      attempts: What their attempts at engines share.
+      settle_elsewhere: Has a record kept by the partition's next owner.
+      store_reachable: Whether the store answers this daemon.
+    """
+
+    attempts: Services
+    settle_elsewhere: SettleElsewhere
+    store_reachable: Callable[[], bool]
+
+
 class TurnRun:
     """One turn under way.
 
@@ -94,22 +108,21 @@
 
     def __init__(
         self,
-        services: Services,
+        services: TurnServices,
         call: Call,
-        turn: Turn,
         terms: TurnTerms,
         owned: OwnedPartition,
         *,
         reply: Reply,
         until_ms: int,
         engine: BackendLife | None,
-        settle_elsewhere: SettleElsewhere,
-        store_reachable: Callable[[], bool],
     ) -> None:
+        turn = call.turn
+        assert turn is not None
         self.engine = engine
-        self._settle_elsewhere = settle_elsewhere
-        self._store_reachable = store_reachable
-        self._services = services
+        self._settle_elsewhere = services.settle_elsewhere
+        self._store_reachable = services.store_reachable
+        self._services = services.attempts
         self._call = call
         self._turn = turn
         self._terms = terms
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -14,6 +14,7 @@
 from quincespool.gateway.store import StoreError
 from quincespool.gateway.turn_run import BrokenTurnError
 from quincespool.gateway.turn_run import TurnRun
+from quincespool.gateway.turn_run import TurnServices
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,7 +57,7 @@
         self._services = services
         self._finder = finder
         self._store_reachable = store_reachable
-        self._settle_elsewhere = settle_elsewhere
+        self._run_services = TurnServices(services, settle_elsewhere, store_reachable)
         self._last_engine: dict[str, BackendLife] = {}
 
     async def run(
@@ -84,16 +85,13 @@
             reply.refuse(refusal)
             return
         run = TurnRun(
-            self._services,
+            self._run_services,
             call,
-            turn,
             terms,
             owned,
             reply=reply,
             until_ms=until_ms,
             engine=self._last_engine.get(turn.program_id),
-            settle_elsewhere=self._settle_elsewhere,
-            store_reachable=self._store_reachable,
         )
         try:
             async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
--- a/tests/gateway/test_account_limits.py
+++ b/tests/gateway/test_account_limits.py
@@ -7,6 +7,8 @@
 
 from quincespool.gateway.account_limits import ANSWER_LIMIT_MS
 from quincespool.gateway.account_limits import MUTE_MS
+from quincespool.gateway.account_limits import _Here
+from quincespool.gateway.model import Daemon
 from quincespool.limits.home import FIRST_CALLS
 from tests.gateway.gateway_cluster import GatewayCluster
 
@@ -35,7 +37,9 @@
 def _home(cluster: GatewayCluster) -> str:
     """Returns the daemon that is the home of the limited account."""
     return next(
-        name for name in cluster.nodes if _limits(cluster, name)._home_of("north")[0] is None
+        name
+        for name in cluster.nodes
+        if isinstance(_limits(cluster, name)._home_of("north"), _Here)
     )
 
 
@@ -47,6 +51,11 @@
     ]
 
 
+def _gone(member_id: str) -> Daemon:
+    """Returns the entry of a daemon that is not there."""
+    return Daemon(member_id, 1, "z", "127.0.0.1:9", "127.0.0.1:9")
+
+
 def _served(replies: list[Reply]) -> int:
     return sum(reply.status == 200 for reply in replies)
 
@@ -130,6 +139,28 @@
         assert took_ms < MUTE_MS + ANSWER_LIMIT_MS
 
 
+async def test_hosts_that_are_cut_off_give_out_a_part_only() -> None:
+    """Symptom: an account passes its limit while some hosts are cut off from the others.
+
+    Events: hosts hear nobody any more, but callers and backend servers reach them.
+    Cause: each one acted as the home of all accounts, with a whole rate to give out.
+    """
+    async with GatewayCluster(3) as cluster:
+        await _configure(cluster, 2, rate_per_s=0.1)
+        cut_off = cluster.nodes["a"].daemon
+        for one in list(cut_off._ownership.owned.values()):
+            one.lose("test")
+        cut_off._ownership._wanted = False
+        for peer in ("b", "c"):
+            cut_off._members.remove(peer)
+            cut_off._members.put(_gone(peer), -1_000_000)
+        assert _limits(cluster, "a")._home_of("north") is None
+        # One, and the daemon's part of the rate.
+        replies = await _calls(cluster, "a", 5)
+        assert _served(replies) == 1
+        assert {reply.status for reply in replies} == {200, 503}
+
+
 async def test_a_limit_that_is_lowered_holds_at_once() -> None:
     async with GatewayCluster() as cluster:
         await _configure(cluster, 2, rate_per_s=1_000)
