Only calls that a home has counted are given back to it

Cause (read): a call let through while its account's home did not answer, and then refused by full backend servers, was given back to the home all the same: a place too many. Change: what admits a call says whether it was counted. Test: a home that does not answer hears questions only.

--- a/src/quincespool/gateway/account_limits.py
+++ b/src/quincespool/gateway/account_limits.py
@@ -92,6 +92,18 @@
     overage_share: float
 
 
+class Permit(NamedTuple):
+    """Whether a call may run.
+
+    Attributes:
+      refusal: Its final answer if it may not.
+      is_counted: Whether the account's home has counted it.
+    """
+
+    refusal: Refusal | None
+    is_counted: bool
+
+
 class AccountLimits:
     """Both sides of accounts' limits at one daemon."""
 
@@ -137,11 +149,11 @@
         self._mute_until_ms: dict[str, int] = {}
         self._returning: set[asyncio.Task[None]] = set()
 
-    async def admit(self, call: Call, decision: Decision, *, until_ms: int) -> Refusal | None:
-        """Returns None once the call may run, else its refusal."""
+    async def admit(self, call: Call, decision: Decision, *, until_ms: int) -> Permit:
+        """Returns once the call may run, or is refused."""
         account = self._routes.account(decision.account)
         if account is None or not account.rate_per_s:
-            return None
+            return Permit(None, is_counted=False)
         began_ms = now_ms()
         may_begin = call.turn is not None and not call.turn.previous_id
         ask = Ask(call.program_id, decision.route.name, may_begin)
@@ -175,10 +187,10 @@
                 burst=account.burst,
                 configuration_version=self._routes.version,
             )
-        return refusal
+        return Permit(refusal, is_counted=isinstance(verdict, Grant))
 
     def give_back(self, decision: Decision) -> None:
-        """Takes back a call that was let through and has reached no backend server."""
+        """Takes back a call that its account's home has counted and no backend server has run."""
         account = self._routes.account(decision.account)
         if account is None or not account.rate_per_s:
             return
--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/front.py
@@ -84,9 +84,9 @@
             reply.refuse(not_run("crashes_backends"))
             return ""
         until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
-        refusal = await self._limits.admit(call, decision, until_ms=until_ms)
-        if refusal is not None:
-            reply.refuse(refusal)
+        permit = await self._limits.admit(call, decision, until_ms=until_ms)
+        if permit.refusal is not None:
+            reply.refuse(permit.refusal)
             return ""
         try:
             if decision.route.kind is CallKind.STREAMING:
@@ -94,7 +94,7 @@
             reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
             return ""
         finally:
-            if reply.verdict is Verdict.NOT_RUN:
+            if permit.is_counted and reply.verdict is Verdict.NOT_RUN:
                 self._limits.give_back(decision)
 
     def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
--- a/tests/gateway/test_account_limits.py
+++ b/tests/gateway/test_account_limits.py
@@ -7,6 +7,7 @@
 
 from quincespool.gateway.account_limits import ANSWER_LIMIT_MS
 from quincespool.gateway.account_limits import MUTE_MS
+from quincespool.gateway.messages import PermitQuestion
 from quincespool.gateway.model import Daemon
 from quincespool.limits.home import FIRST_CALLS
 from quincespool.limits.home import Term
@@ -143,6 +144,25 @@
         assert took_ms < MUTE_MS + ANSWER_LIMIT_MS
 
 
+async def test_only_a_call_that_was_counted_is_given_back() -> None:
+    """Symptom: an account gets more than its limit around a freeze of its home.
+
+    Events: the home does not answer; calls go through without it and are refused by full backend
+    servers; the home wakes.
+    Cause: what it had never counted was given back to it.
+    """
+    async with GatewayCluster(2) as cluster:
+        await _configure(cluster, 2, rate_per_s=100)
+        cluster.engines["s1"].knobs.full = True
+        home = _home(cluster)
+        heard: list[object] = []
+        frozen = _limits(cluster, home)
+        frozen.on_message = lambda *args: heard.append(args[1])  # type: ignore[method-assign]
+        await _calls(cluster, "b" if home == "a" else "a", 3)
+        await asyncio.sleep(0.1)
+        assert [type(message) for message in heard] == [PermitQuestion]
+
+
 async def test_hosts_that_are_cut_off_give_out_a_part_only() -> None:
     """Symptom: an account passes its limit while some hosts are cut off from the others.
 
