--- a/src/quincespool/gateway/backends.py
+++ b/src/quincespool/gateway/backends.py
@@ -10,7 +10,6 @@
 from quincespool.policy.outliers import SharedFailures
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
-from quincespool.policy.placement import place_of_object
 from quincespool.policy.recent_reports import RecentReports
 from quincespool.policy.service_times import BackendLatencies
 from quincespool.policy.service_times import ServiceTimes
@@ -200,7 +199,6 @@
         now_ms: int,
         exclude: frozenset[str] = frozenset(),
         prefer: BackendLife | None = None,
-        object_key: str = "",
         connected: frozenset[str] = frozenset(),
     ) -> BackendEntry | None:
         """Returns the backend server to send a call to, None if there is none.
@@ -210,8 +208,6 @@
           now_ms: Steady clock.
           exclude: Those that this call was sent to already.
           prefer: The one that holds what the call would have to read again.
-          object_key: Calls with the same one go to the same backend server while it has room; empty
-            if that does not matter.
           connected: Those to which a kept connection is idle.
         """
         candidates = [
@@ -224,14 +220,10 @@
         sound = [e for e in candidates if not self._is_ejected(e.backend_id, now_ms)]
         if len(sound) < len(candidates) * (1 - MAX_EJECTED_SHARE):
             sound = candidates
-        preferred_id = ""
-        if object_key:
-            preferred_id = place_of_object(object_key, [entry.backend_id for entry in sound])
-        elif prefer is not None and self._living(prefer) is not None:
-            preferred_id = prefer.backend_id
+        holds_cache = prefer is not None and self._living(prefer) is not None
         chosen_id = place(
             [self._candidate(entry, now_ms, connected) for entry in sound],
-            preferred_id=preferred_id,
+            preferred_id=prefer.backend_id if prefer is not None and holds_cache else "",
             rng=self._random,
         )
         return self.entries[chosen_id]
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/plain.py
@@ -56,7 +56,6 @@
                 decision.service.name,
                 now_ms=now_ms(),
                 exclude=frozenset(tried),
-                object_key=call.object_key if decision.route.is_sticky else "",
                 connected=self._services.pool.connected(),
             )
             if entry is None or now_ms() >= until_ms:
--- a/src/quincespool/policy/placement.py
+++ b/src/quincespool/policy/placement.py
@@ -13,8 +13,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.stable_hash import stable_hash
-
 if TYPE_CHECKING:
     import random
     from collections.abc import Sequence
@@ -73,16 +71,6 @@
     return best.backend_id
 
 
-def place_of_object(object_key: str, backend_ids: Sequence[str]) -> str:
-    """Returns the backend server that handles an object, the same at all daemons.
-
-    Each pair has a hash, and the highest one wins: a backend server that comes or goes moves only
-    its own objects. `place` leaves it out while it is busier than others, so that an object that
-    many ask for spreads.
-    """
-    return max(backend_ids, key=lambda backend_id: stable_hash(f"{object_key} {backend_id}"))
-
-
 def _cost(candidate: Candidate, rng: random.Random) -> float:
     far = 0.0 if candidate.is_near else OTHER_ZONE_LOAD
     connect = 0.0 if candidate.is_connected else CONNECT_LOAD
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections import Counter
 
 import pytest
 
 from quincespool.policy.placement import AFFINITY_SLACK
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
-from quincespool.policy.placement import place_of_object
 from tests.policy.fleet import Fleet
 from tests.policy.fleet import Load
 
@@ -90,15 +88,3 @@
 
     candidates = [_candidate("kept", 1 / 6), _candidate("e1", connected=False)]
     assert place(candidates, preferred_id="", rng=rng) == "e1"
-
-
-def test_an_object_has_the_same_place_everywhere_and_keeps_it() -> None:
-    """Only the objects of a backend server that goes move, and they spread over the others."""
-    ids = [f"i-{number}" for number in range(6)]
-    places = {str(key): place_of_object(str(key), ids) for key in range(600)}
-    left = {key: place_of_object(key, list(reversed(ids[1:]))) for key in places}
-
-    assert all(left[key] == at for key, at in places.items() if at != "i-0")
-    moved = [left[key] for key, at in places.items() if at == "i-0"]
-    assert set(moved) == set(ids[1:])
-    assert max(Counter(places.values()).values()) < 150
