--- a/src/quincespool/limits/order.py
+++ b/src/quincespool/limits/order.py
@@ -24,7 +24,7 @@
 # Weight of the newest program in what is usual for the account: about the last ten count.
 NEWEST_WEIGHT = 0.1
 # A program longer than usual still has calls to make; this many are kept for it.
-LEAST_REST_CALLS = 2.0
+LEAST_REST_CALLS = 4.0
 # Programs that are remembered for one account, the longest quiet given up first.
 MAX_PROGRAMS = 4_096
 # Kinds of programs of which it is remembered what is usual.
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -54,8 +54,6 @@
     # Longest pause between events with which a stream is in time.
     target_gap_ms: float = 0
     public: bool = False
-    # Calls that name the same object are best handled by the same backend server.
-    sticky_sessions: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -196,7 +194,6 @@
         keeps_history=route.retain_context,
         retention_ms=int(route.retention_s * 1000),
         is_public=route.public,
-        is_sticky=route.sticky_sessions,
     )
 
 
--- a/src/quincespool/platform/requests.py
+++ b/src/quincespool/platform/requests.py
@@ -56,7 +56,6 @@
 )
 # Of two such lines the backend server might heed the one that was not read here.
 _READ_ONCE = (
-    "affinity-key",
     "credential",
     "deadline-ms",
     "host",
@@ -104,7 +103,6 @@
             turn=turn.ok,
             program_id=program_id,
             key_digest=digest_key(headers["credential"]) if "credential" in headers else "",
-            object_key=headers.get("affinity-key", ""),
         )
     )
 
