Questions and answers on permits are written and read in one place; what homes have told has its own name

No change in what is decided, but one: an acting home takes its term to begin with the account's first call in it, not with each call anew, so that what others were told is heeded in the first window only.

--- a/src/quincespool/gateway/account_limits.py
+++ b/src/quincespool/gateway/account_limits.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import itertools
-from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -19,18 +18,21 @@
 from quincespool.gateway.messages import PermitAnswer
 from quincespool.gateway.messages import PermitQuestion
 from quincespool.gateway.messages import PermitReturn
-from quincespool.gateway.messages import read_optional
-from quincespool.gateway.messages import write_optional
 from quincespool.gateway.model import not_run
 from quincespool.gateway.ownership import partition_of
+from quincespool.gateway.permit_codec import read_question
+from quincespool.gateway.permit_codec import read_verdict
+from quincespool.gateway.permit_codec import write_not_home
+from quincespool.gateway.permit_codec import write_question
+from quincespool.gateway.permit_codec import write_verdict
 from quincespool.limits.bucket import Allowance
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
 from quincespool.limits.home import LimitsHome
 from quincespool.limits.home import Term
+from quincespool.limits.home_answers import HomeAnswers
 from quincespool.limits.order import make_programs_first
-from quincespool.limits.unanswered import UnansweredCalls
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
@@ -70,14 +72,6 @@
 NO_HOME_RETRY_MS = 400
 
 
-class PermitOutcome(StrEnum):
-    """What a home answers."""
-
-    GRANTED = "granted"
-    DENIED = "denied"
-    NOT_HOME = "not_home"
-
-
 class LimitTerms(NamedTuple):
     """How operators look at limits.
 
@@ -143,7 +137,7 @@
         self._metrics = metrics
         self._terms = terms
         self._home = LimitsHome(make_programs_first, window_ms=terms.window_ms)
-        self._unanswered = UnansweredCalls(window_ms=terms.window_ms)
+        self._answers = HomeAnswers(window_ms=terms.window_ms)
         self._ids = itertools.count(1)
         self._pending: dict[int, tuple[Link, asyncio.Future[PermitAnswer]]] = {}
         self._mute_until_ms: dict[str, int] = {}
@@ -230,20 +224,19 @@
             if home is None:
                 return None
             home_id = self._member_id if isinstance(home, Term) else home.member_id
-            told_calls = self._unanswered.told_calls(account.name, home_id, now_ms())
+            told_calls = self._answers.told_calls(account.name, home_id, now_ms())
             ask = ask._replace(told_calls=told_calls)
             if isinstance(home, Term):
                 verdict = self._decide(account, ask, home)
-                self._unanswered.note(account.name, verdict, home_id, now_ms())
+                self._answers.note(account.name, verdict, home_id, now_ms())
                 return verdict
             answer = await self._ask_at(home, account.name, ask)
             if answer is None:
                 return None
-            if answer.outcome == PermitOutcome.NOT_HOME:
-                continue
-            verdict = _read_verdict(answer)
-            self._unanswered.note(account.name, verdict, home_id, now_ms())
-            return verdict
+            told = read_verdict(answer)
+            if told is not None:
+                self._answers.note(account.name, told, home_id, now_ms())
+                return told
         return None
 
     async def _ask_at(self, home: Daemon, name: str, ask: Ask) -> PermitAnswer | None:
@@ -255,10 +248,10 @@
                 link = await self._links.get(home.peer_address)
                 if link is None:
                     self._members.suspect(home.member_id)
-                    return _not_home(permit_id)
+                    return write_not_home(permit_id)
                 answer: asyncio.Future[PermitAnswer] = asyncio.get_running_loop().create_future()
                 self._pending[permit_id] = link, answer
-                link.send(_write_question(permit_id, name, ask))
+                link.send(write_question(permit_id, name, ask))
                 await asyncio.wait({answer})
                 return None if answer.cancelled() else answer.result()
         except TimeoutError:
@@ -271,24 +264,9 @@
         account = self._routes.account(question.account)
         home = self._home_of(question.account)
         if account is None or not isinstance(home, Term):
-            return _not_home(question.permit_id)
-        ask = Ask(
-            question.program_id,
-            question.kind,
-            question.may_begin,
-            read_optional(question.told_calls),
-        )
-        verdict = self._decide(account, ask, home)
-        if isinstance(verdict, Denial):
-            after_ms = verdict.retry_after_ms
-            return PermitAnswer(question.permit_id, PermitOutcome.DENIED, after_ms, True, 0)
-        return PermitAnswer(
-            question.permit_id,
-            PermitOutcome.GRANTED,
-            verdict.wait_ms,
-            verdict.is_pressed,
-            verdict.left_calls,
-        )
+            return write_not_home(question.permit_id)
+        verdict = self._decide(account, read_question(question), home)
+        return write_verdict(question.permit_id, verdict)
 
     def _decide(self, account: Account, ask: Ask, term: Term) -> Verdict:
         if not account.rate_per_s:
@@ -324,7 +302,7 @@
 
     def _goes_unanswered(self, account: Account) -> bool:
         daemons = len(self._members.entries)
-        return self._unanswered.lets_through(
+        return self._answers.lets_through(
             account.name, account.rate_per_s, daemons=daemons, now_ms=now_ms()
         )
 
@@ -340,21 +318,6 @@
             link.send(PermitReturn(name))
 
 
-def _not_home(permit_id: int) -> PermitAnswer:
-    return PermitAnswer(permit_id, PermitOutcome.NOT_HOME, 0, False, 0)
-
-
-def _write_question(permit_id: int, name: str, ask: Ask) -> PermitQuestion:
-    return PermitQuestion(
-        permit_id=permit_id,
-        account=name,
-        program_id=ask.program_id,
-        may_begin=ask.may_begin,
-        kind=ask.kind,
-        told_calls=write_optional(ask.told_calls),
-    )
-
-
 def _outcome(verdict: Verdict | None, refusal: Refusal | None) -> str:
     if refusal is not None:
         return refusal.reason
@@ -363,11 +326,5 @@
     return "waited" if isinstance(verdict, Grant) and verdict.wait_ms else "granted"
 
 
-def _read_verdict(answer: PermitAnswer) -> Verdict:
-    if answer.outcome == PermitOutcome.GRANTED:
-        return Grant(answer.after_ms, answer.left_calls, answer.is_pressed)
-    return Denial(answer.after_ms)
-
-
 def _rendezvous(name: str, member_id: str) -> int:
     return stable_hash(f"{name} {member_id}")
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -195,7 +195,7 @@
     """Whether the call may run.
 
     Attributes:
-      outcome: As in `PermitOutcome`.
+      outcome: As in `permit_codec.PermitOutcome`.
       after_ms: Of a call that may run, how long it waits first; of one that may not, when a place
         is free.
       is_pressed: Whether the account has used most of what it may.
--- a/src/quincespool/limits/home.py
+++ b/src/quincespool/limits/home.py
@@ -132,7 +132,7 @@
           now_ms: Steady clock.
         """
         account = self._open(name, allowance, term=term, now_ms=now_ms)
-        if ask.told_calls is not None and self._is_early(term, now_ms):
+        if ask.told_calls is not None and self._is_early(account.term, now_ms):
             account = _told(account, ask.told_calls, allowance)
             self._accounts[name] = account
         bucket, order = account.bucket, account.order
@@ -177,7 +177,7 @@
             known = self._begin_term(known, allowance, term=term, now_ms=now_ms)
         whole = known.whole.refilled(allowance, now_ms)
         bucket = known.bucket.refilled(allowance, now_ms)
-        if not self._is_early(term, now_ms):
+        if not self._is_early(known.term, now_ms):
             # What others have let through before the term is no longer in any window.
             bucket = whole
         account = known._replace(bucket=bucket, whole=whole)
--- a/src/quincespool/limits/unanswered.py
+++ b/src/quincespool/limits/home_answers.py
@@ -23,10 +23,21 @@
 # What one daemon lets through at once. Calls of an account come to all daemons alike, so that most
 # of them need no more within a second.
 CAPACITY_CALLS = 1.0
+# Accounts that one daemon remembers, those told of last; more than the largest plan has.
 MAX_ACCOUNTS = 5_000
 
 
 class _Known(NamedTuple):
+    """What is known of one account.
+
+    Attributes:
+      bucket: What this daemon may still let through without an answer.
+      pressed_ms: When a home said last that the account is pressed; None if it has said otherwise.
+      left_calls: What the account had left when a home told last.
+      home_id: Which one told.
+      told_ms: When; None if none has.
+    """
+
     bucket: Bucket
     pressed_ms: int | None = None
     left_calls: int = 0
@@ -34,8 +45,8 @@
     told_ms: int | None = None
 
 
-class UnansweredCalls:
-    """One daemon's part of each account's rate, for the time without a home."""
+class HomeAnswers:
+    """What homes have told one daemon, and its part of each account's rate while none answers."""
 
     def __init__(self, *, window_ms: int) -> None:
         self._window_ms = window_ms
