Owners tell a store that turns them away from appends that are not answered

Cause (read): a turn refused by an owner whose partition alone is stalled was taken by the daemon that has the caller for one whose owner is turned away, and waited half a second for a next owner that does not come.

--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -32,7 +32,7 @@
 from quincespool.gateway.relay_codec import write_headers
 from quincespool.gateway.relay_codec import write_relay
 from quincespool.gateway.store import Partition
-from quincespool.gateway.turns import STORE_AWAY
+from quincespool.gateway.turn_run import STORE_AWAY
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turn_run.py
@@ -61,6 +61,7 @@
 PATIENCE_MARGIN_MS = 200
 # What callers wait for at the least, if a daemon of an earlier version does not tell.
 LEAST_PATIENCE_MS = 2_000
+STORE_AWAY = "store_away"
 
 _settling: set[asyncio.Task[None]] = set()
 
@@ -305,7 +306,7 @@
             program_id, most_tokens = self._turn.program_id, self._turn.most_tokens
             if not self._owned.uncertain.hand_out(program_id, tokens, most_tokens):
                 if self._owned.stalled or not self._store_reachable():
-                    raise BrokenTurnError(may_have_run("store_away"))
+                    raise BrokenTurnError(may_have_run(STORE_AWAY))
                 self._owned.flush()
                 await self._durable_start()
         self._handed_out += events
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns.py
@@ -12,6 +12,7 @@
 from quincespool.gateway.model import not_run
 from quincespool.gateway.partition import LostPartitionError
 from quincespool.gateway.store import StoreError
+from quincespool.gateway.turn_run import STORE_AWAY
 from quincespool.gateway.turn_run import BrokenTurnError
 from quincespool.gateway.turn_run import TurnRun
 from quincespool.gateway.turn_run import TurnServices
@@ -39,7 +40,7 @@
 # that has waited already has its turn run, and its end kept if the store is back in time. On days
 # with an outage of seven seconds that brought the part served from 0.82 to 0.85.
 PATIENT_SHARE = 0.8
-STORE_AWAY = "store_away"
+PARTITION_STALLED = "partition_stalled"
 REFUSED_STATUS = 503
 NO_SUCH_TURN_STATUS = 404
 
@@ -146,10 +147,13 @@
     def _admit(
         self, call: Call, turn: Turn, owned: OwnedPartition, *, is_patient: bool
     ) -> Refusal | None:
-        away = owned.stalled or not self._store_reachable()
+        reachable = self._store_reachable()
         may_begin = owned.uncertain.may_begin(turn.program_id, turn.most_tokens)
-        if away and (is_patient or not may_begin):
-            return not_run(STORE_AWAY, retry_after_ms=STALLED_RETRY_MS)
+        if (owned.stalled or not reachable) and (is_patient or not may_begin):
+            # Another daemon, which the store may serve, is told apart whether this one is turned
+            # away, and loses the partition soon, or only its appends are not answered.
+            reason = PARTITION_STALLED if reachable else STORE_AWAY
+            return not_run(reason, retry_after_ms=STALLED_RETRY_MS)
         admission = owned.ledger.admit(
             program_id=turn.program_id,
             previous_id=turn.previous_id,
