A turn that may have run goes to no other owner

Cause: since the daemon that has the caller takes a refusal for want of the store as 'ask the next owner', by its reason; an owner that breaks a turn off, because what nothing lasts of is bounded, gives the same reason, and that turn has run. Ruled out: a relay sent twice over a lost link (the second owner got it 27 ms after the first run's end, once), the limits (decided once, before the relay). Change: only a refusal that says 'not run' is taken so. The new test fails before: 503 with 'not run' in place of 502, which would have been false besides.

--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/relay.py
@@ -148,7 +148,7 @@
                 refusal = await self._hand_over(owner[0], call, terms, reply, until_ms)
                 if refusal is None:
                     return owner[0].member_id
-                if refusal.reason == STORE_AWAY and self._store_reachable():
+                if _is_turned_away(refusal) and self._store_reachable():
                     # The store serves this daemon and turns that owner away: another one has the
                     # partition when the lease has run out, sooner than the store's return that
                     # the refusal speaks of.
@@ -300,6 +300,14 @@
         link.send(TurnSettled(message.settle_id, outcome.value))
 
 
+def _is_turned_away(refusal: Refusal) -> bool:
+    """Whether an owner has refused a turn, unrun, for want of the store.
+
+    One that it has broken off, for the same reason, may have run, and goes to no other owner.
+    """
+    return refusal.reason == STORE_AWAY and refusal.verdict is Verdict.NOT_RUN
+
+
 def _write_settle(
     settle_id: int, partition: Partition, record: Record, budget_tokens: int | None
 ) -> SettleTurn:
--- a/tests/gateway/test_programs.py
+++ b/tests/gateway/test_programs.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+from typing import TYPE_CHECKING
 
 import pytest
 
+from quincespool.gateway.model import may_have_run
+from quincespool.gateway.turn_run import STORE_AWAY
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import TOKENS_PER_EVENT
 
+if TYPE_CHECKING:
+    from quincespool.gateway.model import Refusal
+
 
 async def test_a_turn_is_continued_at_another_daemon() -> None:
     async with GatewayCluster() as cluster:
@@ -129,6 +136,32 @@
                 await asyncio.sleep(float(reply.headers["retry-after"]))
 
 
+async def test_a_turn_that_may_have_run_is_not_handed_to_the_next_owner() -> None:
+    """Symptom: an engine runs a turn a second time, after another one's run of it was cut.
+
+    Events: the store turns the owner away while it hands out a turn's events; it breaks the turn
+    off, for the bound on what nothing lasts of; another daemon becomes the owner.
+    Cause: the daemon that has the caller went by the refusal's reason, which is the same whether
+    the turn has run or not, and handed the turn to the new owner.
+    """
+    async with GatewayCluster() as cluster:
+        program = next(f"p{n}" for n in range(100) if _owns(cluster, "a", f"p{n}"))
+        relay = cluster.nodes["b"].daemon._parts.relay
+        handed_over: list[object] = []
+        owner = cluster.nodes["b"].daemon._members.entries["a"]
+
+        async def broken_off(*args: object) -> Refusal:
+            handed_over.append(args)
+            return may_have_run(STORE_AWAY)
+
+        relay._hand_over = broken_off  # type: ignore[method-assign, assignment]
+        epochs = itertools.count(1)
+        relay._members.owner = lambda *_: (owner, next(epochs))  # type: ignore[method-assign]
+        _, reply = await cluster.turn("b", program)
+        assert reply.status == 502
+        assert len(handed_over) == 1
+
+
 async def test_a_turn_is_refused_as_not_run_while_the_store_is_away() -> None:
     async with GatewayCluster() as cluster:
         for node in cluster.nodes.values():
