--- a/src/quincespool/gateway/configuration_copies.py
+++ b/src/quincespool/gateway/configuration_copies.py
@@ -102,8 +102,7 @@
         if isinstance(message, ConfigurationQuestion):
             configuration = self._routes.configuration
             if configuration is not None and configuration.version > message.version:
-                data = write_configuration_copy(configuration)
-                link.send(ConfigurationCopy(configuration.version, data))
+                link.send(ConfigurationCopy(write_configuration_copy(configuration)))
             return
         try:
             configuration = read_configuration_copy(message.data)
--- a/src/quincespool/gateway/messages.py
+++ b/src/quincespool/gateway/messages.py
@@ -163,13 +163,12 @@
 
 
 class ConfigurationCopy(NamedTuple):
-    """A whole configuration, with digests in place of keys.
+    """A whole configuration, with its version, and with digests in place of keys.
 
     Attributes:
-      data: As `configuration_copy` writes it.
+      data: As `configuration_copies.write_configuration_copy` returns it.
     """
 
-    version: int
     data: bytes
 
 
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -184,9 +184,8 @@
 }
 
 struct ConfigurationCopy {
-  # A whole configuration, with digests in place of keys.
-  version @0 :Int64;
-  data @1 :Data;
+  # A whole configuration, with its version, and with digests in place of keys.
+  data @0 :Data;
 }
 
 struct TurnFound {
