A gateway daemon runs on a loop in C, and wakes only for what is due

Cause: of a daemon's processor time about half went to the loop's wake-ups for small things. Two timers looked for silence 20 times a second each; each idle link was sent a message every four seconds, 30 a second in and out at 63 daemons, whatever had to be served.

Change: uvloop under asyncio (one loop, one thread, io_uring off by its variable before the import). Silence of daemons and backend servers is looked for when the next one is due. Links on which nothing is waited for are probed by the kernel after three seconds, which wakes no process; what is unanswered for 800 ms still ends the link.

Ruled out: fewer heartbeats (a claim that was lost would be repeated after 4 s in place of 1.8 s).

--- a/src/quincespool/cli/gateway.py
+++ b/src/quincespool/cli/gateway.py
@@ -36,7 +36,9 @@
     except SettingsError as error:
         raise usage_error(str(error)) from error
     # Imported here, so that the commands that only ask a daemon don't load the whole of it.
+    from quincespool.gateway.event_loop import make_event_loop  # noqa: PLC0415
     from quincespool.platform.serve import serve  # noqa: PLC0415
 
-    asyncio.run(serve(loaded, load_settings=load))
+    with asyncio.Runner(loop_factory=make_event_loop) as runner:
+        runner.run(serve(loaded, load_settings=load))
     return 0
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/links.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import time
 from typing import TYPE_CHECKING
 from typing import Any
@@ -28,10 +27,9 @@
 # the turns on it are given back while their callers still wait.
 UNACKNOWLEDGED_MS = 800
 PROBE_INTERVAL_S = 0.4
-# A link on which nothing is waited for is probed once in so many intervals: a daemon that is gone
-# shows by its heartbeats, and with 78 daemons probes on all links took more of the processor than
-# anything else that a daemon does when it has little to do.
-IDLE_PROBE_INTERVALS = 10
+# A link on which nothing is waited for is left to the kernel's probes, which wake no process: with
+# 63 daemons, messages on all links that nobody waits for wake each of them 30 times a second.
+IDLE_BEFORE_PROBES_S = 3
 MAX_UNSENT_BYTES = 8_000_000
 # A link that is lost sooner is made again only when it is needed: a peer that takes links and ends
 # them at once would be connected to without pause.
@@ -81,7 +79,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Limits how long silence goes unnoticed."""
         self._transport = cast("asyncio.Transport", transport)
-        limit_silence(self._transport, unacknowledged_ms=UNACKNOWLEDGED_MS)
+        limit_silence(
+            self._transport, unacknowledged_ms=UNACKNOWLEDGED_MS, idle_s=IDLE_BEFORE_PROBES_S
+        )
 
     def data_received(self, data: bytes) -> None:
         """Hands whole messages on."""
@@ -160,14 +160,13 @@
             return await self._connect(address)
 
     async def probe(self) -> None:
-        """Keeps sending a little on each link, so that the kernel notices one that went silent."""
-        for count in itertools.count():
+        """Keeps sending a little on links that are waited on, so that a silent one is noticed."""
+        while True:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            probe_idle = count % IDLE_PROBE_INTERVALS == 0
             for address, link in list(self._outgoing.items()):
                 if link.lost:
                     del self._outgoing[address]
-                elif link.waiting or probe_idle:
+                elif link.waiting:
                     link.send(LinkProbe(sent_ms=int(time.monotonic() * 1000)))
 
     def drop(self, address: str) -> None:
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members.py
@@ -126,12 +126,7 @@
         The others get their heartbeats too seldom to notice that soon. Those who are gone bear the
         incarnation that was heard, and count as silent from now on.
         """
-        heard_ms = {
-            name: self._seen[name].heard_ms
-            for name in self._watched
-            if name in self._seen and not self.is_draining(name)
-        }
-        verdict = self._silence.check(heard_ms, now_ms)
+        verdict = self._silence.check(self._watched_heard_ms(), now_ms)
         gone = [
             self.entries[name]._replace(incarnation=self._seen[name].beat.incarnation)
             for name in verdict.gone
@@ -140,6 +135,17 @@
             self.suspect(name)
         return [self.entries[name] for name in verdict.ask], gone
 
+    def silence_due_ms(self, now_ms: int) -> int:
+        """Returns for how long `judge_silence` has nothing to say, if nothing more is heard."""
+        return self._silence.due_ms(self._watched_heard_ms(), now_ms)
+
+    def _watched_heard_ms(self) -> dict[str, int]:
+        return {
+            name: self._seen[name].heard_ms
+            for name in self._watched
+            if name in self._seen and not self.is_draining(name)
+        }
+
     def watched_at(self, peer_address: str) -> Daemon | None:
         """Returns the daemon at an address, as heard, if this one watches it and it serves."""
         for name in self._watched:
--- a/src/quincespool/gateway/quiet_backends.py
+++ b/src/quincespool/gateway/quiet_backends.py
@@ -8,7 +8,9 @@
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.exchange import BackendConnection
 from quincespool.gateway.exchange import ConnectError
+from quincespool.policy.silence import QUIET_MS
 from quincespool.policy.silence import is_quiet_too_long
+from quincespool.policy.silence import quiet_due_ms
 
 if TYPE_CHECKING:
     from quincespool.gateway.attempt import Services
@@ -56,6 +58,17 @@
             self._services.backend_reports.report(entry, "quiet")
             self._spawn_try(entry, silent_s)
 
+    def due_ms(self) -> int:
+        """Returns for how long `check` has nothing to do, if nothing more comes."""
+        backends = self._services.backends
+        waits_ms = [
+            quiet_due_ms(silent_s * 1000, backends.latency_ms(backend_id))
+            for backend_id, silent_s in self._services.pool.silences_s().items()
+            if backend_id not in self._tries and backend_id not in self._not_before_s
+        ]
+        # A call that is sent meanwhile may be quiet for as long as the least of these.
+        return max(0, int(min(waits_ms, default=QUIET_MS)))
+
     def _spawn_try(self, entry: BackendEntry, silent_s: float) -> None:
         task = asyncio.get_running_loop().create_task(self._try(entry, silent_s))
         self._tries[entry.backend_id] = task
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -6,7 +6,9 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
+from quincespool.policy.silence import ASK_MS
 from quincespool.policy.silence import BEAT_MS
+from quincespool.policy.silence import QUIET_MS
 
 if TYPE_CHECKING:
     from quincespool.gateway.beliefs import Beliefs
@@ -18,7 +20,7 @@
     from quincespool.gateway.ticker import Ticker
     from quincespool.gateway.turns import TurnRunner
 
-# A small part of the time for which a peer may be silent.
+# Between two looks at a peer that is silent; a small part of the time for which it may be.
 SILENCE_CHECK_MS = 50
 UPKEEP_INTERVAL_MS = 250
 EXPIRY_INTERVAL_MS = 2_000
@@ -52,11 +54,18 @@
     def subscribe(self, ticker: Ticker) -> None:
         """Has the work done at its intervals."""
         ticker.every(lambda: BEAT_MS, self._presence.beat)
-        ticker.every(lambda: SILENCE_CHECK_MS, self._presence.judge_silence)
-        ticker.every(lambda: SILENCE_CHECK_MS, self._quiet_backends.check)
+        ticker.every(self._daemon_silence_ms, self._presence.judge_silence)
+        ticker.every(self._backend_silence_ms, self._quiet_backends.check)
         ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
         ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
 
+    def _daemon_silence_ms(self) -> int:
+        due_ms = self._members.silence_due_ms(now_ms())
+        return max(SILENCE_CHECK_MS, min(due_ms, ASK_MS))
+
+    def _backend_silence_ms(self) -> int:
+        return max(SILENCE_CHECK_MS, min(self._quiet_backends.due_ms(), QUIET_MS))
+
     def _keep_up(self) -> None:
         self._beliefs.expire()
         self._presence.follow_isolation()
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -10,17 +10,25 @@
     import asyncio
 
 
-def limit_silence(transport: asyncio.Transport, *, unacknowledged_ms: int = 0) -> None:
+# Without a word for so long, the kernel asks the other side whether it is there.
+DEFAULT_IDLE_S = 5
+
+
+def limit_silence(
+    transport: asyncio.Transport, *, unacknowledged_ms: int = 0, idle_s: int = DEFAULT_IDLE_S
+) -> None:
     """Breaks a connection whose other side says nothing more.
 
     A host that loses its power or its network does not close its connections. Without a limit the
     kernel waits for ever, or sends again for a quarter of an hour, and every call behind such a
-    connection hangs for as long. Probes find out within about 11 s.
+    connection hangs for as long. Probes find out within 6 s of being begun, and sooner if less than
+    that may stay unacknowledged.
 
     Args:
       transport: The connection.
       unacknowledged_ms: Also break it when what was sent is not acknowledged in this time; 0 leaves
         that to the kernel.
+      idle_s: Probe a connection on which nothing has passed for so long.
     """
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
@@ -28,7 +36,7 @@
     # An option that a kernel does not have is no reason not to connect.
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
         if unacknowledged_ms:
--- a/src/quincespool/policy/silence.py
+++ b/src/quincespool/policy/silence.py
@@ -69,6 +69,18 @@
                 verdict.gone.append(peer)
         return verdict
 
+    def due_ms(self, heard_ms: Mapping[str, int], now_ms: int) -> int:
+        """Returns for how long `check` has nothing to say, if nothing more is heard; not negative.
+
+        Answers idle hosts: checked at a fixed pace, silence takes more wake-ups than all callers.
+
+        Args:
+          heard_ms: When each watched peer was last heard, by the same clock.
+          now_ms: Steady clock.
+        """
+        last_ms = [at_ms for peer, at_ms in heard_ms.items() if peer not in self._gone]
+        return max(0, min(last_ms, default=now_ms) + ASK_MS - now_ms)
+
 
 # Events of a stream come every few tens of milliseconds, and an engine's streams don't all pause at
 # once; a whole answer takes about as long as the last ones.
@@ -87,4 +99,9 @@
       silent_ms: Since anything came on any of its connections.
       latency_ms: Its usual time to an answer's first byte, 0 if that is not known.
     """
-    return silent_ms >= QUIET_MS + QUIET_LATENCIES * max(0.0, latency_ms)
+    return quiet_due_ms(silent_ms, latency_ms) <= 0
+
+
+def quiet_due_ms(silent_ms: float, latency_ms: float) -> float:
+    """Returns for how much longer a backend server may say nothing; see `is_quiet_too_long`."""
+    return QUIET_MS + QUIET_LATENCIES * max(0.0, latency_ms) - silent_ms
--- a/tests/policy/test_silence.py
+++ b/tests/policy/test_silence.py
@@ -12,6 +12,7 @@
 from quincespool.policy.silence import SILENCE_MS
 from quincespool.policy.silence import SilenceWatch
 from quincespool.policy.silence import is_quiet_too_long
+from quincespool.policy.silence import quiet_due_ms
 
 CHECK_MS = 50
 # A lease runs for a second from its last renewal, which is a third of that ago at most.
@@ -81,3 +82,22 @@
     assert is_quiet_too_long(450, 60)
     assert not is_quiet_too_long(450, 100)
     assert is_quiet_too_long(10_000, -5.0)
+
+
+@given(heard_ms=st.lists(st.integers(0, 2_000), min_size=1, max_size=4))
+def test_no_silence_is_overlooked_between_two_checks(heard_ms: list[int]) -> None:
+    """A host that checks when something is due must find what one finds that checks always."""
+    heard = {str(number): at_ms for number, at_ms in enumerate(heard_ms)}
+    now_ms = max(heard_ms)
+    watch = SilenceWatch()
+    watch.check(heard, now_ms)
+    due_ms = watch.due_ms(heard, now_ms)
+    if due_ms:
+        assert watch.check(heard, now_ms + due_ms - 1) == ([], [])
+        assert watch.check(heard, now_ms + due_ms).ask
+
+
+def test_a_quiet_backend_server_is_looked_at_when_it_may_be_gone() -> None:
+    assert quiet_due_ms(0, 40) > 0
+    assert is_quiet_too_long(quiet_due_ms(0, 40), 40)
+    assert not is_quiet_too_long(quiet_due_ms(0, 40) - 1, 40)
