--- a/specs/turns.py
+++ b/specs/turns.py
@@ -5,7 +5,7 @@
 records, and serves. Earlier owners are not told: each may go on at any time, also after a long
 freeze, and an append whose answer was lost may be applied late.
 
-A turn generates one token at most. The records are those of `quincespool.gateway.ledger`.
+A turn generates one token at most. The records are those of `quincespool.gateway.turns.ledger`.
 
 With `defers`, an owner hands a token out while its turn's start is on the way, or not sent at all:
 of one turn at a time, and only if the program began at this owner and a record of it lasts. The
--- /dev/null
+++ b/src/quincespool/gateway/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts over all daemons."""
--- a/src/quincespool/gateway/account_limits.py
+++ b/src/quincespool/gateway/accounts/limits.py
@@ -13,18 +13,18 @@
 from typing import Any
 from typing import NamedTuple
 
+from quincespool.gateway.accounts.permit_codec import read_question
+from quincespool.gateway.accounts.permit_codec import read_verdict
+from quincespool.gateway.accounts.permit_codec import write_not_home
+from quincespool.gateway.accounts.permit_codec import write_question
+from quincespool.gateway.accounts.permit_codec import write_verdict
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.messages import PermitAnswer
-from quincespool.gateway.messages import PermitQuestion
-from quincespool.gateway.messages import PermitReturn
+from quincespool.gateway.members.messages import PermitAnswer
+from quincespool.gateway.members.messages import PermitQuestion
+from quincespool.gateway.members.messages import PermitReturn
 from quincespool.gateway.model import not_run
-from quincespool.gateway.ownership import partition_of
-from quincespool.gateway.permit_codec import read_question
-from quincespool.gateway.permit_codec import read_verdict
-from quincespool.gateway.permit_codec import write_not_home
-from quincespool.gateway.permit_codec import write_question
-from quincespool.gateway.permit_codec import write_verdict
+from quincespool.gateway.turns.ownership import partition_of
 from quincespool.limits.bucket import Allowance
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
@@ -36,18 +36,18 @@
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
+    from quincespool.gateway.callers.routes import RouteTable
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.links import Link
-    from quincespool.gateway.links import Links
-    from quincespool.gateway.members import Members
+    from quincespool.gateway.members.links import Link
+    from quincespool.gateway.members.links import Links
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.model import Account
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Refusal
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.routes import RouteTable
-    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.turns.ownership import Ownership
     from quincespool.limits.home import Verdict
     from quincespool.net.metrics import Metrics
 
--- a/src/quincespool/gateway/permit_codec.py
+++ b/src/quincespool/gateway/accounts/permit_codec.py
@@ -5,10 +5,10 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.messages import PermitAnswer
-from quincespool.gateway.messages import PermitQuestion
-from quincespool.gateway.messages import read_optional
-from quincespool.gateway.messages import write_optional
+from quincespool.gateway.members.messages import PermitAnswer
+from quincespool.gateway.members.messages import PermitQuestion
+from quincespool.gateway.members.messages import read_optional
+from quincespool.gateway.members.messages import write_optional
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
--- a/src/quincespool/gateway/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -6,28 +6,28 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.gateway.backends.crashes import fingerprint
+from quincespool.gateway.backends.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import Broken
+from quincespool.gateway.backends.exchange import ConnectError
+from quincespool.gateway.backends.exchange import End
+from quincespool.gateway.backends.exchange import Head
+from quincespool.gateway.backends.exchange import Piece
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.crashes import fingerprint
-from quincespool.gateway.exchange import BackendConnection
-from quincespool.gateway.exchange import Broken
-from quincespool.gateway.exchange import ConnectError
-from quincespool.gateway.exchange import End
-from quincespool.gateway.exchange import Head
-from quincespool.gateway.exchange import Piece
 from quincespool.gateway.futures import start_kept
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.backend_reports import BackendReports
-    from quincespool.gateway.backends import Backends
-    from quincespool.gateway.crashes import CrashWatch
+    from quincespool.gateway.backends.crashes import CrashWatch
+    from quincespool.gateway.backends.exchange import ExchangeEvent
+    from quincespool.gateway.backends.pool import ConnectionPool
+    from quincespool.gateway.backends.reports import BackendReports
+    from quincespool.gateway.backends.table import Backends
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.exchange import ExchangeEvent
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Headers
-    from quincespool.gateway.pool import ConnectionPool
     from quincespool.gateway.wire import AnswerHead
     from quincespool.gateway.wire import Wire
     from quincespool.net.metrics import Metrics
--- a/src/quincespool/gateway/pool.py
+++ b/src/quincespool/gateway/backends/pool.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import BackendConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/quincespool/gateway/quiet_backends.py
+++ b/src/quincespool/gateway/backends/quiet.py
@@ -5,15 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.backends.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import ConnectError
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.exchange import BackendConnection
-from quincespool.gateway.exchange import ConnectError
 from quincespool.policy.silence import QUIET_MS
 from quincespool.policy.silence import is_quiet_too_long
 from quincespool.policy.silence import quiet_due_ms
 
 if TYPE_CHECKING:
-    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.backends.attempt import Services
     from quincespool.gateway.model import BackendEntry
 
 # Connections that a host must not answer before it is taken to be gone; a lost opening packet is
--- a/src/quincespool/gateway/backend_reports.py
+++ b/src/quincespool/gateway/backends/reports.py
@@ -10,15 +10,15 @@
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.messages import BackendReport
-from quincespool.gateway.messages import read_optional
-from quincespool.gateway.messages import write_optional
+from quincespool.gateway.members.messages import BackendReport
+from quincespool.gateway.members.messages import read_optional
+from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.model import BackendLife
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.backends.table import Backends
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.model import BackendEntry
     from quincespool.net.metrics import Metrics
--- /dev/null
+++ b/src/quincespool/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests and the gateway's own ports: routes, plain calls, answers."""
--- a/src/quincespool/gateway/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
-from quincespool.gateway.attempt import Whole
+from quincespool.gateway.backends.attempt import Whole
+from quincespool.gateway.backends.crashes import fingerprint
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.crashes import fingerprint
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Turn
 from quincespool.gateway.model import make_terms
@@ -18,15 +18,15 @@
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
-    from quincespool.gateway.account_limits import AccountLimits
-    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.accounts.limits import AccountLimits
+    from quincespool.gateway.backends.attempt import Services
+    from quincespool.gateway.callers.plain import PlainCalls
+    from quincespool.gateway.callers.routes import RouteTable
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Headers
     from quincespool.gateway.model import Refusal
-    from quincespool.gateway.plain import PlainCalls
-    from quincespool.gateway.relay import Relay
-    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.turns.relay import Relay
     from quincespool.net.http_connection import Connection
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
--- a/src/quincespool/gateway/plain.py
+++ b/src/quincespool/gateway/callers/plain.py
@@ -5,10 +5,10 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.attempt import Attempt
-from quincespool.gateway.attempt import Lost
-from quincespool.gateway.attempt import NotRun
-from quincespool.gateway.attempt import Whole
+from quincespool.gateway.backends.attempt import Attempt
+from quincespool.gateway.backends.attempt import Lost
+from quincespool.gateway.backends.attempt import NotRun
+from quincespool.gateway.backends.attempt import Whole
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Refusal
@@ -16,7 +16,7 @@
 from quincespool.gateway.model import not_run
 
 if TYPE_CHECKING:
-    from quincespool.gateway.attempt import Services
+    from quincespool.gateway.backends.attempt import Services
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -8,29 +8,29 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from quincespool.gateway.attempt import Services
-from quincespool.gateway.backend_reports import BackendReports
-from quincespool.gateway.backends import Backends
-from quincespool.gateway.beliefs import Beliefs
-from quincespool.gateway.beliefs import StoreHealth
-from quincespool.gateway.caller_limits import connection_limits
+from quincespool.gateway.backends.attempt import Services
+from quincespool.gateway.backends.crashes import CrashWatch
+from quincespool.gateway.backends.pool import ConnectionPool
+from quincespool.gateway.backends.quiet import QuietBackends
+from quincespool.gateway.backends.reports import BackendReports
+from quincespool.gateway.backends.table import Backends
+from quincespool.gateway.callers.caller_limits import connection_limits
+from quincespool.gateway.callers.front import Front
+from quincespool.gateway.callers.http_port import HttpPort
+from quincespool.gateway.callers.plain import PlainCalls
+from quincespool.gateway.callers.routes import RouteTable
+from quincespool.gateway.callers.side_ports import SidePorts
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.crashes import CrashWatch
-from quincespool.gateway.front import Front
-from quincespool.gateway.hedged_calls import HedgedCalls
-from quincespool.gateway.http_port import HttpPort
 from quincespool.gateway.live_settings import LiveSettings
-from quincespool.gateway.members import Members
+from quincespool.gateway.members.presence import Presence
+from quincespool.gateway.members.table import Members
 from quincespool.gateway.model import Daemon
-from quincespool.gateway.plain import PlainCalls
 from quincespool.gateway.planned_stop import PlannedStop
-from quincespool.gateway.pool import ConnectionPool
-from quincespool.gateway.presence import Presence
-from quincespool.gateway.program_parts import ProgramParts
-from quincespool.gateway.quiet_backends import QuietBackends
-from quincespool.gateway.routes import RouteTable
-from quincespool.gateway.side_ports import SidePorts
+from quincespool.gateway.store.beliefs import Beliefs
+from quincespool.gateway.store.beliefs import StoreHealth
+from quincespool.gateway.store.hedged_calls import HedgedCalls
 from quincespool.gateway.ticker import Ticker
+from quincespool.gateway.turns.program_parts import ProgramParts
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
@@ -41,10 +41,10 @@
     from collections.abc import Coroutine
 
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.messages import BackendReport
-    from quincespool.gateway.partition import OwnedPartition
+    from quincespool.gateway.members.messages import BackendReport
     from quincespool.gateway.settings import GatewaySettings
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.wire import Wire
     from quincespool.net.http_connection import ConnectionLimits
 
--- /dev/null
+++ b/src/quincespool/gateway/members/__init__.py
@@ -0,0 +1,1 @@
+"""The other daemons: who lives, links and messages between them."""
--- a/src/quincespool/gateway/heartbeats.py
+++ b/src/quincespool/gateway/members/heartbeats.py
@@ -7,7 +7,7 @@
 from typing import Any
 from typing import cast
 
-from quincespool.gateway.messages import CODEC
+from quincespool.gateway.members.messages import CODEC
 from quincespool.net.addresses import split_address
 from quincespool.net.struct_codec import CodecError
 
--- a/src/quincespool/gateway/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -9,8 +9,8 @@
 from typing import cast
 
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.messages import CODEC
-from quincespool.gateway.messages import LinkProbe
+from quincespool.gateway.members.messages import CODEC
+from quincespool.gateway.members.messages import LinkProbe
 from quincespool.net.addresses import split_address
 from quincespool.net.framing import FrameError
 from quincespool.net.framing import FrameReader
--- a/src/quincespool/gateway/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -8,27 +8,27 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.heartbeats import Heartbeats
-from quincespool.gateway.messages import BackendReport
-from quincespool.gateway.messages import CrashNotice
-from quincespool.gateway.messages import Heartbeat
-from quincespool.gateway.messages import PartitionClaim
-from quincespool.gateway.messages import SilenceNotice
-from quincespool.gateway.messages import SilenceQuestion
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.members.heartbeats import Heartbeats
+from quincespool.gateway.members.messages import BackendReport
+from quincespool.gateway.members.messages import CrashNotice
+from quincespool.gateway.members.messages import Heartbeat
+from quincespool.gateway.members.messages import PartitionClaim
+from quincespool.gateway.members.messages import SilenceNotice
+from quincespool.gateway.members.messages import SilenceQuestion
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.backend_reports import BackendReports
-    from quincespool.gateway.beliefs import Beliefs
-    from quincespool.gateway.crashes import CrashWatch
+    from quincespool.gateway.backends.crashes import CrashWatch
+    from quincespool.gateway.backends.reports import BackendReports
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.members import Members
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.model import Daemon
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.beliefs import Beliefs
+    from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.wire import Wire
 
 REGISTER_RETRY_S = 0.3
--- a/src/quincespool/gateway/members.py
+++ b/src/quincespool/gateway/members/table.py
@@ -13,10 +13,10 @@
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
-    from quincespool.gateway.messages import Heartbeat
-    from quincespool.gateway.messages import PartitionClaim
+    from quincespool.gateway.members.messages import Heartbeat
+    from quincespool.gateway.members.messages import PartitionClaim
     from quincespool.gateway.model import Daemon
-    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store.interface import Partition
 
 # How many daemons each heartbeat goes to, so that what one sends and receives does not grow with
 # their number: 50 datagrams a second are received whatever the size, half a percent of a core at
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -8,12 +8,12 @@
 from quincespool.gateway.clock import now_ms
 
 if TYPE_CHECKING:
+    from quincespool.gateway.callers.http_port import HttpPort
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.http_port import HttpPort
     from quincespool.gateway.live_settings import LiveSettings
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.presence import Presence
-    from quincespool.gateway.relay import Relay
+    from quincespool.gateway.members.presence import Presence
+    from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.relay import Relay
 
 # Callers keep an address for up to three times as long as the directory says.
 ADDRESS_KEPT_FACTOR = 3
--- a/src/quincespool/gateway/beliefs.py
+++ b/src/quincespool/gateway/store/beliefs.py
@@ -10,25 +10,25 @@
 
 import msgspec
 
-from quincespool.gateway.backends import EntryNews
-from quincespool.gateway.follower import Follower
+from quincespool.gateway.backends.table import EntryNews
+from quincespool.gateway.store.follower import Follower
 from quincespool.policy.polling import entries_interval_ms
 from quincespool.policy.polling import members_pause_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.backends import Backends
+    from quincespool.gateway.backends.pool import ConnectionPool
+    from quincespool.gateway.backends.table import Backends
+    from quincespool.gateway.callers.routes import RouteTable
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.members import Members
-    from quincespool.gateway.messages import Heartbeat
+    from quincespool.gateway.members.messages import Heartbeat
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import Configuration
     from quincespool.gateway.model import Daemon
-    from quincespool.gateway.pool import ConnectionPool
-    from quincespool.gateway.routes import RouteTable
-    from quincespool.gateway.store import KeyedRecord
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.interface import KeyedRecord
+    from quincespool.gateway.store.interface import Store
     from quincespool.gateway.wire import Wire
 
 # A read of the configuration waits this long for a change; a connection that has gone silent is
--- a/src/quincespool/gateway/configuration_copies.py
+++ b/src/quincespool/gateway/store/configuration_copies.py
@@ -15,19 +15,19 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.messages import ConfigurationCopy
-from quincespool.gateway.messages import ConfigurationQuestion
+from quincespool.gateway.members.messages import ConfigurationCopy
+from quincespool.gateway.members.messages import ConfigurationQuestion
 from quincespool.gateway.model import Configuration
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Callable
 
+    from quincespool.gateway.callers.routes import RouteTable
     from quincespool.gateway.decision_log import DecisionLog
-    from quincespool.gateway.links import Link
-    from quincespool.gateway.links import Links
-    from quincespool.gateway.members import Members
-    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.members.links import Link
+    from quincespool.gateway.members.links import Links
+    from quincespool.gateway.members.table import Members
 
 # The store shows a new version to all within some tens of milliseconds; only who has none by then
 # asks the others, so that a change costs no messages as long as the store serves all.
--- a/src/quincespool/gateway/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -5,15 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.store import ExpiredError
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.interface import ExpiredError
+from quincespool.gateway.store.interface import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.store import KeyedPage
-    from quincespool.gateway.store import KeyedRecord
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.interface import KeyedPage
+    from quincespool.gateway.store.interface import KeyedRecord
+    from quincespool.gateway.store.interface import Store
 
 # After a failed read; short enough to see the store's return at once, long enough that a hundred
 # daemons that wait for it don't use up its rate.
--- a/src/quincespool/gateway/hedged_calls.py
+++ b/src/quincespool/gateway/store/hedged_calls.py
@@ -8,7 +8,7 @@
 from typing import TypeVar
 
 from quincespool.gateway.futures import forget_error
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.interface import StoreError
 from quincespool.policy.answer_times import AnswerTimes
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/src/quincespool/gateway/turns/__init__.py
@@ -0,0 +1,1 @@
+"""Turns of programs: owners, records, relay between daemons, histories and budgets."""
--- a/src/quincespool/gateway/finder.py
+++ b/src/quincespool/gateway/turns/finder.py
@@ -9,21 +9,21 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.messages import FindTurn
-from quincespool.gateway.messages import PartitionClaim
-from quincespool.gateway.messages import TurnAbsent
-from quincespool.gateway.messages import TurnForeign
-from quincespool.gateway.messages import TurnFound
-from quincespool.gateway.partition import LostPartitionError
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.members.messages import FindTurn
+from quincespool.gateway.members.messages import PartitionClaim
+from quincespool.gateway.members.messages import TurnAbsent
+from quincespool.gateway.members.messages import TurnForeign
+from quincespool.gateway.members.messages import TurnFound
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.partition import LostPartitionError
 
 if TYPE_CHECKING:
-    from quincespool.gateway.links import Link
-    from quincespool.gateway.links import Links
-    from quincespool.gateway.members import Members
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.partition import OwnedPartition
+    from quincespool.gateway.members.links import Link
+    from quincespool.gateway.members.links import Links
+    from quincespool.gateway.members.table import Members
+    from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.partition import OwnedPartition
 
 # All owners answer within a few round trips to the store; partitions that change hands meanwhile
 # are asked for again until then.
--- a/src/quincespool/gateway/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -7,9 +7,9 @@
 from typing import Any
 
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.partition import OwnedPartition
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.partition import OwnedPartition
 from quincespool.policy.settling import SettlingShare
 from quincespool.stable_hash import stable_hash
 
@@ -17,9 +17,9 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
-    from quincespool.gateway.hedged_calls import HedgedCalls
-    from quincespool.gateway.store import Assignment
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.hedged_calls import HedgedCalls
+    from quincespool.gateway.store.interface import Assignment
+    from quincespool.gateway.store.interface import Store
 
 # Three renewals a lease, so that one lost answer does not cost the partitions.
 RENEWALS_PER_LEASE = 3
--- a/src/quincespool/gateway/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -13,25 +13,25 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import forget_error
-from quincespool.gateway.ledger import Admission
-from quincespool.gateway.ledger import Ledger
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.ledger import decode_record
-from quincespool.gateway.ledger import encode_record
-from quincespool.gateway.store import ExpiredError
-from quincespool.gateway.store import FencedError
-from quincespool.gateway.store import SequenceError
-from quincespool.gateway.store import StoreError
-from quincespool.gateway.uncertain import UncertainTokens
+from quincespool.gateway.store.interface import ExpiredError
+from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import SequenceError
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.ledger import decode_record
+from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.uncertain import UncertainTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
 
-    from quincespool.gateway.hedged_calls import HedgedCalls
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.store import Partition
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.hedged_calls import HedgedCalls
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.turns.ledger import Record
 
 # An append that the store turned away is sent again after this pause, doubling up to the second
 # figure, and at once when any other request shows that the store is back.
--- a/src/quincespool/gateway/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -5,41 +5,41 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from quincespool.gateway.account_limits import AccountLimits
-from quincespool.gateway.account_limits import LimitTerms
-from quincespool.gateway.configuration_copies import ConfigurationCopies
-from quincespool.gateway.finder import TurnFinder
-from quincespool.gateway.links import Links
-from quincespool.gateway.messages import ConfigurationCopy
-from quincespool.gateway.messages import ConfigurationQuestion
-from quincespool.gateway.messages import FindTurn
-from quincespool.gateway.messages import PermitAnswer
-from quincespool.gateway.messages import PermitQuestion
-from quincespool.gateway.messages import PermitReturn
-from quincespool.gateway.messages import TurnAbsent
-from quincespool.gateway.messages import TurnForeign
-from quincespool.gateway.messages import TurnFound
-from quincespool.gateway.ownership import Ownership
-from quincespool.gateway.ownership import list_partitions
-from quincespool.gateway.ownership import partition_of
-from quincespool.gateway.relay import Relay
-from quincespool.gateway.turns import TurnRunner
+from quincespool.gateway.accounts.limits import AccountLimits
+from quincespool.gateway.accounts.limits import LimitTerms
+from quincespool.gateway.members.links import Links
+from quincespool.gateway.members.messages import ConfigurationCopy
+from quincespool.gateway.members.messages import ConfigurationQuestion
+from quincespool.gateway.members.messages import FindTurn
+from quincespool.gateway.members.messages import PermitAnswer
+from quincespool.gateway.members.messages import PermitQuestion
+from quincespool.gateway.members.messages import PermitReturn
+from quincespool.gateway.members.messages import TurnAbsent
+from quincespool.gateway.members.messages import TurnForeign
+from quincespool.gateway.members.messages import TurnFound
+from quincespool.gateway.store.configuration_copies import ConfigurationCopies
+from quincespool.gateway.turns.finder import TurnFinder
+from quincespool.gateway.turns.ownership import Ownership
+from quincespool.gateway.turns.ownership import list_partitions
+from quincespool.gateway.turns.ownership import partition_of
+from quincespool.gateway.turns.relay import Relay
+from quincespool.gateway.turns.runner import TurnRunner
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.attempt import Services
-    from quincespool.gateway.beliefs import Beliefs
-    from quincespool.gateway.beliefs import StoreHealth
-    from quincespool.gateway.hedged_calls import HedgedCalls
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.links import Link
-    from quincespool.gateway.members import Members
-    from quincespool.gateway.partition import OwnedPartition
-    from quincespool.gateway.routes import RouteTable
+    from quincespool.gateway.backends.attempt import Services
+    from quincespool.gateway.callers.routes import RouteTable
+    from quincespool.gateway.members.links import Link
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.settings import GatewaySettings
-    from quincespool.gateway.store import Partition
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.beliefs import Beliefs
+    from quincespool.gateway.store.beliefs import StoreHealth
+    from quincespool.gateway.store.hedged_calls import HedgedCalls
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.partition import OwnedPartition
 
 
 class ProgramParts:
--- a/src/quincespool/gateway/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -11,44 +11,44 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.ledger import decode_record
-from quincespool.gateway.ledger import encode_record
-from quincespool.gateway.messages import RelayCall
-from quincespool.gateway.messages import RelayCancel
-from quincespool.gateway.messages import RelayEnd
-from quincespool.gateway.messages import RelayHead
-from quincespool.gateway.messages import RelayPiece
-from quincespool.gateway.messages import RelayRefused
-from quincespool.gateway.messages import SettleTurn
-from quincespool.gateway.messages import TurnSettled
-from quincespool.gateway.messages import read_optional
-from quincespool.gateway.messages import write_optional
+from quincespool.gateway.members.messages import RelayCall
+from quincespool.gateway.members.messages import RelayCancel
+from quincespool.gateway.members.messages import RelayEnd
+from quincespool.gateway.members.messages import RelayHead
+from quincespool.gateway.members.messages import RelayPiece
+from quincespool.gateway.members.messages import RelayRefused
+from quincespool.gateway.members.messages import SettleTurn
+from quincespool.gateway.members.messages import TurnSettled
+from quincespool.gateway.members.messages import read_optional
+from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
-from quincespool.gateway.partition import Settlement
-from quincespool.gateway.relay_codec import read_headers
-from quincespool.gateway.relay_codec import read_relay
-from quincespool.gateway.relay_codec import write_headers
-from quincespool.gateway.relay_codec import write_relay
-from quincespool.gateway.store import Partition
-from quincespool.gateway.turn_run import STORE_AWAY
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.turns.ledger import decode_record
+from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.partition import Settlement
+from quincespool.gateway.turns.relay_codec import read_headers
+from quincespool.gateway.turns.relay_codec import read_relay
+from quincespool.gateway.turns.relay_codec import write_headers
+from quincespool.gateway.turns.relay_codec import write_relay
+from quincespool.gateway.turns.turn_run import STORE_AWAY
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.links import Link
-    from quincespool.gateway.links import Links
-    from quincespool.gateway.members import Members
+    from quincespool.gateway.callers.reply import Reply
+    from quincespool.gateway.members.links import Link
+    from quincespool.gateway.members.links import Links
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.model import Headers
     from quincespool.gateway.model import TurnTerms
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.reply import Reply
-    from quincespool.gateway.turns import TurnRunner
+    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.runner import TurnRunner
 
 # A partition that changes hands is back within some tens of milliseconds, after a death within the
 # lease; a turn waits for it no longer than this, since a refusal costs its caller little.
--- a/src/quincespool/gateway/relay_codec.py
+++ b/src/quincespool/gateway/turns/relay_codec.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from quincespool.gateway.messages import HeaderPair
-from quincespool.gateway.messages import RelayCall
-from quincespool.gateway.messages import read_optional
-from quincespool.gateway.messages import write_optional
+from quincespool.gateway.members.messages import HeaderPair
+from quincespool.gateway.members.messages import RelayCall
+from quincespool.gateway.members.messages import read_optional
+from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.model import Call
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Headers
--- a/src/quincespool/gateway/turns.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -7,29 +7,29 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
-from quincespool.gateway.ledger import Admission
-from quincespool.gateway.ledger import split_history
 from quincespool.gateway.model import not_run
-from quincespool.gateway.partition import LostPartitionError
-from quincespool.gateway.store import StoreError
-from quincespool.gateway.turn_run import STORE_AWAY
-from quincespool.gateway.turn_run import BrokenTurnError
-from quincespool.gateway.turn_run import TurnRun
-from quincespool.gateway.turn_run import TurnServices
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import split_history
+from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.turn_run import STORE_AWAY
+from quincespool.gateway.turns.turn_run import BrokenTurnError
+from quincespool.gateway.turns.turn_run import TurnRun
+from quincespool.gateway.turns.turn_run import TurnServices
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.attempt import Services
-    from quincespool.gateway.finder import TurnFinder
+    from quincespool.gateway.backends.attempt import Services
+    from quincespool.gateway.callers.reply import Reply
     from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import Turn
     from quincespool.gateway.model import TurnTerms
-    from quincespool.gateway.partition import OwnedPartition
-    from quincespool.gateway.reply import Reply
-    from quincespool.gateway.turn_run import SettleElsewhere
+    from quincespool.gateway.turns.finder import TurnFinder
+    from quincespool.gateway.turns.partition import OwnedPartition
+    from quincespool.gateway.turns.turn_run import SettleElsewhere
 
 # While the store does not answer, nothing that a turn produces can be kept. Callers have few
 # retries; spread over a third of the usual four seconds they outlast an outage of about four.
--- a/src/quincespool/gateway/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -7,40 +7,40 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from quincespool.gateway.attempt import Attempt
-from quincespool.gateway.attempt import Lost
-from quincespool.gateway.attempt import NotRun
+from quincespool.gateway.backends.attempt import Attempt
+from quincespool.gateway.backends.attempt import Lost
+from quincespool.gateway.backends.attempt import NotRun
+from quincespool.gateway.backends.exchange import Broken
+from quincespool.gateway.backends.exchange import End
+from quincespool.gateway.backends.exchange import Piece
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
-from quincespool.gateway.event_stream import EventReader
-from quincespool.gateway.exchange import Broken
-from quincespool.gateway.exchange import End
-from quincespool.gateway.exchange import Piece
 from quincespool.gateway.futures import start_kept
-from quincespool.gateway.ledger import MAX_PART_BYTES
-from quincespool.gateway.ledger import TurnBroken
-from quincespool.gateway.ledger import TurnEnded
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.ledger import split_history
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
-from quincespool.gateway.partition import LostPartitionError
+from quincespool.gateway.turns.event_stream import EventReader
+from quincespool.gateway.turns.ledger import MAX_PART_BYTES
+from quincespool.gateway.turns.ledger import TurnBroken
+from quincespool.gateway.turns.ledger import TurnEnded
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.ledger import split_history
+from quincespool.gateway.turns.partition import LostPartitionError
 from quincespool.policy.urgency import turn_priority
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from quincespool.gateway.attempt import Services
-    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.backends.attempt import Services
+    from quincespool.gateway.callers.reply import Reply
     from quincespool.gateway.model import BackendEntry
     from quincespool.gateway.model import BackendLife
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import TurnTerms
-    from quincespool.gateway.partition import OwnedPartition
-    from quincespool.gateway.reply import Reply
-    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.wire import AnswerHead
 
 # Engines that refuse a turn as full before it is given back to the caller; each costs a round trip.
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -11,14 +11,14 @@
 from quincespool.policy.silence import QUIET_MS
 
 if TYPE_CHECKING:
-    from quincespool.gateway.beliefs import Beliefs
-    from quincespool.gateway.links import Links
-    from quincespool.gateway.members import Members
-    from quincespool.gateway.ownership import Ownership
-    from quincespool.gateway.presence import Presence
-    from quincespool.gateway.quiet_backends import QuietBackends
+    from quincespool.gateway.backends.quiet import QuietBackends
+    from quincespool.gateway.members.links import Links
+    from quincespool.gateway.members.presence import Presence
+    from quincespool.gateway.members.table import Members
+    from quincespool.gateway.store.beliefs import Beliefs
     from quincespool.gateway.ticker import Ticker
-    from quincespool.gateway.turns import TurnRunner
+    from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.runner import TurnRunner
 
 # Between two looks at a peer that is silent; a small part of the time for which it may be.
 SILENCE_CHECK_MS = 50
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -12,15 +12,15 @@
 
 import msgspec
 
-from quincespool.gateway.store import Assignment
-from quincespool.gateway.store import ExpiredError
-from quincespool.gateway.store import FencedError
-from quincespool.gateway.store import KeyedPage
-from quincespool.gateway.store import KeyedRecord
-from quincespool.gateway.store import Page
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import SequenceError
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.interface import Assignment
+from quincespool.gateway.store.interface import ExpiredError
+from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import KeyedPage
+from quincespool.gateway.store.interface import KeyedRecord
+from quincespool.gateway.store.interface import Page
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import SequenceError
+from quincespool.gateway.store.interface import StoreError
 from quincespool.net.http_channel import Channel
 from quincespool.net.http_channel import ChannelError
 
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -1,6 +1,6 @@
 @0xc2a97d5e4b1f8036;
 
-# What gateway daemons send one another. One struct for each message of `quincespool.gateway.messages`,
+# What gateway daemons send one another. One struct for each message of `quincespool.gateway.members.messages`,
 # field for field (`snake_case` there, `camelCase` here). New fields and messages are added at the end of
 # their struct or union; a change of meaning raises the version.
 
--- a/tests/gateway/test_account_limits.py
+++ b/tests/gateway/accounts/test_limits.py
@@ -5,16 +5,16 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.account_limits import ANSWER_LIMIT_MS
-from quincespool.gateway.account_limits import MUTE_MS
-from quincespool.gateway.messages import PermitQuestion
+from quincespool.gateway.accounts.limits import ANSWER_LIMIT_MS
+from quincespool.gateway.accounts.limits import MUTE_MS
+from quincespool.gateway.members.messages import PermitQuestion
 from quincespool.gateway.model import Daemon
 from quincespool.limits.home import FIRST_CALLS
 from quincespool.limits.home import Term
 from tests.gateway.gateway_cluster import GatewayCluster
 
 if TYPE_CHECKING:
-    from quincespool.gateway.account_limits import AccountLimits
+    from quincespool.gateway.accounts.limits import AccountLimits
     from tests.support.client import Reply
 
 BURST = 20
--- a/tests/gateway/test_permit_codec.py
+++ b/tests/gateway/accounts/test_permit_codec.py
@@ -4,12 +4,12 @@
 
 import pytest
 
-from quincespool.gateway.messages import CODEC
-from quincespool.gateway.permit_codec import read_question
-from quincespool.gateway.permit_codec import read_verdict
-from quincespool.gateway.permit_codec import write_not_home
-from quincespool.gateway.permit_codec import write_question
-from quincespool.gateway.permit_codec import write_verdict
+from quincespool.gateway.accounts.permit_codec import read_question
+from quincespool.gateway.accounts.permit_codec import read_verdict
+from quincespool.gateway.accounts.permit_codec import write_not_home
+from quincespool.gateway.accounts.permit_codec import write_question
+from quincespool.gateway.accounts.permit_codec import write_verdict
+from quincespool.gateway.members.messages import CODEC
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/backends/test_crashes.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
-from quincespool.gateway.crashes import CRASHES_TO_REFUSE
-from quincespool.gateway.crashes import REMEMBER_MS
-from quincespool.gateway.crashes import CrashWatch
+from quincespool.gateway.backends.crashes import CRASHES_TO_REFUSE
+from quincespool.gateway.backends.crashes import REMEMBER_MS
+from quincespool.gateway.backends.crashes import CrashWatch
 from tests.gateway.gateway_cluster import GatewayCluster
 
 
--- a/tests/gateway/test_exchange.py
+++ b/tests/gateway/backends/test_exchange.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from quincespool.gateway.exchange import BackendConnection
-from quincespool.gateway.exchange import Broken
-from quincespool.gateway.exchange import ConnectError
-from quincespool.gateway.exchange import End
-from quincespool.gateway.exchange import Head
-from quincespool.gateway.exchange import Piece
+from quincespool.gateway.backends.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import Broken
+from quincespool.gateway.backends.exchange import ConnectError
+from quincespool.gateway.backends.exchange import End
+from quincespool.gateway.backends.exchange import Head
+from quincespool.gateway.backends.exchange import Piece
 
 if TYPE_CHECKING:
-    from quincespool.gateway.exchange import ExchangeEvent
+    from quincespool.gateway.backends.exchange import ExchangeEvent
     from quincespool.gateway.model import Headers
 
 WHOLE = b"HTTP/1.1 200 OK\r\nrequest-id: %s\r\ncontent-length: 3\r\n\r\nabc"
--- a/tests/gateway/test_quiet_backends.py
+++ b/tests/gateway/backends/test_quiet.py
@@ -6,9 +6,9 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.exchange import BackendConnection
-from quincespool.gateway.exchange import ConnectError
-from quincespool.gateway.quiet_backends import ATTEMPT_LIMIT_S
+from quincespool.gateway.backends.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import ConnectError
+from quincespool.gateway.backends.quiet import ATTEMPT_LIMIT_S
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/backends/test_table.py
@@ -6,8 +6,8 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from quincespool.gateway.backends import Backends
-from quincespool.gateway.backends import EntryNews
+from quincespool.gateway.backends.table import Backends
+from quincespool.gateway.backends.table import EntryNews
 from quincespool.gateway.model import BackendEntry
 from quincespool.gateway.model import BackendLife
 from quincespool.policy.outliers import FAILURES_TO_EJECT
--- a/tests/gateway/test_routes.py
+++ b/tests/gateway/callers/test_routes.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from quincespool.gateway.callers.routes import STORE_AWAY_RETRY_MS
+from quincespool.gateway.callers.routes import UNCONFIGURED_RETRY_MS
+from quincespool.gateway.callers.routes import RouteTable
 from quincespool.gateway.model import Account
 from quincespool.gateway.model import Accounts
 from quincespool.gateway.model import Call
@@ -12,9 +15,6 @@
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import Share
 from quincespool.gateway.model import digest_key
-from quincespool.gateway.routes import STORE_AWAY_RETRY_MS
-from quincespool.gateway.routes import UNCONFIGURED_RETRY_MS
-from quincespool.gateway.routes import RouteTable
 
 
 def _route(prefix: str, *shares: Share) -> Route:
--- a/tests/gateway/test_links.py
+++ b/tests/gateway/members/test_links.py
@@ -6,10 +6,10 @@
 import socket
 from typing import TYPE_CHECKING
 
-from quincespool.gateway import links
-from quincespool.gateway.links import Link
-from quincespool.gateway.links import Links
-from quincespool.gateway.messages import LinkProbe
+from quincespool.gateway.members import links
+from quincespool.gateway.members.links import Link
+from quincespool.gateway.members.links import Links
+from quincespool.gateway.members.messages import LinkProbe
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/gateway/test_presence.py
+++ b/tests/gateway/members/test_presence.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from quincespool.gateway.clock import now_ms
-from quincespool.gateway.presence import ANNOUNCE_S
+from quincespool.gateway.members.presence import ANNOUNCE_S
 from quincespool.policy.silence import ASK_MS
 from tests.gateway.gateway_cluster import GatewayCluster
 
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/members/test_table.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from quincespool.gateway.members import ARRIVAL_GRACE_MS
-from quincespool.gateway.members import BEAT_FANOUT
-from quincespool.gateway.members import MAX_ADDRESSES
-from quincespool.gateway.members import MIN_NEAR_ADDRESSES
-from quincespool.gateway.members import WATCHERS
-from quincespool.gateway.members import Members
-from quincespool.gateway.messages import Heartbeat
-from quincespool.gateway.messages import PartitionClaim
+from quincespool.gateway.members.messages import Heartbeat
+from quincespool.gateway.members.messages import PartitionClaim
+from quincespool.gateway.members.table import ARRIVAL_GRACE_MS
+from quincespool.gateway.members.table import BEAT_FANOUT
+from quincespool.gateway.members.table import MAX_ADDRESSES
+from quincespool.gateway.members.table import MIN_NEAR_ADDRESSES
+from quincespool.gateway.members.table import WATCHERS
+from quincespool.gateway.members.table import Members
 from quincespool.gateway.model import Daemon
-from quincespool.gateway.store import Partition
+from quincespool.gateway.store.interface import Partition
 from quincespool.policy.silence import ASK_MS
 from quincespool.policy.silence import BEAT_MS
 from quincespool.policy.silence import SILENCE_MS
--- /dev/null
+++ b/tests/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway's store."""
--- a/tests/gateway/test_hedged_calls.py
+++ b/tests/gateway/store/test_hedged_calls.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from quincespool.gateway.hedged_calls import MAX_COPIES
-from quincespool.gateway.hedged_calls import HedgedCalls
-from quincespool.gateway.store import FencedError
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.hedged_calls import MAX_COPIES
+from quincespool.gateway.store.hedged_calls import HedgedCalls
+from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/gateway/test_store_away.py
+++ b/tests/gateway/store/test_store_away.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.partition import OwnedPartition
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.partition import OwnedPartition
 from quincespool.platform.store import PlatformStore
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.store import Partition
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.turns.ledger import Record
 
 # Less than the part of the route's time with which a caller is sent away to come back.
 WAITED_MS = 2_200
--- a/tests/gateway/partition_walk.py
+++ b/tests/gateway/turns/partition_walk.py
@@ -14,27 +14,27 @@
 from typing import TypeVar
 from typing import cast
 
-from quincespool.gateway.hedged_calls import HedgedCalls
-from quincespool.gateway.ledger import Admission
-from quincespool.gateway.ledger import TurnBroken
-from quincespool.gateway.ledger import TurnEnded
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.partition import LostPartitionError
-from quincespool.gateway.partition import OwnedPartition
-from quincespool.gateway.partition import Settlement
-from quincespool.gateway.store import ExpiredError
-from quincespool.gateway.store import FencedError
-from quincespool.gateway.store import Page
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import SequenceError
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.hedged_calls import HedgedCalls
+from quincespool.gateway.store.interface import ExpiredError
+from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import Page
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import SequenceError
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import TurnBroken
+from quincespool.gateway.turns.ledger import TurnEnded
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.partition import OwnedPartition
+from quincespool.gateway.turns.partition import Settlement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
 
-    from quincespool.gateway.ledger import Record
-    from quincespool.gateway.store import Store
+    from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.turns.ledger import Record
 
 T = TypeVar("T")
 
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/turns/test_event_stream.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from quincespool.gateway.event_stream import EventReader
+from quincespool.gateway.turns.event_stream import EventReader
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\r\ndata: two\r\ndata: more\r\n\r\n: note\n\nid: 3\ndata:\n\n"
 TEXT = b"one\ntwo\nmore\n\n"
--- a/tests/gateway/test_ledger_machine.py
+++ b/tests/gateway/turns/test_ledger_machine.py
@@ -11,17 +11,17 @@
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 
-from quincespool.gateway.ledger import Admission
-from quincespool.gateway.ledger import Ledger
-from quincespool.gateway.ledger import TurnBroken
-from quincespool.gateway.ledger import TurnEnded
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.ledger import decode_record
-from quincespool.gateway.ledger import encode_record
-from quincespool.gateway.ledger import split_history
+from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnBroken
+from quincespool.gateway.turns.ledger import TurnEnded
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.ledger import decode_record
+from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.ledger import split_history
 
 if TYPE_CHECKING:
-    from quincespool.gateway.ledger import Record
+    from quincespool.gateway.turns.ledger import Record
 
 BUDGET = 100
 MOST = 30
--- a/tests/gateway/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -7,11 +7,11 @@
 
 import pytest
 
-from quincespool.gateway.hedged_calls import HedgedCalls
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.partition import LostPartitionError
-from quincespool.gateway.partition import OwnedPartition
-from quincespool.gateway.store import Partition
+from quincespool.gateway.store.hedged_calls import HedgedCalls
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.partition import OwnedPartition
 from quincespool.platform.store import PlatformStore
 from tests.support.standins.platform_store import make_platform_store
 
--- a/tests/gateway/test_partition_walk.py
+++ b/tests/gateway/turns/test_partition_walk.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from quincespool.gateway import partition
-from quincespool.gateway.ledger import Admission
-from quincespool.gateway.ledger import Ledger
-from quincespool.gateway.ledger import TurnStarted
-from quincespool.gateway.uncertain import UncertainTokens
+from quincespool.gateway.turns import partition
+from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.uncertain import UncertainTokens
 from quincespool.policy.answer_times import AnswerTimes
-from tests.gateway.partition_walk import PartitionWalk
+from tests.gateway.turns.partition_walk import PartitionWalk
 
 # A million steps are walked by hand: QUINCESPOOL_WALK_STEPS=1000000.
 STEPS = int(os.environ.get("QUINCESPOOL_WALK_STEPS", "4000"))
--- a/tests/gateway/test_uncertain.py
+++ b/tests/gateway/turns/test_uncertain.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from quincespool.gateway.uncertain import UncertainTokens
+from quincespool.gateway.turns.uncertain import UncertainTokens
 
 MOST = 30
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from quincespool.gateway.store import ExpiredError
-from quincespool.gateway.store import FencedError
-from quincespool.gateway.store import KeyedRecord
-from quincespool.gateway.store import Partition
-from quincespool.gateway.store import SequenceError
-from quincespool.gateway.store import StoreError
+from quincespool.gateway.store.interface import ExpiredError
+from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import KeyedRecord
+from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.store.interface import SequenceError
+from quincespool.gateway.store.interface import StoreError
 from quincespool.platform.store import PlatformStore
 from tests.support.standins.platform_store import PlatformStoreStandIn
 from tests.support.standins.platform_store import make_platform_store
