At an account's limit, programs of routes that are ranked first go first

What programs are usually like is learned in one place (policy/program_shapes.py). Questions carry the route's rank, turns their route's name.

--- a/src/quincespool/gateway/accounts/limits.py
+++ b/src/quincespool/gateway/accounts/limits.py
@@ -33,6 +33,7 @@
 from quincespool.limits.home import Term
 from quincespool.limits.home_answers import HomeAnswers
 from quincespool.limits.order import make_programs_first
+from quincespool.policy.program_shapes import ProgramKind
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
@@ -150,7 +151,8 @@
             return Permit(None, is_counted=False)
         began_ms = now_ms()
         may_begin = call.turn is not None and not call.turn.previous_id
-        ask = Ask(call.program_id, decision.route.name, may_begin)
+        kind = ProgramKind(decision.route.name, decision.route.rank)
+        ask = Ask(call.program_id, kind, may_begin)
         verdict = await self._ask(account, ask)
         if isinstance(verdict, Grant) and verdict.wait_ms >= until_ms - now_ms():
             self.give_back(decision)
--- a/src/quincespool/gateway/accounts/permit_codec.py
+++ b/src/quincespool/gateway/accounts/permit_codec.py
@@ -12,6 +12,7 @@
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
+from quincespool.policy.program_shapes import ProgramKind
 
 if TYPE_CHECKING:
     from quincespool.limits.home import Verdict
@@ -32,7 +33,8 @@
         account=account,
         program_id=ask.program_id,
         may_begin=ask.may_begin,
-        kind=ask.kind,
+        kind=ask.kind.name,
+        rank=ask.kind.rank,
         told_calls=write_optional(ask.told_calls),
     )
 
@@ -41,7 +43,7 @@
     """Returns what is asked."""
     return Ask(
         program_id=question.program_id,
-        kind=question.kind,
+        kind=ProgramKind(question.kind, question.rank),
         may_begin=question.may_begin,
         told_calls=read_optional(question.told_calls),
     )
--- a/src/quincespool/gateway/callers/routes.py
+++ b/src/quincespool/gateway/callers/routes.py
@@ -88,14 +88,13 @@
     service = _draw(configuration, route, call)
     accounts = configuration.accounts
     if accounts is None or route.is_public:
-        return Ok(Decision(configuration.version, route, service))
+        return Ok(Decision(configuration.version, route, service, route.rank))
     name = accounts.by_key.get(call.key_digest)
     if name is None:
         return Error(not_run("unknown_key", status=401))
-    rank = accounts.by_name[name].rank
-    if rank is not None:
-        route = route._replace(rank=rank)
-    return Ok(Decision(configuration.version, route, service, name))
+    account_rank = accounts.by_name[name].rank
+    rank = route.rank if account_rank is None else account_rank
+    return Ok(Decision(configuration.version, route, service, rank, name))
 
 
 def _draw(configuration: Configuration, route: Route, call: Call) -> Service:
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -68,6 +68,7 @@
     service: str
     tokens_per_event: int
     account: str
+    route: str
 
 
 class RelayCancel(NamedTuple):
@@ -180,6 +181,7 @@
       may_begin: Whether the call may be the first of its program.
       kind: The route, which tells what the program is expected to be like.
       told_calls: What the account had left when a home last told the sender; -1 if none has.
+      rank: Importance of the route; 0 goes first.
     """
 
     permit_id: int
@@ -188,6 +190,7 @@
     may_begin: bool
     kind: str
     told_calls: int
+    rank: int
 
 
 class PermitAnswer(NamedTuple):
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -231,12 +231,14 @@
     """Where the configuration in force sends one call.
 
     Attributes:
+      rank: Importance, that of the account if it has one; 0 goes first.
       account: Name of the caller's account; empty if there is none.
     """
 
     version: int
     route: Route
     service: Service
+    rank: int
     account: str = ""
 
 
@@ -246,6 +248,7 @@
     Attributes:
       version: Of the configuration that was in force where the turn came in.
       account: Name of the caller's account; empty if there is none.
+      route: Name of the route that the turn came in on.
       service: Name of the service whose engines run it.
       tokens_per_event: Generated tokens in each event of its stream.
       rank: Importance; 0 goes first.
@@ -258,6 +261,7 @@
 
     version: int
     account: str
+    route: str
     service: str
     tokens_per_event: int
     rank: int
@@ -274,9 +278,10 @@
     return TurnTerms(
         version=decision.version,
         account=decision.account,
+        route=route.name,
         service=service.name,
         tokens_per_event=service.tokens_per_event,
-        rank=route.rank,
+        rank=decision.rank,
         timeout_ms=route.timeout_ms,
         patience_ms=route.patience_ms,
         max_attempts=route.max_attempts,
--- a/src/quincespool/gateway/turns/relay_codec.py
+++ b/src/quincespool/gateway/turns/relay_codec.py
@@ -42,6 +42,7 @@
         service=terms.service,
         tokens_per_event=terms.tokens_per_event,
         account=terms.account,
+        route=terms.route,
     )
 
 
@@ -68,6 +69,7 @@
     terms = TurnTerms(
         version=message.configuration_version,
         account=message.account,
+        route=message.route,
         service=message.service,
         tokens_per_event=message.tokens_per_event,
         rank=message.rank,
--- /dev/null
+++ b/src/quincespool/limits/demand.py
@@ -0,0 +1,58 @@
+"""How many programs of each kind want to begin, those that are refused included."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from quincespool.policy.program_shapes import MAX_KINDS
+from quincespool.policy.program_shapes import MAX_PROGRAMS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from quincespool.policy.program_shapes import ProgramKind
+
+# A program that comes back within this time after a refusal is the same wish.
+RETURN_MS = 2_000
+# The time over which wishes are averaged: long enough to see through chance, short enough to follow
+# a burst of some seconds.
+MEMORY_MS = 2_000
+
+
+class _Wishes(NamedTuple):
+    """Wishes to begin, each counted less the longer ago it was."""
+
+    wanted: float
+    at_ms: int
+
+    def decayed(self, now_ms: int) -> _Wishes:
+        passed_ms = max(0, now_ms - self.at_ms)
+        return _Wishes(self.wanted * math.exp(-passed_ms / MEMORY_MS), now_ms)
+
+
+class Demand:
+    """The wishes of one account's programs."""
+
+    def __init__(self) -> None:
+        self._asked_ms: dict[str, int] = {}
+        self._wishes: dict[ProgramKind, _Wishes] = {}
+
+    def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
+        """Takes in that a program wants to begin."""
+        asked_ms = self._asked_ms.pop(program_id, None)
+        while len(self._asked_ms) >= MAX_PROGRAMS:
+            del self._asked_ms[next(iter(self._asked_ms))]
+        self._asked_ms[program_id] = now_ms
+        if asked_ms is not None and now_ms - asked_ms < RETURN_MS:
+            return
+        wishes = self._wishes.pop(kind, _Wishes(0.0, now_ms)).decayed(now_ms)
+        while len(self._wishes) >= MAX_KINDS:
+            del self._wishes[next(iter(self._wishes))]
+        self._wishes[kind] = wishes._replace(wanted=wishes.wanted + 1)
+
+    def programs_per_s(self, now_ms: int) -> Iterator[tuple[ProgramKind, float]]:
+        """Yields each kind that was wanted lately, and how many of it a second."""
+        for kind, wishes in self._wishes.items():
+            yield kind, wishes.decayed(now_ms).wanted / MEMORY_MS * 1000
--- a/src/quincespool/limits/home.py
+++ b/src/quincespool/limits/home.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from quincespool.limits.bucket import Bucket
+from quincespool.policy.program_shapes import ProgramKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -41,14 +42,14 @@
 
     Attributes:
       program_id: Empty for a call that belongs to no program.
-      kind: What the program is expected to be like, such as its route; read when it begins.
+      kind: What the program is expected to be like; read when it begins.
       may_begin: Whether the call may be the first of its program.
       told_calls: What the account's bucket held when another home last told the daemon that asks,
         within a window; None if none has.
     """
 
     program_id: str
-    kind: str = ""
+    kind: ProgramKind = ProgramKind()
     may_begin: bool = False
     told_calls: int | None = None
 
@@ -137,6 +138,7 @@
             self._accounts[name] = account
         bucket, order = account.bucket, account.order
         if ask.may_begin and not order.is_under_way(ask.program_id, now_ms):
+            order.want(ask.program_id, ask.kind, now_ms)
             missing = order.missing_calls(ask.kind, bucket, allowance, now_ms)
             missing = max(missing, 1.0 - bucket.level_calls)
             if missing > 0:
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -97,6 +97,7 @@
   obsolete27 @27 :Int64;
   patienceMs @28 :Int64;  # 0 from earlier versions.
   account @29 :Text;
+  route @30 :Text;
 }
 
 struct RelayCancel {
@@ -163,6 +164,7 @@
   mayBegin @3 :Bool;
   kind @4 :Text;
   toldCalls @5 :Int64;  # -1 if no home has told the sender.
+  rank @6 :Int64;
 }
 
 struct PermitAnswer {
--- a/tests/gateway/accounts/test_permit_codec.py
+++ b/tests/gateway/accounts/test_permit_codec.py
@@ -13,9 +13,12 @@
 from quincespool.limits.home import Ask
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
+from quincespool.policy.program_shapes import ProgramKind
 
 
-@pytest.mark.parametrize("ask", [Ask(""), Ask("north p", "r-1", may_begin=True, told_calls=0)])
+@pytest.mark.parametrize(
+    "ask", [Ask(""), Ask("north p", ProgramKind("r-1", 2), may_begin=True, told_calls=0)]
+)
 def test_a_question_comes_as_it_was_asked(ask: Ask) -> None:
     question = write_question(7, "north", ask)
     _, decoded = CODEC.decode(CODEC.encode("a", question))
--- a/tests/limits/test_order.py
+++ b/tests/limits/test_order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -12,13 +13,15 @@
 from quincespool.limits.home import Grant
 from quincespool.limits.home import LimitsHome
 from quincespool.limits.home import Term
-from quincespool.limits.order import FIRST_PROGRAM_CALLS
-from quincespool.limits.order import IDLE_MS
+from quincespool.limits.order import FIRST_PROGRAM
 from quincespool.limits.order import LEAST_REST_CALLS
-from quincespool.limits.order import MAX_PROGRAMS
+from quincespool.limits.order import MOST_KEPT_SHARE
 from quincespool.limits.order import ProgramsFirst
 from quincespool.limits.order import make_first_come
 from quincespool.limits.order import make_programs_first
+from quincespool.policy.program_shapes import IDLE_MS
+from quincespool.policy.program_shapes import MAX_PROGRAMS
+from quincespool.policy.program_shapes import ProgramKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,32 +32,46 @@
 CALLS = 12
 PAUSE_MS = 150
 TRIES = 2
+KIND = ProgramKind("k")
+SHORT, LONG = ProgramKind("short", 0), ProgramKind("long", 2)
+KIND_CALLS = {KIND.name: CALLS, SHORT.name: 8, LONG.name: 26}
 
 
 class _Program(NamedTuple):
     program_id: str
+    kind: ProgramKind
     calls: int = 0
     tries: int = 0
 
 
-def _serve(make_order: Callable[[], Order], *, programs_per_s: float, seconds: int) -> int:
-    """Returns how many programs end whose calls come one after the other, each tried twice."""
-    home, rng = LimitsHome(make_order, window_ms=5_000), random.Random(7)
+def _arrivals(
+    programs_per_s: dict[ProgramKind, float], seconds: int, rng: random.Random
+) -> list[tuple[int, _Program]]:
     arrivals: list[tuple[int, _Program]] = []
-    at_ms = 0.0
-    while at_ms < seconds * 1000:
-        arrivals.append((int(at_ms), _Program(f"p{len(arrivals)}")))
-        at_ms += rng.expovariate(programs_per_s) * 1000
-    ended = 0
+    for kind, rate_per_s in programs_per_s.items():
+        at_ms = 0.0
+        while at_ms < seconds * 1000:
+            arrivals.append((int(at_ms), _Program(f"{kind.name}{len(arrivals)}", kind)))
+            at_ms += rng.expovariate(rate_per_s) * 1000
+    return arrivals
+
+
+def _serve(
+    make_order: Callable[[], Order], programs_per_s: dict[ProgramKind, float], *, seconds: int
+) -> Counter[ProgramKind]:
+    """Returns how many programs end whose calls come one after the other, each tried twice."""
+    home = LimitsHome(make_order, window_ms=5_000)
+    arrivals = _arrivals(programs_per_s, seconds, random.Random(7))
+    ended: Counter[ProgramKind] = Counter()
     while arrivals:
         arrivals.sort(key=lambda item: item[0])
         now_ms, program = arrivals.pop(0)
-        ask = Ask(program.program_id, may_begin=program.calls == 0)
+        ask = Ask(program.program_id, program.kind, may_begin=program.calls == 0)
         verdict = home.ask("a", ask, ALLOWANCE, term=Term(1, 0), now_ms=now_ms)
         if isinstance(verdict, Grant):
-            program = _Program(program.program_id, program.calls + 1)
-            if program.calls == CALLS:
-                ended += now_ms < seconds * 1000
+            program = program._replace(calls=program.calls + 1, tries=0)
+            if program.calls == KIND_CALLS[program.kind.name]:
+                ended[program.kind] += now_ms < seconds * 1000
                 continue
             arrivals.append((now_ms + verdict.wait_ms + PAUSE_MS, program))
         elif now_ms < seconds * 1000 and program.tries + 1 < TRIES:
@@ -70,58 +87,86 @@
     Cause: each program loses some call to the limit; what its other calls used is wasted.
     """
     carried = 10 * ALLOWANCE.rate_per_s / CALLS
-    first_come = _serve(make_first_come, programs_per_s=18, seconds=10)
-    programs_first = _serve(make_programs_first, programs_per_s=18, seconds=10)
+    first_come = _serve(make_first_come, {KIND: 18}, seconds=10)[KIND]
+    programs_first = _serve(make_programs_first, {KIND: 18}, seconds=10)[KIND]
 
     assert programs_first >= 0.8 * carried
     assert first_come < 0.5 * programs_first
 
 
+def _served_share(
+    programs_per_s: dict[ProgramKind, float], seconds: int = 20
+) -> dict[ProgramKind, float]:
+    ended = _serve(make_programs_first, programs_per_s, seconds=seconds)
+    asked = Counter(one.kind for _, one in _arrivals(programs_per_s, seconds, random.Random(7)))
+    return {kind: ended[kind] / asked[kind] for kind in programs_per_s}
+
+
+def test_long_programs_do_not_keep_out_the_short_ones_that_go_before_them() -> None:
+    """What is long and less urgent holds room for seconds; what is urgent found none left."""
+    for short_per_s, long_per_s in ((2.0, 1.2), (1.0, 6.0)):
+        ranked = _served_share({SHORT: short_per_s, LONG: long_per_s})
+        assert ranked[SHORT] >= ranked[LONG]
+
+    equal = LONG._replace(rank=SHORT.rank)
+    unranked = _served_share({SHORT: 2.0, equal: 1.2})
+    assert unranked[SHORT] < unranked[equal]
+
+
+def test_the_least_urgent_programs_are_not_shut_out() -> None:
+    """More urgent programs alone come at six times the limit."""
+    served = _serve(make_programs_first, {SHORT: 24.0, LONG: 1.2}, seconds=20)
+
+    rest = 20 * ALLOWANCE.rate_per_s * (1 - MOST_KEPT_SHARE) / KIND_CALLS[LONG.name]
+    assert served[LONG] >= 0.5 * rest
+    assert served[SHORT] > served[LONG]
+
+
 def test_an_account_below_its_limit_loses_nothing() -> None:
     """Four tenths of the limit, in programs that come by chance, some of them close together."""
-    offered = _serve(make_first_come, programs_per_s=1.0, seconds=20)
-    assert _serve(make_programs_first, programs_per_s=1.0, seconds=20) == offered
+    offered = _serve(make_first_come, {KIND: 1.0}, seconds=20)
+    assert _serve(make_programs_first, {KIND: 1.0}, seconds=20) == offered
 
 
 def test_an_account_with_a_limit_below_one_program_begins_one_at_rest() -> None:
     order, small = ProgramsFirst(), Allowance(rate_per_s=1, capacity_calls=6)
-    assert order.missing_calls("k", Bucket(6, 0), small, 0) == 0
-    order.note("p", "k", 0)
-    assert order.missing_calls("k", Bucket(5, 0), small, 0) > 0
-    assert order.missing_calls("k", Bucket(6, 0), small, IDLE_MS) == 0
+    assert order.missing_calls(KIND, Bucket(6, 0), small, 0) == 0
+    order.note("p", KIND, 0)
+    assert order.missing_calls(KIND, Bucket(5, 0), small, 0) > 0
+    assert order.missing_calls(KIND, Bucket(6, 0), small, IDLE_MS) == 0
 
 
 def test_what_is_usual_is_learned_from_programs_that_are_over() -> None:
     order = ProgramsFirst()
     for number in range(200):
         for call in range(3):
-            order.note(f"p{number}", "k", number * 10_000 + call * 100)
-        order.missing_calls("k", Bucket(40, 0), ALLOWANCE, number * 10_000 + 5_000)
+            order.note(f"p{number}", KIND, number * 10_000 + call * 100)
+        order.missing_calls(KIND, Bucket(40, 0), ALLOWANCE, number * 10_000 + 5_000)
 
-    order.note("p", "k", 5_000_000)
+    order.note("p", KIND, 5_000_000)
     # Room for one more program of three calls is enough; of twelve, as at first, it would not be.
     room = LEAST_REST_CALLS + 3
-    assert FIRST_PROGRAM_CALLS > 6
-    assert order.missing_calls("k", Bucket(room, 0), Allowance(0.1, 40), 5_000_000) == 0
-    assert order.missing_calls("k", Bucket(room - 1, 0), Allowance(0.1, 40), 5_000_000) > 0
+    assert FIRST_PROGRAM.calls > 6
+    assert order.missing_calls(KIND, Bucket(room, 0), Allowance(0.1, 40), 5_000_000) == 0
+    assert order.missing_calls(KIND, Bucket(room - 1, 0), Allowance(0.1, 40), 5_000_000) > 0
 
 
 def test_what_is_usual_differs_by_kind() -> None:
     order = ProgramsFirst()
     for number in range(100):
-        for kind, calls in (("short", 3), ("long", 40)):
+        for kind, calls in ((SHORT, 3), (LONG, 40)):
             for _ in range(calls):
-                order.note(f"{kind}{number}", kind, number * 10_000)
-        order.missing_calls("long", Bucket(40, 0), ALLOWANCE, number * 10_000 + 5_000)
-    order.note("one", "short", 5_000_000)
+                order.note(f"{kind.name}{number}", kind, number * 10_000)
+        order.missing_calls(LONG, Bucket(40, 0), ALLOWANCE, number * 10_000 + 5_000)
+    order.note("one", SHORT, 5_000_000)
     slow = Allowance(0.1, 60)
-    assert order.missing_calls("short", Bucket(10, 0), slow, 5_000_000) == 0
-    assert order.missing_calls("long", Bucket(10, 0), slow, 5_000_000) > 0
+    assert order.missing_calls(SHORT, Bucket(10, 0), slow, 5_000_000) == 0
+    assert order.missing_calls(LONG, Bucket(10, 0), slow, 5_000_000) > 0
 
 
 def test_what_is_remembered_is_bounded() -> None:
     order = ProgramsFirst()
     for number in range(MAX_PROGRAMS + 10):
-        order.note(f"p{number}", "k", 0)
+        order.note(f"p{number}", KIND, 0)
     assert not order.is_under_way("p0", 0)
     assert order.is_under_way(f"p{MAX_PROGRAMS + 9}", 0)
