New programs begin only while engines leave them time to end

Change: policy/room.py (pure) expects a program's waits from those of the owner's own turns, by rank; gateway/turns/admission.py refuses the first turn of one that can't end in time, at once and as not run. Setting keeps_room.

Replay: tests/policy/program_fleet.py.

--- a/src/quincespool/gateway/turns/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -18,6 +18,7 @@
 from quincespool.gateway.members.messages import TurnForeign
 from quincespool.gateway.members.messages import TurnFound
 from quincespool.gateway.store.configuration_copies import ConfigurationCopies
+from quincespool.gateway.turns.admission import make_admission
 from quincespool.gateway.turns.finder import TurnFinder
 from quincespool.gateway.turns.ownership import Ownership
 from quincespool.gateway.turns.ownership import list_partitions
@@ -93,11 +94,15 @@
             ownership=self.ownership,
             links=self.links,
         )
+        self.admission = make_admission(
+            keeps_room=settings.keeps_room, log=log, metrics=services.metrics
+        )
         self.turns = TurnRunner(
             services,
             settle_elsewhere=self._settle_elsewhere,
             finder=self.finder,
             store_reachable=lambda: store_health.reachable,
+            admission=self.admission,
         )
         self.relay = Relay(
             member_id=settings.member_id,
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -32,7 +32,7 @@
 from quincespool.gateway.turns.relay_codec import read_relay
 from quincespool.gateway.turns.relay_codec import write_headers
 from quincespool.gateway.turns.relay_codec import write_relay
-from quincespool.gateway.turns.turn_run import STORE_AWAY
+from quincespool.gateway.turns.turn_records import STORE_AWAY
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -12,8 +12,9 @@
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import split_history
 from quincespool.gateway.turns.partition import LostPartitionError
-from quincespool.gateway.turns.turn_run import STORE_AWAY
-from quincespool.gateway.turns.turn_run import BrokenTurnError
+from quincespool.gateway.turns.turn_records import STORE_AWAY
+from quincespool.gateway.turns.turn_records import BrokenTurnError
+from quincespool.gateway.turns.turn_records import RecordServices
 from quincespool.gateway.turns.turn_run import TurnRun
 from quincespool.gateway.turns.turn_run import TurnServices
 
@@ -27,9 +28,10 @@
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import Turn
     from quincespool.gateway.model import TurnTerms
+    from quincespool.gateway.turns.admission import ProgramAdmission
     from quincespool.gateway.turns.finder import TurnFinder
     from quincespool.gateway.turns.partition import OwnedPartition
-    from quincespool.gateway.turns.turn_run import SettleElsewhere
+    from quincespool.gateway.turns.turn_records import SettleElsewhere
 
 # While the store does not answer, nothing that a turn produces can be kept. Callers have few
 # retries; spread over a third of the usual four seconds they outlast an outage of about four.
@@ -55,11 +57,15 @@
         settle_elsewhere: SettleElsewhere,
         finder: TurnFinder,
         store_reachable: Callable[[], bool],
+        admission: ProgramAdmission,
     ) -> None:
         self._services = services
         self._finder = finder
+        self._admission = admission
         self._store_reachable = store_reachable
-        self._run_services = TurnServices(services, settle_elsewhere, store_reachable)
+        self._run_services = TurnServices(
+            services, RecordServices(settle_elsewhere, store_reachable), admission
+        )
         self._last_engine: dict[str, BackendLife] = {}
 
     async def run(
@@ -83,6 +89,8 @@
             refusal = await self._import(call, turn, terms, owned)
         elif refusal is not None:
             refusal = await _confirmed(refusal, owned)
+        if refusal is None:
+            refusal = self._admission.refuse(call, terms, owned.ledger)
         if refusal is not None:
             reply.refuse(refusal)
             return
@@ -106,10 +114,11 @@
             self._remember(turn.program_id, run.engine)
             run.close()
 
-    def forget_engines(self, keep: int = 4_096) -> None:
-        """Bounds what is remembered of programs' engines, the oldest first."""
+    def forget_programs(self, keep: int = 4_096) -> None:
+        """Bounds what is remembered of programs, the oldest first, and learns from them."""
         for program_id in list(self._last_engine)[:-keep]:
             del self._last_engine[program_id]
+        self._admission.learn()
 
     async def _import(
         self, call: Call, turn: Turn, terms: TurnTerms, owned: OwnedPartition
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -9,7 +9,7 @@
 import pytest
 
 from quincespool.gateway.model import may_have_run
-from quincespool.gateway.turns.turn_run import STORE_AWAY
+from quincespool.gateway.turns.turn_records import STORE_AWAY
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import TOKENS_PER_EVENT
--- /dev/null
+++ b/tests/policy/program_fleet.py
@@ -0,0 +1,206 @@
+"""Programs of several turns before engines that take turns by rank, in virtual time."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from quincespool.policy.placement import Candidate
+from quincespool.policy.placement import place
+from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.room import Room
+from quincespool.policy.room import Wish
+from quincespool.policy.service_times import BackendLatencies
+from quincespool.policy.service_times import ServiceTimes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SERVICE = "model"
+OWNERS, ENGINES, SLOTS, QUEUE = 60, 24, 6, 18
+SPEEDS = (0.7, 0.7, 1.7)
+BEGIN_MS, TURN_MS, PAUSE_MS = 30.0, 190.0, 150.0
+MAX_REFUSALS, FULL_RETRY_MS = 3, 250.0
+# Each turn is tried so often; callers come back no later than after a third of their time.
+TRIES, TURN_LIMIT_MS = 6, 3_000.0
+SHORT, LONG = ProgramKind("short", 0), ProgramKind("long", 2)
+TURNS = {SHORT: 3, LONG: 8}
+# A program has so many times what it takes on idle engines, and so much besides.
+FACTOR, BESIDES_MS = {SHORT: 1.4, LONG: 1.6}, {SHORT: 250, LONG: 500}
+
+
+class Burst(NamedTuple):
+    """More programs of one kind for some time."""
+
+    kind: ProgramKind
+    times: float
+    from_ms: int
+    until_ms: int
+
+
+@dataclass
+class _Program:
+    number: int
+    kind: ProgramKind
+    owner: int
+    began_ms: float
+    until_ms: float
+    turns: int = 0
+    tries: int = 0
+
+
+class Outcome(NamedTuple):
+    """Programs by kind: asked for, ended in time, ended late."""
+
+    asked: Counter[ProgramKind]
+    in_time: Counter[ProgramKind]
+    late: Counter[ProgramKind]
+
+    def share(self, kind: ProgramKind) -> float:
+        """Returns the part that ended in time."""
+        return self.in_time[kind] / self.asked[kind]
+
+
+class ProgramFleet:
+    """One run; the same seed and load make the same programs."""
+
+    def __init__(
+        self,
+        per_s: dict[ProgramKind, float],
+        bursts: tuple[Burst, ...],
+        *,
+        seed: int,
+        has_room: bool,
+        seconds: int = 16,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._rooms = [Room() for _ in range(OWNERS)] if has_room else None
+        self._latencies = [BackendLatencies() for _ in range(OWNERS)]
+        self._times = [ServiceTimes() for _ in range(OWNERS)]
+        self._in_flight = [[0] * ENGINES for _ in range(OWNERS)]
+        self._running = [0] * ENGINES
+        self._queues: list[list[tuple[int, int, Callable[[], None]]]] = [[] for _ in range(ENGINES)]
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._number = 0
+        self._now_ms = 0.0
+        self._outcome = Outcome(Counter(), Counter(), Counter())
+        for kind, rate_per_s in per_s.items():
+            self._arrive(kind, rate_per_s, bursts, seconds * 1_000)
+
+    def run(self) -> Outcome:
+        """Plays the whole load."""
+        while self._events:
+            self._now_ms, _, call = heapq.heappop(self._events)
+            call()
+        return self._outcome
+
+    def _arrive(
+        self, kind: ProgramKind, rate_per_s: float, bursts: tuple[Burst, ...], end_ms: int
+    ) -> None:
+        at_ms = 0.0
+        while at_ms < end_ms:
+            times = [b.times for b in bursts if b.kind == kind and b.from_ms <= at_ms < b.until_ms]
+            at_ms += self._rng.expovariate(rate_per_s * max(times, default=1.0) / 1_000)
+            idle_ms = TURNS[kind] * (TURN_MS + PAUSE_MS)
+            until_ms = at_ms + FACTOR[kind] * idle_ms + BESIDES_MS[kind]
+            self._number += 1
+            owner = self._rng.randrange(OWNERS)
+            program = _Program(self._number, kind, owner, at_ms, until_ms)
+            self._outcome.asked[kind] += 1
+            self._at(at_ms, lambda program=program: self._turn(program))  # type: ignore[misc]
+
+    def _at(self, at_ms: float, call: Callable[[], None]) -> None:
+        self._number += 1
+        heapq.heappush(self._events, (at_ms, self._number, call))
+
+    def _turn(self, program: _Program) -> None:
+        now_ms = int(self._now_ms)
+        room = self._rooms[program.owner] if self._rooms is not None else None
+        if room is not None:
+            room.learn(now_ms)
+            if not program.turns:
+                left_ms = int(program.until_ms - self._now_ms)
+                refused = room.refuse(Wish(SERVICE, program.kind, left_ms), now_ms)
+                if refused is not None:
+                    self._come_back(program, refused.retry_after_ms)
+                    return
+            room.note_turn(str(program.number), program.kind, now_ms)
+        tried: set[int] = set()
+        while len(tried) < MAX_REFUSALS:
+            engine = self._choose(program.owner, tried)
+            tried.add(engine)
+            if self._running[engine] < SLOTS or len(self._queues[engine]) < QUEUE:
+                self._send(program, engine)
+                return
+        if room is not None:
+            room.note_full(SERVICE, program.kind.rank, now_ms)
+        self._come_back(program, FULL_RETRY_MS)
+
+    def _come_back(self, program: _Program, after_ms: float) -> None:
+        program.tries += 1
+        if program.tries < TRIES:
+            after_ms = min(after_ms, TURN_LIMIT_MS / 3)
+            self._at(self._now_ms + after_ms, lambda: self._turn(program))
+
+    def _choose(self, owner: int, tried: set[int]) -> int:
+        times = self._times[owner]
+        usual_ms, whole_ms = times.begin_ms(SERVICE), max(1.0, times.whole_ms(SERVICE))
+        candidates = [
+            Candidate(
+                backend_id=str(engine),
+                busy=self._in_flight[owner][engine] / SLOTS,
+                is_near=engine % 3 == owner % 3,
+                is_cold=False,
+                is_connected=True,
+                lateness=self._latencies[owner].excess_ms(str(engine), usual_ms, int(self._now_ms))
+                / whole_ms,
+            )
+            for engine in range(ENGINES)
+            if engine not in tried
+        ]
+        return int(place(candidates, preferred_id="", rng=self._rng))
+
+    def _send(self, program: _Program, engine: int) -> None:
+        self._in_flight[program.owner][engine] += 1
+        sent_ms = self._now_ms
+        if self._running[engine] < SLOTS:
+            self._start(program, engine, sent_ms)
+            return
+        self._number += 1
+        entry = (program.kind.rank, self._number, lambda: self._start(program, engine, sent_ms))
+        heapq.heappush(self._queues[engine], entry)
+
+    def _start(self, program: _Program, engine: int, sent_ms: float) -> None:
+        self._running[engine] += 1
+        speed = SPEEDS[engine % len(SPEEDS)]
+        took_ms = self._rng.lognormvariate(0.0, 0.3) * TURN_MS / speed
+        self._at(self._now_ms + BEGIN_MS / speed, lambda: self._begin(program, engine, sent_ms))
+        self._at(self._now_ms + took_ms, lambda: self._end(program, engine, sent_ms))
+
+    def _begin(self, program: _Program, engine: int, sent_ms: float) -> None:
+        took_ms, now_ms = self._now_ms - sent_ms, int(self._now_ms)
+        self._latencies[program.owner].observe(str(engine), took_ms, now_ms)
+        self._times[program.owner].observe_begin(SERVICE, took_ms)
+        if self._rooms is not None:
+            rank = program.kind.rank
+            self._rooms[program.owner].note_begin(SERVICE, rank, took_ms, now_ms)
+
+    def _end(self, program: _Program, engine: int, sent_ms: float) -> None:
+        self._in_flight[program.owner][engine] -= 1
+        self._times[program.owner].observe_whole(SERVICE, self._now_ms - sent_ms)
+        self._running[engine] -= 1
+        if self._queues[engine]:
+            heapq.heappop(self._queues[engine])[2]()
+        program.turns += 1
+        program.tries = 0
+        if program.turns < TURNS[program.kind]:
+            pause_ms = self._rng.expovariate(1 / PAUSE_MS)
+            self._at(self._now_ms + pause_ms, lambda: self._turn(program))
+        elif self._now_ms <= program.until_ms:
+            self._outcome.in_time[program.kind] += 1
+        else:
+            self._outcome.late[program.kind] += 1
