Streams that may be resumed go on at another engine, or the same one

Cause: an engine that breaks off cost the turn, though the route is idempotent.

Change: stream_progress.py and next_run.py (pure) say which events make one answer and where a turn goes next; a turn that engines refuse as full now waits for a place where its route allows one engine only.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -33,6 +33,8 @@
     from quincespool.net.metrics import Metrics
 
 MAX_ANSWER_BYTES = 16_000_000
+BACKEND_FULL = "backend_full"
+BACKEND_REPLACED = "backend_replaced"
 # A process that has crashed refuses connections by now; one that is replaced takes seconds.
 CRASH_CHECK_S = 0.1
 
@@ -222,8 +224,8 @@
         if status == 421:
             # Another backend server has the address: this one has gone without a word.
             self._blame("replaced", unreachable=True)
-            return NotRun("backend_replaced", sent=True)
-        return NotRun("backend_full", sent=True)
+            return NotRun(BACKEND_REPLACED, sent=True)
+        return NotRun(BACKEND_FULL, sent=True)
 
     async def _drain(self) -> None:
         while not isinstance(await self.next_event(), End | Broken):
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -69,6 +69,8 @@
     tokens_per_event: int
     account: str
     route: str
+    resumable: bool
+    resumes_after: int
 
 
 class RelayCancel(NamedTuple):
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -48,6 +48,8 @@
       turn: Set if the call belongs to a program and generates tokens.
       program_id: The caller's program, also for calls that generate no tokens; empty if none.
       key_digest: Of the key that the caller sent; empty if none.
+      resumes_after: Number of the last event of a stream that its caller has from an earlier call;
+        None if it begins anew.
     """
 
     call_id: str
@@ -60,6 +62,7 @@
     turn: Turn | None
     program_id: str = ""
     key_digest: str = ""
+    resumes_after: int | None = None
 
 
 class Share(NamedTuple):
@@ -79,6 +82,7 @@
       keeps_history: Whether turns carry only their new input and the gateway adds what came before.
       retention_ms: How long a whole turn can be continued from.
       is_public: Whether callers need no key.
+      is_resumable: Whether a stream that was broken off may go on at another backend server.
     """
 
     name: str
@@ -93,6 +97,7 @@
     keeps_history: bool
     retention_ms: int
     is_public: bool = False
+    is_resumable: bool = False
 
 
 class Service(NamedTuple):
@@ -257,6 +262,7 @@
       max_attempts: Engines that it may be sent to.
       keeps_history: Whether the gateway adds what came before the turn.
       retention_ms: How long the turn can be continued from.
+      is_resumable: Whether it may go on at another engine after it was broken off.
     """
 
     version: int
@@ -270,6 +276,7 @@
     max_attempts: int
     keeps_history: bool
     retention_ms: int
+    is_resumable: bool
 
 
 def make_terms(decision: Decision) -> TurnTerms:
@@ -287,6 +294,7 @@
         max_attempts=route.max_attempts,
         keeps_history=route.keeps_history,
         retention_ms=route.retention_ms,
+        is_resumable=route.is_resumable,
     )
 
 
--- a/src/quincespool/gateway/turns/relay_codec.py
+++ b/src/quincespool/gateway/turns/relay_codec.py
@@ -43,6 +43,8 @@
         tokens_per_event=terms.tokens_per_event,
         account=terms.account,
         route=terms.route,
+        resumable=terms.is_resumable,
+        resumes_after=write_optional(call.resumes_after),
     )
 
 
@@ -65,6 +67,7 @@
         left_ms=message.left_ms,
         turn=turn,
         program_id=message.program_id,
+        resumes_after=read_optional(message.resumes_after),
     )
     terms = TurnTerms(
         version=message.configuration_version,
@@ -78,6 +81,7 @@
         max_attempts=message.max_attempts,
         keeps_history=message.keeps_history,
         retention_ms=message.retention_ms,
+        is_resumable=message.resumable,
     )
     return call, terms
 
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.gateway.backends.attempt import BACKEND_FULL
+from quincespool.gateway.backends.attempt import BACKEND_REPLACED
 from quincespool.gateway.backends.attempt import Attempt
 from quincespool.gateway.backends.attempt import Lost
 from quincespool.gateway.backends.attempt import NotRun
@@ -15,6 +18,11 @@
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.turns.event_stream import EventReader
+from quincespool.gateway.turns.next_run import Place
+from quincespool.gateway.turns.next_run import Tried
+from quincespool.gateway.turns.next_run import TurnTries
+from quincespool.gateway.turns.stream_progress import GapError
+from quincespool.gateway.turns.stream_progress import StreamProgress
 from quincespool.gateway.turns.turn_records import BrokenTurnError
 from quincespool.gateway.turns.turn_records import TurnRecords
 from quincespool.policy.urgency import turn_priority
@@ -32,8 +40,6 @@
     from quincespool.gateway.turns.turn_records import RecordServices
     from quincespool.gateway.wire import AnswerHead
 
-# Engines that refuse a turn as full before it is given back to the caller; each costs a round trip.
-MAX_REFUSALS = 3
 # A queue on an engine moves by one turn in some tens of milliseconds.
 FULL_RETRY_MS = 250
 NO_BACKEND_RETRY_MS = 400
@@ -86,40 +92,72 @@
         self._until_ms = until_ms
         self._records = TurnRecords(services.records, call, terms, owned)
         self._events = EventReader()
+        self._progress = StreamProgress(after=call.resumes_after)
+        self._has_head = False
         self._may_have_run = False
         self._began_ms = now_ms()
 
     async def answer(self) -> None:
         """Finds an engine that takes the turn and relays what it generates."""
+        tries = TurnTries(
+            max_engines=self._terms.max_attempts, may_run_again=self._terms.is_resumable
+        )
         tried: set[str] = set()
-        sent = 0
-        refusals = 0
-        reason = "no_backend"
+        entry: BackendEntry | None = None
+        failed: NotRun | Lost = NotRun("no_backend", sent=False)
         self._records.begin()
-        while sent < self._terms.max_attempts and refusals < MAX_REFUSALS:
-            entry = self._services.backends.choose(
-                self._terms.service,
-                now_ms=now_ms(),
-                exclude=frozenset(tried),
-                prefer=self.engine,
-                connected=self._services.pool.connected(),
-            )
-            if entry is None:
-                break
-            tried.add(entry.backend_id)
+        while (run := tries.next_run(self._until_ms - now_ms())).place is not Place.NOWHERE:
+            if run.place is Place.ANOTHER:
+                entry = self._choose(frozenset(tried))
+                if entry is None:
+                    break
+                tried.add(entry.backend_id)
+            await asyncio.sleep(run.pause_ms / 1000)
+            assert entry is not None
             result = await self._attempt(entry)
             if result is None:
                 return
-            if isinstance(result, Lost):
-                raise BrokenTurnError(may_have_run("answer_lost"))
-            refusals += 1
-            reason = result.reason
-            sent += result.sent
-        retry_ms = NO_BACKEND_RETRY_MS
-        if reason == "backend_full":
-            retry_ms = FULL_RETRY_MS
+            failed = result
+            if isinstance(failed, Lost) and not self._progress.can_resume:
+                break
+            tries.note(_tried(failed), run.place)
+            self._note_failed_run(failed, entry)
+        raise BrokenTurnError(self._refusal(failed))
+
+    def _choose(self, exclude: frozenset[str]) -> BackendEntry | None:
+        return self._services.backends.choose(
+            self._terms.service,
+            now_ms=now_ms(),
+            exclude=exclude,
+            prefer=self.engine,
+            connected=self._services.pool.connected(),
+        )
+
+    def _refusal(self, failed: NotRun | Lost) -> Refusal:
+        """Returns the final answer for a turn that no engine answers whole."""
+        if self._has_head:
+            return may_have_run("stream_broken")
+        if self._may_have_run or isinstance(failed, Lost):
+            return may_have_run("answer_lost")
+        if failed.reason == BACKEND_FULL:
             self._admission.note_full(self._terms)
-        raise BrokenTurnError(not_run(reason, retry_after_ms=retry_ms))
+            return not_run(failed.reason, retry_after_ms=FULL_RETRY_MS)
+        return not_run(failed.reason, retry_after_ms=NO_BACKEND_RETRY_MS)
+
+    def _note_failed_run(self, failed: NotRun | Lost, entry: BackendEntry) -> None:
+        if not self._terms.is_resumable or not isinstance(failed, Lost):
+            return
+        self._progress.begin_run()
+        self._services.metrics.count("gateway_streams_broken_total", route=self._terms.route)
+        self._services.log.write(
+            "stream broken off",
+            call_id=self._call.call_id,
+            program_id=self._turn.program_id,
+            backend_id=entry.backend_id,
+            reason=failed.reason,
+            last_event=self._progress.last,
+            left_ms=self._until_ms - now_ms(),
+        )
 
     def timeout_refusal(self) -> Refusal:
         """Returns the final answer for a turn whose time is up."""
@@ -142,15 +180,16 @@
             backend_id=entry.backend_id,
             left_ms=max(1, self._until_ms - now_ms() - WAY_MS),
             priority=turn_priority(self._terms.rank, turn.program_left_ms),
+            after_event=self._progress.last if self._progress.has_begun else None,
         )
         async with Attempt(self._services, entry, call) as attempt:
             failed = await attempt.send(history + call.body, headers)
             if failed is not None:
                 return failed
-            self._may_have_run = True
+            had_run, self._may_have_run = self._may_have_run, True
             head = await attempt.head()
             if isinstance(head, NotRun):
-                self._may_have_run = False
+                self._may_have_run = had_run
                 return head
             if isinstance(head, Lost):
                 return head
@@ -161,31 +200,58 @@
 
     async def _relay(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
         if head.status != 200:
-            body = await attempt.body()
-            if isinstance(body, Lost):
-                return body
-            attempt.settle(sound=head.status < 500)
-            self._reply.head(head.status, head.headers)
-            self._reply.piece(body)
-            self._reply.end()
-            return None
-        self._reply.head(head.status, head.headers)
+            return await self._relay_failure(attempt, head)
+        self._begin_answer(head)
         while True:
             event = await attempt.next_event()
             if isinstance(event, Piece):
-                await self._records.hand_out(self._events.feed(event.data))
-                self._reply.piece(event.data)
+                lost = await self._take_piece(attempt, event.data)
+                if lost is not None:
+                    return lost
             elif isinstance(event, End):
                 attempt.settle(sound=True)
+                self._reply.piece(self._progress.rest)
                 break
             elif isinstance(event, Broken):
                 if self._events.partial:
                     self._records.note_cut_event()
-                attempt.lose(event)
-                raise BrokenTurnError(may_have_run("stream_broken"))
+                return attempt.lose(event)
         await self._end_whole(attempt.entry)
         return None
 
+    def _begin_answer(self, head: AnswerHead) -> None:
+        """Hands the head out, once for all runs: the first engine's stays."""
+        if not self._has_head:
+            self._has_head = True
+            self._reply.head(head.status, head.headers)
+
+    async def _relay_failure(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
+        body = await attempt.body()
+        if isinstance(body, Lost):
+            return body
+        attempt.settle(sound=head.status < 500)
+        if self._has_head:
+            # What the caller has got is no part of this answer.
+            return Lost(f"status {head.status} behind a stream")
+        self._reply.head(head.status, head.headers)
+        self._reply.piece(body)
+        self._reply.end()
+        return None
+
+    async def _take_piece(self, attempt: Attempt, data: bytes) -> Lost | None:
+        """Hands out a piece: as it comes, or its whole events if the stream may be resumed."""
+        if self._terms.is_resumable:
+            try:
+                events = self._progress.take(data)
+            except GapError as error:
+                return attempt.lose(Broken(str(error), closed=False))
+            data = b"".join(event.raw for event in events)
+            if not data:
+                return None
+        await self._records.hand_out(self._events.feed(data))
+        self._reply.piece(data)
+        return None
+
     async def _end_whole(self, entry: BackendEntry) -> None:
         """Makes the turn last, then tells the caller that it is whole."""
         ended_ms = now_ms()
@@ -204,3 +270,11 @@
             record_ms=kept_ms - ended_ms,
             epoch=self._owned.epoch,
         )
+
+
+def _tried(failed: NotRun | Lost) -> Tried:
+    if isinstance(failed, Lost):
+        return Tried.LOST
+    if not failed.sent:
+        return Tried.UNREACHABLE
+    return Tried.REPLACED if failed.reason == BACKEND_REPLACED else Tried.FULL
--- a/src/quincespool/gateway/wire.py
+++ b/src/quincespool/gateway/wire.py
@@ -66,6 +66,7 @@
         backend_id: str,
         left_ms: int,
         priority: int | None,
+        after_event: int | None = None,
     ) -> Headers:
         """Returns the headers of one attempt at a backend server.
 
@@ -75,6 +76,8 @@
           backend_id: The only one that may run it.
           left_ms: How long it may take.
           priority: Among the calls that wait there; 0 goes first.
+          after_event: Number of the last event that need not be sent again; None leaves that to
+            what the caller has said.
         """
 
     def read_answer_head(self, status: int, pairs: Headers) -> AnswerHead:
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -80,6 +80,9 @@
     "ledger_void_entries_total": MetricSpec("counter", "Entries read that do not count."),
     "gateway_calls_total": MetricSpec("counter", "Calls of callers by how they ended."),
     "gateway_call_ms": MetricSpec("histogram", "From a whole request to the end of its answer."),
+    "gateway_streams_broken_total": MetricSpec(
+        "counter", "Runs of resumable streams that broke off, by route."
+    ),
     "gateway_turn_wait_ms": MetricSpec("histogram", "Expected wait of turns for engines."),
     "gateway_programs_refused_total": MetricSpec(
         "counter", "First turns refused since their programs could not end in time, by route."
--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -54,6 +54,8 @@
     # Longest pause between events with which a stream is in time.
     target_gap_ms: float = 0
     public: bool = False
+    # A stream may go on behind its last event, at any engine.
+    resumable: bool = False
 
 
 class _Engine(msgspec.Struct):
@@ -194,6 +196,7 @@
         keeps_history=route.retain_context,
         retention_ms=int(route.retention_s * 1000),
         is_public=route.public,
+        is_resumable=route.resumable,
     )
 
 
--- a/src/quincespool/platform/requests.py
+++ b/src/quincespool/platform/requests.py
@@ -21,6 +21,8 @@
 from quincespool.net.requests import RequestError
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from quincespool.gateway.model import Headers
     from quincespool.net.requests import HttpRequest
 
@@ -65,6 +67,7 @@
     "tenant-id",
     "token-budget",
 )
+_LAST_EVENT = "last-event-id"
 _ID = re.compile(r"[!-~]{1,128}")
 _NUMBER = re.compile(r"[0-9]{1,12}")
 _MAX_LEFT_MS = 600_000
@@ -103,6 +106,7 @@
             turn=turn.ok,
             program_id=program_id,
             key_digest=digest_key(headers["credential"]) if "credential" in headers else "",
+            resumes_after=_read_event_number(headers.get(_LAST_EVENT, "")),
         )
     )
 
@@ -131,10 +135,20 @@
 
 
 def write_attempt_headers(
-    call: Call, *, account: str, backend_id: str, left_ms: int, priority: int | None
+    call: Call,
+    *,
+    account: str,
+    backend_id: str,
+    left_ms: int,
+    priority: int | None,
+    after_event: int | None = None,
 ) -> Headers:
     """Returns the headers of one attempt at a backend server."""
-    headers = [*call.headers, ("deadline-ms", str(left_ms)), ("expect-instance", backend_id)]
+    forwarded: Iterable[tuple[str, str]] = call.headers
+    if after_event is not None:
+        forwarded = [pair for pair in call.headers if pair[0] != _LAST_EVENT]
+        forwarded.append((_LAST_EVENT, str(after_event)))
+    headers = [*forwarded, ("deadline-ms", str(left_ms)), ("expect-instance", backend_id)]
     if account:
         headers.append(("tenant-id", account))
     if priority is not None:
@@ -189,6 +203,10 @@
     )
 
 
+def _read_event_number(text: str) -> int | None:
+    return int(text) if _NUMBER.fullmatch(text) else None
+
+
 def _repeats_own(pairs: Headers) -> bool:
     names = [name for name, _ in pairs]
     return any(names.count(name) > 1 for name in _READ_ONCE)
--- a/src/quincespool/policy/room.py
+++ b/src/quincespool/policy/room.py
@@ -1,7 +1,7 @@
 """Whether a new program may begin while the engines of its service are full.
 
 Answers bursts that engines take into their queues. Each turn of each program then waits, so that
-nearly all programs are late, also those that are half done, and what is urgent finds queues that are
+nearly all programs are late, also those that are half done, and what is urgent finds the queues
 full of what is not. A new program begins only if the waits of its turns leave it time to end; one
 that has begun goes on. A host goes by how long its own turns waited: it asks nobody.
 """
@@ -20,9 +20,9 @@
 
 # Part of the time that a new program has for which its turns may wait for engines. The rest is what
 # it takes on idle ones, and what the waits grow by before those who begin now have ended.
-WAIT_SHARE = 0.2
+WAIT_SHARE = 0.5
 # The same where more urgent programs use the service: what is less urgent leaves room first.
-LESS_URGENT_WAIT_SHARE = 0.1
+LESS_URGENT_WAIT_SHARE = 0.35
 # A program before any was seen to its end.
 FIRST_PROGRAM = Shape(calls=5.0, took_ms=2_000.0)
 # Weight of the newest turn in the mean wait.
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -98,6 +98,8 @@
   patienceMs @28 :Int64;  # 0 from earlier versions.
   account @29 :Text;
   route @30 :Text;
+  resumable @31 :Bool;
+  resumesAfter @32 :Int64;  # -1 if the caller has no event of it yet.
 }
 
 struct RelayCancel {
--- /dev/null
+++ b/tests/gateway/turns/test_admission.py
@@ -0,0 +1,86 @@
+"""New programs at their owner, while engines are full."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from quincespool.gateway.model import Call
+from quincespool.gateway.model import Turn
+from quincespool.gateway.model import TurnTerms
+from quincespool.gateway.turns.admission import make_admission
+from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.net.metrics import Metrics
+from quincespool.verdict import Verdict
+
+TERMS = TurnTerms(
+    version=1,
+    account="",
+    route="r",
+    service="s",
+    tokens_per_event=1,
+    rank=0,
+    timeout_ms=3_000,
+    patience_ms=2_000,
+    max_attempts=1,
+    keeps_history=False,
+    retention_ms=60_000,
+    is_resumable=False,
+)
+
+
+class _Log:
+    def __init__(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+
+    def write(self, message: str, **fields: object) -> None:
+        self.lines.append({"message": message, **fields})
+
+
+@pytest.fixture
+def log() -> _Log:
+    return _Log()
+
+
+def _call(program_id: str, *, previous_id: str = "", left_ms: int | None = 1_500) -> Call:
+    turn = Turn(program_id, previous_id, None, 10, left_ms)
+    return Call("c1", "POST", "h", "/", (), b"", 3_000, turn, program_id)
+
+
+def _full_admission(log: _Log, *, keeps_room: bool = True) -> Any:
+    metrics = Metrics()
+    admission = make_admission(keeps_room=keeps_room, log=log, metrics=metrics)  # type: ignore[arg-type]
+    for _ in range(20):
+        admission.note_full(TERMS)
+    return admission
+
+
+def test_a_first_turn_is_refused_as_not_run_and_says_why(log: _Log) -> None:
+    refusal = _full_admission(log).refuse(_call("p"), TERMS, Ledger())
+
+    assert refusal is not None
+    assert (refusal.status, refusal.verdict) == (503, Verdict.NOT_RUN)
+    assert refusal.retry_after_ms > 0
+    line = log.lines[-1]
+    assert line["message"] == "no room"
+    assert line.keys() >= {"call_id", "program_id", "wait_ms", "wait_age_ms", "turns"}
+
+
+def test_a_program_that_has_begun_goes_on(log: _Log) -> None:
+    """What its earlier turns took would be lost."""
+    admission, ledger = _full_admission(log), Ledger()
+    ledger.apply(TurnStarted("t0", "known", 10, 0))
+    assert admission.refuse(_call("known"), TERMS, ledger) is None
+    assert admission.refuse(_call("new", previous_id="t0"), TERMS, ledger) is None
+
+
+def test_a_program_without_a_deadline_is_never_refused(log: _Log) -> None:
+    assert _full_admission(log).refuse(_call("p", left_ms=None), TERMS, Ledger()) is None
+
+
+def test_nothing_is_refused_where_settings_do_not_ask_for_it(log: _Log) -> None:
+    admission = _full_admission(log, keeps_room=False)
+    assert admission.refuse(_call("p"), TERMS, Ledger()) is None
+    assert admission.dump() == {}
--- /dev/null
+++ b/tests/gateway/turns/test_resumed_streams.py
@@ -0,0 +1,206 @@
+"""Streams that go on at another engine after one has broken off."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+from typing import Any
+
+import pytest
+
+from quincespool.gateway.turns.next_run import MAX_LOST_RUNS
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+from tests.support.client import fetch
+from tests.support.platform_entries import HOST_NAME
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tests.support.standins.platform_engine import PlatformEngine
+
+EVENTS = 6
+
+
+@contextlib.asynccontextmanager
+async def _cluster(**changes: Any) -> AsyncIterator[GatewayCluster]:
+    """Two daemons before two engines; the streaming route may be resumed."""
+    async with GatewayCluster(2) as cluster:
+        cluster.configure(2, **{"resumable": True, "retain_context": False} | changes)
+        await cluster.until(
+            lambda: all(node.daemon._routes.version == 2 for node in cluster.nodes.values())
+        )
+        for engine in cluster.engines.values():
+            engine.knobs.events = EVENTS
+        yield cluster
+
+
+def _streams(cluster: GatewayCluster) -> list[PlatformEngine]:
+    return [cluster.engines["e1"], cluster.engines["e2"]]
+
+
+def _numbers(body: bytes) -> list[int]:
+    lines = body.decode().splitlines()
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+def _asked_after(cluster: GatewayCluster, call_id: str) -> list[str]:
+    """Returns behind which event each run of a call was to go on."""
+    runs = [run for run in cluster.all_runs() if run.call_id == call_id]
+    return [run.headers.get("last-event-id", "") for run in runs]
+
+
+async def test_a_stream_goes_on_behind_its_last_whole_event() -> None:
+    """An engine that breaks off in the middle of an event costs its caller the whole turn."""
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cut_inside, engine.knobs.cuts = 2, True, 1
+        call_id, reply = await cluster.turn("a", "p")
+        # Both engines cut one stream each; whichever came first, the other one goes on.
+        assert reply.status == 200
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+        assert reply.body.count(b"data: ") == EVENTS
+        assert _asked_after(cluster, call_id)[:2] == ["", "2"]
+
+
+async def test_the_headers_of_the_first_engine_stay() -> None:
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cuts = 3, 1
+        call_id, reply = await cluster.turn("a", "p")
+        runs = [run for run in cluster.all_runs() if run.call_id == call_id]
+        first = next(run for run in runs if "last-event-id" not in run.headers)
+        assert reply.headers["server-stamp"] == first.headers["expect-instance"]
+
+
+async def test_where_one_engine_is_allowed_the_same_one_goes_on() -> None:
+    """An engine that lives must not have a second one work beside it."""
+    async with _cluster(max_attempts=1) as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cuts = 2, 1
+        call_id, reply = await cluster.turn("a", "p")
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+        used = {run.headers["expect-instance"] for run in cluster.all_runs()}
+        assert len(used) == 1
+        assert len(cluster.runs(call_id)) == 2
+
+
+async def test_where_one_engine_is_allowed_and_has_crashed_another_one_goes_on() -> None:
+    async with _cluster(max_attempts=1) as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.gap_ms = 60
+        turn = asyncio.create_task(cluster.turn("a", "p"))
+        await cluster.until(lambda: any(engine.under_way for engine in _streams(cluster)))
+        await asyncio.sleep(0.15)
+        busy = next(engine for engine in _streams(cluster) if engine.under_way)
+        busy.cut_all()
+        _, reply = await turn
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+
+
+async def test_a_second_break_is_survived_and_a_third_engine_is_not_asked_for() -> None:
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cuts = 1, 1
+        call_id, reply = await cluster.turn("a", "p")
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+        assert len(cluster.runs(call_id)) == 3
+
+
+async def test_a_fault_that_cuts_every_run_ends_the_answer_as_broken() -> None:
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after = 0
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p", call_id="t1")
+        assert len(cluster.runs("t1")) == MAX_LOST_RUNS
+
+
+async def test_a_stream_of_a_route_that_may_not_be_resumed_breaks_off() -> None:
+    """Run again it would be doubled."""
+    async with _cluster(resumable=False) as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after = 2
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p", call_id="t1")
+        assert len(cluster.runs("t1")) == 1
+
+
+async def test_events_count_once_for_the_budget() -> None:
+    """The turn generates 6 events of 10 tokens, in two runs; the program may have 120."""
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cuts = 3, 1
+        _, first = await cluster.turn("a", "p", budget=120, most=60)
+        _, second = await cluster.turn("a", "p", budget=120, most=60)
+        _, third = await cluster.turn("a", "p", budget=120, most=60)
+        assert (first.status, second.status, third.status) == (200, 200, 402)
+
+
+async def test_a_caller_goes_on_behind_the_last_event_that_it_has() -> None:
+    async with _cluster() as cluster:
+        headers = {
+            "host": HOST_NAME,
+            "request-id": "again",
+            "deadline-ms": "3000",
+            "program-id": "p",
+            "token-usage": "5,60",
+            "last-event-id": "4",
+        }
+        address = cluster.nodes["a"].address
+        reply = await fetch(address, "POST", "/stream/x", headers=headers, body=b"hello")
+        assert _numbers(reply.body) == [5, 6]
+
+
+async def test_a_stream_is_resumed_while_the_store_is_away() -> None:
+    async with _cluster() as cluster:
+        _, begun = await cluster.turn("a", "p")
+        assert begun.status == 200
+        for engine in _streams(cluster):
+            engine.knobs.cut_after, engine.knobs.cuts, engine.knobs.gap_ms = 3, 1, 40
+        turn = asyncio.create_task(cluster.turn("a", "p"))
+        await cluster.until(lambda: any(engine.under_way for engine in _streams(cluster)))
+        cluster.set_store("a", "b", down=True)
+        await asyncio.sleep(0.25)
+        cluster.set_store("a", "b", down=False)
+        _, reply = await turn
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+
+
+async def test_after_the_owner_is_lost_the_caller_goes_on_at_the_next_one() -> None:
+    """The owner's daemon ends between two runs; what it has handed out is not sent again."""
+    async with _cluster() as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.gap_ms = 60
+        owner = next(iter(cluster.nodes))
+        other = next(name for name in cluster.nodes if name != owner)
+        program = _program_owned_by(cluster, owner)
+        seen: list[bytes] = []
+        turn = asyncio.create_task(cluster.turn(other, program, call_id="t1", on_data=seen.append))
+        await cluster.until(lambda: len(seen) >= 2)
+        await cluster.lose_node(owner)
+        with pytest.raises(ConnectionLostError):
+            await turn
+        has = _numbers(b"".join(seen))
+        await cluster.until(cluster.is_settled)
+        headers = {
+            "host": HOST_NAME,
+            "request-id": "t2",
+            "deadline-ms": "3000",
+            "program-id": program,
+            "token-usage": "5,60",
+            "last-event-id": str(has[-1] if has else 0),
+        }
+        address = cluster.nodes[other].address
+        rest = await fetch(address, "POST", "/stream/x", headers=headers, body=b"hello")
+        assert [*has, *_numbers(rest.body)] == list(range(1, EVENTS + 1))
+
+
+def _program_owned_by(cluster: GatewayCluster, name: str) -> str:
+    daemon = cluster.nodes[name].daemon
+    return next(
+        program
+        for program in (f"p{number}" for number in range(200))
+        if daemon._ownership.serving(daemon._parts.relay._partition_for(program)) is not None
+    )
--- /dev/null
+++ b/tests/policy/test_room.py
@@ -0,0 +1,135 @@
+"""Whether new programs begin while engines are full."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.room import FRESH_MS
+from quincespool.policy.room import FULL_WAIT_MS
+from quincespool.policy.room import HALF_LIFE_MS
+from quincespool.policy.room import LEAST_RETRY_MS
+from quincespool.policy.room import MOST_RETRY_MS
+from quincespool.policy.room import QUICKEST_MS
+from quincespool.policy.room import Room
+from quincespool.policy.room import Wish
+from tests.policy.program_fleet import LONG
+from tests.policy.program_fleet import SHORT
+from tests.policy.program_fleet import Burst
+from tests.policy.program_fleet import ProgramFleet
+
+if TYPE_CHECKING:
+    from tests.policy.program_fleet import Outcome
+
+SEEDS = (1, 2)
+# Of 720 turns a second that the engines take, this is a third; a burst makes it one and a half.
+USUAL = {SHORT: 35.0, LONG: 20.0}
+
+
+def _play(per_s: dict[ProgramKind, float], *bursts: Burst, has_room: bool) -> list[Outcome]:
+    return [ProgramFleet(per_s, bursts, seed=seed, has_room=has_room).run() for seed in SEEDS]
+
+
+def _in_time(outcomes: list[Outcome], kind: ProgramKind) -> float:
+    return sum(one.in_time[kind] for one in outcomes) / sum(one.asked[kind] for one in outcomes)
+
+
+def _late(outcomes: list[Outcome], kind: ProgramKind) -> float:
+    return sum(one.late[kind] for one in outcomes) / sum(one.asked[kind] for one in outcomes)
+
+
+def test_a_burst_of_long_programs_does_not_make_nearly_all_of_them_late() -> None:
+    """Half of the programs end late, since each of their turns waits behind all others."""
+    burst = Burst(LONG, 5.0, 3_000, 12_000)
+    without = _play(USUAL, burst, has_room=False)
+    kept = _play(USUAL, burst, has_room=True)
+
+    assert _in_time(kept, LONG) > _in_time(without, LONG)
+    assert _late(kept, LONG) < 0.5 * _late(without, LONG)
+    assert _in_time(kept, SHORT) >= _in_time(without, SHORT) - 0.02
+
+
+def test_what_is_urgent_is_served_as_before_beside_twice_the_load_of_the_rest() -> None:
+    per_s = {SHORT: 35.0, LONG: 60.0}
+    without, kept = (_play(per_s, has_room=has_room) for has_room in (False, True))
+
+    assert _in_time(kept, SHORT) >= _in_time(without, SHORT) - 0.02
+    assert _in_time(kept, LONG) > 1.25 * _in_time(without, LONG)
+
+
+def test_below_capacity_every_program_begins() -> None:
+    without, kept = (_play(USUAL, has_room=has_room) for has_room in (False, True))
+    assert [one.in_time for one in kept] == [one.in_time for one in without]
+
+
+def _room_that_waits(wait_ms: float, *, rank: int = 0, turns: int = 50) -> Room:
+    room = Room()
+    room.note_begin("s", rank, 30.0, 0)
+    for _ in range(turns):
+        room.note_begin("s", rank, 30.0 + wait_ms, 0)
+    return room
+
+
+def _wish(left_ms: int = 2_000, rank: int = 0, service: str = "s") -> Wish:
+    return Wish(service, ProgramKind("k", rank), left_ms)
+
+
+def test_a_program_without_time_is_refused_with_the_time_to_come_back() -> None:
+    room = _room_that_waits(200)
+    refused = room.refuse(_wish(), 100)
+
+    assert refused is not None
+    assert refused.wait_ms == pytest.approx(200, rel=0.05)
+    assert refused.age_ms == 100
+    assert LEAST_RETRY_MS <= refused.retry_after_ms <= MOST_RETRY_MS
+    assert room.refuse(_wish(left_ms=60_000), 100) is None
+    assert room.refuse(_wish(service="other"), 100) is None
+
+
+def test_what_is_urgent_does_not_wait_for_what_is_not() -> None:
+    room = _room_that_waits(200, rank=2)
+    assert room.refuse(_wish(rank=0), 0) is None
+    assert room.refuse(_wish(rank=2), 0) is not None
+    assert _room_that_waits(200, rank=0).refuse(_wish(rank=2), 0) is not None
+
+
+def test_a_wait_that_no_turn_confirms_is_forgotten() -> None:
+    """A host that sends no turn sees no engine: it must not refuse for ever."""
+    room = _room_that_waits(400)
+    assert room.wait_ms("s", 0, FRESH_MS) == pytest.approx(400, rel=0.05)
+    assert room.wait_ms("s", 0, FRESH_MS + HALF_LIFE_MS) == pytest.approx(200, rel=0.05)
+    assert room.refuse(_wish(), FRESH_MS + 6 * HALF_LIFE_MS) is None
+
+
+def test_engines_that_take_nothing_count_as_a_long_wait() -> None:
+    room = Room()
+    for _ in range(50):
+        room.note_full("s", 0, 0)
+    assert room.wait_ms("s", 0, 0) == pytest.approx(FULL_WAIT_MS, rel=0.05)
+
+
+def test_an_engine_that_was_quick_once_is_no_measure_for_ever() -> None:
+    """Engines that all turn slower for good would look like full ones."""
+    room = Room()
+    room.note_begin("s", 0, 30.0, 0)
+    for period in range(1, 4):
+        for _ in range(50):
+            room.note_begin("s", 0, 300.0, period * QUICKEST_MS)
+    assert room.wait_ms("s", 0, 3 * QUICKEST_MS) < 1
+
+
+def test_how_many_turns_a_program_has_is_learned() -> None:
+    room, kind = _room_that_waits(60, turns=200), ProgramKind("k", 0)
+    for number in range(60):
+        for turn in range(20):
+            room.note_turn(f"p{number}", kind, number * 3_000 + turn)
+        room.learn(number * 3_000 + 2_500)
+    at_ms = 200_000
+    for _ in range(50):
+        room.note_begin("s", 0, 30.0, at_ms)
+        room.note_begin("s", 0, 90.0, at_ms)
+    refused = room.refuse(_wish(), at_ms)
+    assert refused is not None
+    assert refused.turns == pytest.approx(20, rel=0.1)
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -25,6 +25,8 @@
       gap_ms: Before each event, or before a whole answer.
       full: Every request is refused as not run.
       cut_after: So many events, then the connection is reset; -1 never.
+      cut_inside: The event at which a stream is cut off is begun first.
+      cuts: So many streams are cut off, then none.
       without_receipt: Answers lack the receipt.
       crash: The next request resets all connections; new ones are refused from then on.
     """
@@ -33,6 +35,8 @@
     gap_ms: float = 5
     full: bool = False
     cut_after: int = -1
+    cut_inside: bool = False
+    cuts: int = 1_000_000
     without_receipt: bool = False
     crash: bool = False
 
@@ -88,12 +92,17 @@
         fields = [(name.replace("_", "-"), value) for name, value in headers.items()]
         fields += [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]
         exchange._write(h11.Response(status_code=200, headers=fields))
-        for number in range(1, self.knobs.events + 1):
-            if number - 1 == self.knobs.cut_after:
+        after = int(exchange.request.headers.get("last-event-id", "0"))
+        for number in range(after + 1, self.knobs.events + 1):
+            event = f"id: {number}\ndata: {call_id}.{number}\n\n".encode()
+            if number - 1 >= self.knobs.cut_after >= 0 and self.knobs.cuts:
+                self.knobs.cuts -= 1
+                if self.knobs.cut_inside:
+                    await exchange.send(event[:-4])
                 exchange.cut()
                 return
             await asyncio.sleep(self.knobs.gap_ms / 1000)
-            await exchange.send(f"id: {number}\ndata: {call_id}.{number}\n\n".encode())
+            await exchange.send(event)
         await exchange.finish()
 
 
