Routes keep their order among accounts of one rank

Cause: an account's rank stood in the route's place.

Change: a rank is the account's, then the route's (policy/urgency.py), at engines, at admission and at limits.

--- a/src/quincespool/gateway/accounts/limits.py
+++ b/src/quincespool/gateway/accounts/limits.py
@@ -34,6 +34,7 @@
 from quincespool.limits.home_answers import HomeAnswers
 from quincespool.limits.order import make_programs_first
 from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.urgency import Rank
 from quincespool.stable_hash import stable_hash
 
 if TYPE_CHECKING:
@@ -151,7 +152,7 @@
             return Permit(None, is_counted=False)
         began_ms = now_ms()
         may_begin = call.turn is not None and not call.turn.previous_id
-        kind = ProgramKind(decision.route.name, decision.route.rank)
+        kind = ProgramKind(decision.route.name, Rank(decision.route.rank))
         ask = Ask(call.program_id, kind, may_begin)
         verdict = await self._ask(account, ask)
         if isinstance(verdict, Grant) and verdict.wait_ms >= until_ms - now_ms():
--- a/src/quincespool/gateway/accounts/permit_codec.py
+++ b/src/quincespool/gateway/accounts/permit_codec.py
@@ -13,6 +13,7 @@
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
 from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.urgency import Rank
 
 if TYPE_CHECKING:
     from quincespool.limits.home import Verdict
@@ -34,7 +35,7 @@
         program_id=ask.program_id,
         may_begin=ask.may_begin,
         kind=ask.kind.name,
-        rank=ask.kind.rank,
+        rank=ask.kind.rank.first,
         told_calls=write_optional(ask.told_calls),
     )
 
@@ -43,7 +44,7 @@
     """Returns what is asked."""
     return Ask(
         program_id=question.program_id,
-        kind=ProgramKind(question.kind, question.rank),
+        kind=ProgramKind(question.kind, Rank(question.rank)),
         may_begin=question.may_begin,
         told_calls=read_optional(question.told_calls),
     )
--- a/src/quincespool/gateway/callers/routes.py
+++ b/src/quincespool/gateway/callers/routes.py
@@ -15,6 +15,8 @@
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import not_run
+from quincespool.policy.urgency import Rank
+from quincespool.policy.urgency import make_rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -88,12 +90,11 @@
     service = _draw(configuration, route, call)
     accounts = configuration.accounts
     if accounts is None or route.is_public:
-        return Ok(Decision(configuration.version, route, service, route.rank))
+        return Ok(Decision(configuration.version, route, service, Rank(route.rank)))
     name = accounts.by_key.get(call.key_digest)
     if name is None:
         return Error(not_run("unknown_key", status=401))
-    account_rank = accounts.by_name[name].rank
-    rank = route.rank if account_rank is None else account_rank
+    rank = make_rank(account_rank=accounts.by_name[name].rank, route_rank=route.rank)
     return Ok(Decision(configuration.version, route, service, rank, name))
 
 
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -71,6 +71,7 @@
     route: str
     resumable: bool
     resumes_after: int
+    route_rank: int
 
 
 class RelayCancel(NamedTuple):
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -4,10 +4,14 @@
 
 import hashlib
 from enum import StrEnum
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from quincespool.verdict import Verdict
 
+if TYPE_CHECKING:
+    from quincespool.policy.urgency import Rank
+
 Headers = tuple[tuple[str, str], ...]
 
 
@@ -236,14 +240,14 @@
     """Where the configuration in force sends one call.
 
     Attributes:
-      rank: Importance, that of the account if it has one; 0 goes first.
+      rank: Importance of the account's calls on the route.
       account: Name of the caller's account; empty if there is none.
     """
 
     version: int
     route: Route
     service: Service
-    rank: int
+    rank: Rank
     account: str = ""
 
 
@@ -256,7 +260,7 @@
       route: Name of the route that the turn came in on.
       service: Name of the service whose engines run it.
       tokens_per_event: Generated tokens in each event of its stream.
-      rank: Importance; 0 goes first.
+      rank: Importance.
       timeout_ms: The longest that operators want it kept waiting.
       patience_ms: How long callers wait for a stream's next event before they leave.
       max_attempts: Engines that it may be sent to.
@@ -270,7 +274,7 @@
     route: str
     service: str
     tokens_per_event: int
-    rank: int
+    rank: Rank
     timeout_ms: int
     patience_ms: int
     max_attempts: int
--- a/src/quincespool/gateway/turns/relay_codec.py
+++ b/src/quincespool/gateway/turns/relay_codec.py
@@ -11,6 +11,7 @@
 from quincespool.gateway.model import Headers
 from quincespool.gateway.model import Turn
 from quincespool.gateway.model import TurnTerms
+from quincespool.policy.urgency import Rank
 
 
 def write_relay(relay_id: int, call: Call, terms: TurnTerms, *, left_ms: int) -> RelayCall:
@@ -35,7 +36,7 @@
         kind=CallKind.STREAMING,
         timeout_ms=terms.timeout_ms,
         patience_ms=terms.patience_ms,
-        rank=terms.rank,
+        rank=terms.rank.first,
         max_attempts=terms.max_attempts,
         keeps_history=terms.keeps_history,
         retention_ms=terms.retention_ms,
@@ -43,6 +44,7 @@
         tokens_per_event=terms.tokens_per_event,
         account=terms.account,
         route=terms.route,
+        route_rank=terms.rank.then,
         resumable=terms.is_resumable,
         resumes_after=write_optional(call.resumes_after),
     )
@@ -75,7 +77,7 @@
         route=message.route,
         service=message.service,
         tokens_per_event=message.tokens_per_event,
-        rank=message.rank,
+        rank=Rank(message.rank, message.route_rank),
         timeout_ms=message.timeout_ms,
         patience_ms=message.patience_ms,
         max_attempts=message.max_attempts,
--- a/src/quincespool/limits/order.py
+++ b/src/quincespool/limits/order.py
@@ -22,6 +22,7 @@
     from quincespool.limits.bucket import Allowance
     from quincespool.limits.bucket import Bucket
     from quincespool.policy.program_shapes import ProgramKind
+    from quincespool.policy.urgency import Rank
 
 # A program before any was seen to its end.
 FIRST_PROGRAM = Shape(calls=12.0, took_ms=2_000.0)
@@ -68,8 +69,8 @@
         self, kind: ProgramKind, bucket: Bucket, allowance: Allowance, now_ms: int
     ) -> float:
         """Returns how many calls short the account is of room for one more program; 0 if it has."""
-        promised = self._promised_calls(now_ms)
         usual = self._shapes.usual(kind)
+        promised = self._promised_calls(usual.took_ms, now_ms)
         usual_s = usual.took_ms / 1000
         supply = bucket.level_calls + allowance.rate_per_s * usual_s
         # An account whose limit is below the usual program may still begin one when it is at rest.
@@ -89,19 +90,21 @@
         """Takes in a call that is let through."""
         self._shapes.note(program_id, kind, now_ms)
 
-    def _promised_calls(self, now_ms: int) -> defaultdict[int, float]:
-        """Returns the calls that programs under way still need, by rank."""
-        promised: defaultdict[int, float] = defaultdict(float)
+    def _promised_calls(self, within_ms: float, now_ms: int) -> defaultdict[Rank, float]:
+        """Returns the calls that programs under way will make within a time, by rank."""
+        promised: defaultdict[Rank, float] = defaultdict(float)
         for program in self._shapes.under_way(now_ms):
-            rest = self._shapes.usual(program.kind).calls - program.calls
-            promised[program.kind.rank] += max(LEAST_REST_CALLS, rest)
+            usual = self._shapes.usual(program.kind)
+            total = max(usual.calls, program.calls + LEAST_REST_CALLS)
+            part = min(1.0, within_ms / max(1.0, usual.took_ms))
+            promised[program.kind.rank] += min(total - program.calls, total * part)
         return promised
 
     def _kept_calls(
         self,
-        rank: int,
+        rank: Rank,
         within_s: float,
-        promised: Mapping[int, float],
+        promised: Mapping[Rank, float],
         allowance: Allowance,
         now_ms: int,
     ) -> float:
@@ -125,9 +128,9 @@
                 kept += max(0.0, min(wanted, (1 - MOST_KEPT_SHARE) * supply) - begun)
         return kept
 
-    def _wanted_calls_per_s(self, now_ms: int) -> defaultdict[int, float]:
+    def _wanted_calls_per_s(self, now_ms: int) -> defaultdict[Rank, float]:
         """Returns the calls a second that programs which want to begin need, by rank."""
-        wanted: defaultdict[int, float] = defaultdict(float)
+        wanted: defaultdict[Rank, float] = defaultdict(float)
         for kind, programs_per_s in self._demand.programs_per_s(now_ms):
             wanted[kind.rank] += programs_per_s * self._shapes.usual(kind).calls
         return wanted
--- a/src/quincespool/policy/program_shapes.py
+++ b/src/quincespool/policy/program_shapes.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.urgency import Rank
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -27,11 +29,11 @@
 
     Attributes:
       name: Such as its route.
-      rank: Importance; 0 goes first.
+      rank: Importance.
     """
 
     name: str = ""
-    rank: int = 0
+    rank: Rank = Rank()
 
 
 class Shape(NamedTuple):
--- a/src/quincespool/policy/room.py
+++ b/src/quincespool/policy/room.py
@@ -17,6 +17,7 @@
 
 if TYPE_CHECKING:
     from quincespool.policy.program_shapes import ProgramKind
+    from quincespool.policy.urgency import Rank
 
 # Part of the time that a new program has for which its turns may wait for engines. The rest is what
 # it takes on idle ones, and what the waits grow by before those who begin now have ended.
@@ -96,7 +97,7 @@
     """How long turns of each service wait for engines, as one host sees it."""
 
     def __init__(self) -> None:
-        self._waits: dict[tuple[str, int], _Wait] = {}
+        self._waits: dict[tuple[str, Rank], _Wait] = {}
         self._quickest: dict[str, _Quickest] = {}
         self._shapes = ProgramShapes(FIRST_PROGRAM)
 
@@ -104,7 +105,7 @@
         """Takes in that a turn goes to an engine."""
         self._shapes.note(program_id, kind, now_ms)
 
-    def note_begin(self, service: str, rank: int, took_ms: float, now_ms: int) -> None:
+    def note_begin(self, service: str, rank: Rank, took_ms: float, now_ms: int) -> None:
         """Takes in how long a turn took to its first event."""
         known = self._quickest.get(service) or _Quickest(now_ms, took_ms, took_ms)
         quickest = known.seen(took_ms, now_ms)
@@ -112,11 +113,11 @@
         wait_ms = took_ms - min(quickest.least_ms, quickest.before_ms)
         self._note_wait(service, rank, wait_ms, now_ms)
 
-    def note_full(self, service: str, rank: int, now_ms: int) -> None:
+    def note_full(self, service: str, rank: Rank, now_ms: int) -> None:
         """Takes in that no engine took a turn."""
         self._note_wait(service, rank, FULL_WAIT_MS, now_ms)
 
-    def wait_ms(self, service: str, rank: int, now_ms: int) -> float:
+    def wait_ms(self, service: str, rank: Rank, now_ms: int) -> float:
         """Returns for how long a turn is expected to wait.
 
         Engines take urgent turns first, so that no turn waits for less than a more urgent one.
@@ -145,18 +146,18 @@
     def dump(self, now_ms: int) -> dict[str, float]:
         """Returns the expected waits by service and rank, for people to read."""
         return {
-            f"{service} {rank}": round(wait.faded_ms(now_ms), 1)
+            f"{service} {rank.first}.{rank.then}": round(wait.faded_ms(now_ms), 1)
             for (service, rank), wait in self._waits.items()
         }
 
-    def _waits_up_to(self, service: str, rank: int) -> list[_Wait]:
+    def _waits_up_to(self, service: str, rank: Rank) -> list[_Wait]:
         return [
             wait
             for (other, other_rank), wait in self._waits.items()
             if other == service and other_rank <= rank
         ]
 
-    def _note_wait(self, service: str, rank: int, wait_ms: float, now_ms: int) -> None:
+    def _note_wait(self, service: str, rank: Rank, wait_ms: float, now_ms: int) -> None:
         known = self._waits.get((service, rank))
         mean_ms = known.faded_ms(now_ms) if known is not None else 0.0
         mean_ms += NEWEST_WEIGHT * (wait_ms - mean_ms)
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -100,6 +100,7 @@
   route @30 :Text;
   resumable @31 :Bool;
   resumesAfter @32 :Int64;  # -1 if the caller has no event of it yet.
+  routeRank @33 :Int64;  # Of the route among calls of accounts of one rank.
 }
 
 struct RelayCancel {
--- a/tests/gateway/accounts/test_permit_codec.py
+++ b/tests/gateway/accounts/test_permit_codec.py
@@ -14,10 +14,11 @@
 from quincespool.limits.home import Denial
 from quincespool.limits.home import Grant
 from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.urgency import Rank
 
 
 @pytest.mark.parametrize(
-    "ask", [Ask(""), Ask("north p", ProgramKind("r-1", 2), may_begin=True, told_calls=0)]
+    "ask", [Ask(""), Ask("north p", ProgramKind("r-1", Rank(2)), may_begin=True, told_calls=0)]
 )
 def test_a_question_comes_as_it_was_asked(ask: Ask) -> None:
     question = write_question(7, "north", ask)
--- a/tests/gateway/callers/test_routes.py
+++ b/tests/gateway/callers/test_routes.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.model import Service
 from quincespool.gateway.model import Share
 from quincespool.gateway.model import digest_key
+from quincespool.policy.urgency import Rank
 
 
 def _route(prefix: str, *shares: Share) -> Route:
@@ -47,8 +48,8 @@
     table.adopt(_with_accounts(1, {"k1": "ranked", "k2": "plain"}, route))
 
     ranked, plain = table.decide(_call_with("k1")).ok, table.decide(_call_with("k2")).ok
-    assert (ranked.account, ranked.rank) == ("ranked", 0)
-    assert (plain.account, plain.rank) == ("plain", route.rank)
+    assert (ranked.account, ranked.rank) == ("ranked", Rank(0, route.rank))
+    assert (plain.account, plain.rank) == ("plain", Rank(route.rank))
     for key in ("", "k3", "ranked"):
         assert table.decide(_call_with(key)).error.status == 401
     assert table.decide(_call_with("k3", "/b/")).error.status == 404
--- a/tests/gateway/turns/test_admission.py
+++ b/tests/gateway/turns/test_admission.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.net.metrics import Metrics
+from quincespool.policy.urgency import Rank
 from quincespool.verdict import Verdict
 
 TERMS = TurnTerms(
@@ -21,7 +22,7 @@
     route="r",
     service="s",
     tokens_per_event=1,
-    rank=0,
+    rank=Rank(),
     timeout_ms=3_000,
     patience_ms=2_000,
     max_attempts=1,
--- a/tests/limits/test_order.py
+++ b/tests/limits/test_order.py
@@ -22,6 +22,7 @@
 from quincespool.policy.program_shapes import IDLE_MS
 from quincespool.policy.program_shapes import MAX_PROGRAMS
 from quincespool.policy.program_shapes import ProgramKind
+from quincespool.policy.urgency import Rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,7 +34,7 @@
 PAUSE_MS = 150
 TRIES = 2
 KIND = ProgramKind("k")
-SHORT, LONG = ProgramKind("short", 0), ProgramKind("long", 2)
+SHORT, LONG = ProgramKind("short", Rank(0)), ProgramKind("long", Rank(2))
 KIND_CALLS = {KIND.name: CALLS, SHORT.name: 8, LONG.name: 26}
 
 
--- a/tests/policy/program_fleet.py
+++ b/tests/policy/program_fleet.py
@@ -16,6 +16,7 @@
 from quincespool.policy.room import Wish
 from quincespool.policy.service_times import BackendLatencies
 from quincespool.policy.service_times import ServiceTimes
+from quincespool.policy.urgency import Rank
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,7 +28,7 @@
 MAX_REFUSALS, FULL_RETRY_MS = 3, 250.0
 # Each turn is tried so often; callers come back no later than after a third of their time.
 TRIES, TURN_LIMIT_MS = 6, 3_000.0
-SHORT, LONG = ProgramKind("short", 0), ProgramKind("long", 2)
+SHORT, LONG = ProgramKind("short", Rank(0)), ProgramKind("long", Rank(2))
 TURNS = {SHORT: 3, LONG: 8}
 # A program has so many times what it takes on idle engines, and so much besides.
 FACTOR, BESIDES_MS = {SHORT: 1.4, LONG: 1.6}, {SHORT: 250, LONG: 500}
@@ -83,7 +84,9 @@
         self._times = [ServiceTimes() for _ in range(OWNERS)]
         self._in_flight = [[0] * ENGINES for _ in range(OWNERS)]
         self._running = [0] * ENGINES
-        self._queues: list[list[tuple[int, int, Callable[[], None]]]] = [[] for _ in range(ENGINES)]
+        self._queues: list[list[tuple[Rank, int, Callable[[], None]]]] = [
+            [] for _ in range(ENGINES)
+        ]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
         self._now_ms = 0.0
--- a/tests/policy/test_room.py
+++ b/tests/policy/test_room.py
@@ -15,6 +15,7 @@
 from quincespool.policy.room import QUICKEST_MS
 from quincespool.policy.room import Room
 from quincespool.policy.room import Wish
+from quincespool.policy.urgency import Rank
 from tests.policy.program_fleet import LONG
 from tests.policy.program_fleet import SHORT
 from tests.policy.program_fleet import Burst
@@ -66,14 +67,14 @@
 
 def _room_that_waits(wait_ms: float, *, rank: int = 0, turns: int = 50) -> Room:
     room = Room()
-    room.note_begin("s", rank, 30.0, 0)
+    room.note_begin("s", Rank(rank), 30.0, 0)
     for _ in range(turns):
-        room.note_begin("s", rank, 30.0 + wait_ms, 0)
+        room.note_begin("s", Rank(rank), 30.0 + wait_ms, 0)
     return room
 
 
 def _wish(left_ms: int = 2_000, rank: int = 0, service: str = "s") -> Wish:
-    return Wish(service, ProgramKind("k", rank), left_ms)
+    return Wish(service, ProgramKind("k", Rank(rank)), left_ms)
 
 
 def test_a_program_without_time_is_refused_with_the_time_to_come_back() -> None:
@@ -98,38 +99,38 @@
 def test_a_wait_that_no_turn_confirms_is_forgotten() -> None:
     """A host that sends no turn sees no engine: it must not refuse for ever."""
     room = _room_that_waits(400)
-    assert room.wait_ms("s", 0, FRESH_MS) == pytest.approx(400, rel=0.05)
-    assert room.wait_ms("s", 0, FRESH_MS + HALF_LIFE_MS) == pytest.approx(200, rel=0.05)
+    assert room.wait_ms("s", Rank(), FRESH_MS) == pytest.approx(400, rel=0.05)
+    assert room.wait_ms("s", Rank(), FRESH_MS + HALF_LIFE_MS) == pytest.approx(200, rel=0.05)
     assert room.refuse(_wish(), FRESH_MS + 6 * HALF_LIFE_MS) is None
 
 
 def test_engines_that_take_nothing_count_as_a_long_wait() -> None:
     room = Room()
     for _ in range(50):
-        room.note_full("s", 0, 0)
-    assert room.wait_ms("s", 0, 0) == pytest.approx(FULL_WAIT_MS, rel=0.05)
+        room.note_full("s", Rank(0), 0)
+    assert room.wait_ms("s", Rank(), 0) == pytest.approx(FULL_WAIT_MS, rel=0.05)
 
 
 def test_an_engine_that_was_quick_once_is_no_measure_for_ever() -> None:
     """Engines that all turn slower for good would look like full ones."""
     room = Room()
-    room.note_begin("s", 0, 30.0, 0)
+    room.note_begin("s", Rank(0), 30.0, 0)
     for period in range(1, 4):
         for _ in range(50):
-            room.note_begin("s", 0, 300.0, period * QUICKEST_MS)
-    assert room.wait_ms("s", 0, 3 * QUICKEST_MS) < 1
+            room.note_begin("s", Rank(0), 300.0, period * QUICKEST_MS)
+    assert room.wait_ms("s", Rank(), 3 * QUICKEST_MS) < 1
 
 
 def test_how_many_turns_a_program_has_is_learned() -> None:
-    room, kind = _room_that_waits(60, turns=200), ProgramKind("k", 0)
+    room, kind = _room_that_waits(60, turns=200), ProgramKind("k", Rank(0))
     for number in range(60):
         for turn in range(20):
             room.note_turn(f"p{number}", kind, number * 3_000 + turn)
         room.learn(number * 3_000 + 2_500)
     at_ms = 200_000
     for _ in range(50):
-        room.note_begin("s", 0, 30.0, at_ms)
-        room.note_begin("s", 0, 90.0, at_ms)
+        room.note_begin("s", Rank(0), 30.0, at_ms)
+        room.note_begin("s", Rank(0), 90.0, at_ms)
     refused = room.refuse(_wish(), at_ms)
     assert refused is not None
     assert refused.turns == pytest.approx(20, rel=0.1)
--- a/tests/policy/test_urgency.py
+++ b/tests/policy/test_urgency.py
@@ -6,17 +6,19 @@
 import random
 
 from quincespool.policy.urgency import LAST_PRIORITY
+from quincespool.policy.urgency import Rank
+from quincespool.policy.urgency import make_rank
 from quincespool.policy.urgency import turn_priority
 
 
 def test_importance_goes_before_what_is_left_to_a_program() -> None:
-    assert turn_priority(0, -5_000) < turn_priority(1, 10)
-    assert turn_priority(1, 10) < turn_priority(1, 0)
-    assert turn_priority(1, None) == turn_priority(1, 1)
+    assert turn_priority(Rank(0), -5_000) < turn_priority(Rank(1), 10)
+    assert turn_priority(Rank(1), 10) < turn_priority(Rank(1), 0)
+    assert turn_priority(Rank(1), None) == turn_priority(Rank(1), 1)
 
 
 def test_no_priority_is_beyond_what_engines_know() -> None:
-    assert turn_priority(100, -1) == LAST_PRIORITY
+    assert turn_priority(Rank(100), -1) == LAST_PRIORITY
 
 
 def test_programs_that_are_late_make_no_others_late() -> None:
@@ -33,13 +35,14 @@
 def _late_share(*, by_urgency: bool) -> float:
     rng = random.Random(4)
     queue: list[tuple[int, float, bool]] = [
-        (turn_priority(1, -100) if by_urgency else 0, number / 1_000, True) for number in range(60)
+        (turn_priority(Rank(1), -100) if by_urgency else 0, number / 1_000, True)
+        for number in range(60)
     ]
     late, begun, at_ms, due_ms = 0, 0, 0.0, 0.0
     for now_ms in range(0, 6_000, 50):
         while due_ms <= now_ms:
             due_ms += rng.expovariate(14 / 1_000)
-            priority = turn_priority(1, 1_500) if by_urgency else 0
+            priority = turn_priority(Rank(1), 1_500) if by_urgency else 0
             heapq.heappush(queue, (priority, due_ms + 1, False))
         if not queue:
             continue
@@ -49,3 +52,11 @@
             begun += 1
             late += now_ms - at_ms > 1_500
     return late / begun
+
+
+def test_routes_keep_their_order_among_accounts_of_one_rank() -> None:
+    """An account's rank in place of the route's makes all routes of its callers alike."""
+    urgent, other = (make_rank(account_rank=1, route_rank=route) for route in (0, 2))
+    assert turn_priority(urgent, 500) < turn_priority(other, 500)
+    assert turn_priority(other, 500) < turn_priority(Rank(2), 500)
+    assert make_rank(account_rank=None, route_rank=2) == Rank(2)
