--- a/tests/gateway/turns/test_resumed_streams.py
+++ b/tests/gateway/turns/test_resumed_streams.py
@@ -46,9 +46,9 @@
 
 
 def _asked_after(cluster: GatewayCluster, call_id: str) -> list[str]:
-    """Returns behind which event each run of a call was to go on."""
+    """Returns behind which event each run of a call was to go on, in no order of time."""
     runs = [run for run in cluster.all_runs() if run.call_id == call_id]
-    return [run.headers.get("last-event-id", "") for run in runs]
+    return sorted(run.headers.get("last-event-id", "") for run in runs)
 
 
 async def test_a_stream_goes_on_behind_its_last_whole_event() -> None:
@@ -57,11 +57,11 @@
         for engine in _streams(cluster):
             engine.knobs.cut_after, engine.knobs.cut_inside, engine.knobs.cuts = 2, True, 1
         call_id, reply = await cluster.turn("a", "p")
-        # Both engines cut one stream each; whichever came first, the other one goes on.
+        # Each engine cuts one stream: whichever comes first, the other one cuts its rest.
         assert reply.status == 200
         assert _numbers(reply.body) == list(range(1, EVENTS + 1))
         assert reply.body.count(b"data: ") == EVENTS
-        assert _asked_after(cluster, call_id)[:2] == ["", "2"]
+        assert _asked_after(cluster, call_id) == ["", "2", "2"]
 
 
 async def test_the_headers_of_the_first_engine_stay() -> None:
