Engines that are faster than others of their service get more calls

Cause: placement knew calls under way, of which one daemon in sixty sees next to nothing, and late beginnings, which come when the queue is there.

Change: the time between the events of each stream, by engine, beside what is usual for the service; each heartbeat tells one answer of an engine that differs. policy/engine_speeds.py (pure), placement adds 0.4 of an engine's places for each time that it is slower.

--- a/src/quincespool/gateway/backends/table.py
+++ b/src/quincespool/gateway/backends/table.py
@@ -6,6 +6,8 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from quincespool.policy.engine_speeds import Answer
+from quincespool.policy.engine_speeds import EngineSpeeds
 from quincespool.policy.outliers import OwnFailures
 from quincespool.policy.outliers import SharedFailures
 from quincespool.policy.placement import Candidate
@@ -63,6 +65,7 @@
         self._shared_failures = SharedFailures()
         self._late_reports = RecentReports()
         self._latencies = BackendLatencies()
+        self._speeds = EngineSpeeds()
         # Of all ids seen, also those that are gone: an entry of an earlier life may come late.
         self._born_ms: dict[str, int] = {}
 
@@ -146,6 +149,28 @@
         self._latencies.observe(entry.backend_id, took_ms, now_ms)
         self.times.observe_begin(entry.service, took_ms)
 
+    def streamed(self, entry: BackendEntry, events: int, took_ms: float) -> None:
+        """Takes note of how long a whole stream took from its first event to its last one."""
+        if events > 1:
+            answer = Answer(entry.backend_id, took_ms / (events - 1))
+            self._speeds.observe(entry.service, answer)
+
+    def take_speed_to_tell(self) -> Answer | None:
+        """Returns what the other daemons should know of an engine's speed, once."""
+        return self._speeds.take_to_tell()
+
+    def hear_speed(self, answer: Answer) -> None:
+        """Takes in what another daemon tells of an engine's speed."""
+        if answer.backend_id in self.entries:
+            self._speeds.hear(answer)
+
+    def slowness(self) -> dict[str, float]:
+        """Returns how many times the usual time each engine takes, for people to read."""
+        return {
+            one.backend_id: round(self._speeds.slowness(one.service, one.backend_id), 2)
+            for one in self.entries.values()
+        }
+
     def succeeded(self, entry: BackendEntry, took_ms: float) -> None:
         """Takes note of a sound answer and how long it took to its end."""
         self._own_failures.succeeded(entry.backend_id)
@@ -244,6 +269,7 @@
             is_cold=entry.cold_ms > 0,
             is_connected=backend_id in connected,
             lateness=late_ms / max(1.0, self.times.whole_ms(service)),
+            slowness=self._speeds.slowness(service, backend_id),
         )
 
     def _is_ejected(self, backend_id: str, now_ms: int) -> bool:
@@ -263,3 +289,4 @@
         self._shared_failures.forget(backend_id)
         self._late_reports.forget(backend_id)
         self._latencies.forget(backend_id)
+        self._speeds.forget(backend_id)
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -350,6 +350,7 @@
             "draining": self._presence.draining,
             "generation": self._ownership.generation,
             "account_levels": self._parts.limits.dump(),
+            "engine_slowness": self._backends.slowness(),
             "turn_waits_ms": self._parts.admission.dump(),
             "partitions": [one.dump() for one in self._ownership.owned.values()],
             **self._beliefs.dump(),
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -19,7 +19,12 @@
 
 
 class Heartbeat(NamedTuple):
-    """By datagram; each replaces the last one of its sender."""
+    """By datagram; each replaces the last one of its sender.
+
+    Attributes:
+      engine_id: An engine whose speed differs from that of others; empty if none is to be told of.
+      engine_event_us: Mean time between the events of a stream of it.
+    """
 
     incarnation: int
     sequence: int
@@ -28,6 +33,8 @@
     generation: int
     claims: tuple[PartitionClaim, ...]
     store_reachable: bool
+    engine_id: str = ""
+    engine_event_us: int = 0
 
 
 class HeaderPair(NamedTuple):
--- a/src/quincespool/gateway/members/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -178,6 +178,7 @@
 
     def _send_beat(self, daemons: list[Daemon]) -> None:
         self._sequence += 1
+        speed = self._backend_reports.take_speed_to_tell()
         beat = Heartbeat(
             incarnation=self._own.incarnation,
             sequence=self._sequence,
@@ -186,6 +187,8 @@
             generation=self._ownership.generation,
             claims=self._claims(),
             store_reachable=self._beliefs.store_reachable,
+            engine_id=speed.backend_id if speed is not None else "",
+            engine_event_us=round(1_000 * speed.event_ms) if speed is not None else 0,
         )
         self._heartbeats.send(daemons, beat)
 
@@ -234,6 +237,8 @@
         if self._beliefs.hear(sender, message):
             # It may not have heard of this daemon for as long.
             self.greet(self._members.entries[sender])
+        if message.engine_id:
+            self._backend_reports.hear_speed(message.engine_id, message.engine_event_us / 1_000)
         for claim in message.claims:
             self._ownership.yield_to(Partition(claim.topic, claim.number), claim.epoch)
         if message.generation > self._ownership.generation:
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -202,6 +202,7 @@
         if head.status != 200:
             return await self._relay_failure(attempt, head)
         self._begin_answer(head)
+        began_ms, seen = now_ms(), self._events.event_count
         while True:
             event = await attempt.next_event()
             if isinstance(event, Piece):
@@ -210,6 +211,8 @@
                     return lost
             elif isinstance(event, End):
                 attempt.settle(sound=True)
+                events = self._events.event_count - seen
+                self._services.backends.streamed(attempt.entry, events, now_ms() - began_ms)
                 self._reply.piece(self._progress.rest)
                 break
             elif isinstance(event, Broken):
--- a/src/quincespool/policy/placement.py
+++ b/src/quincespool/policy/placement.py
@@ -3,9 +3,7 @@
 Answers uneven load: a batch that is full makes a call wait while others have room. A daemon goes by
 its own calls under way and by how long answers took to begin, which shows the calls of all others
 too. It does not ask the others: what they have under way has changed by the time one hears of it.
-With 32 owners before 24 engines of 6 places, at four fifths of their capacity, a call waited 254 ms
-on average with loads told every 5.4 s, 93 ms with loads told every 200 ms, and 42 ms this way
-(virtual time, three seeds; `tests/policy/test_placement.py` replays it).
+Engines that are faster than others of their service get more.
 """
 
 from __future__ import annotations
@@ -19,8 +17,7 @@
 
 # Part of its slots by which a backend server of the own zone may be busier and is still preferred:
 # traffic between zones is paid for, and histories make most of it. Owners are spread unevenly over
-# the zones; with 0.35 those of a crowded zone fill its engines first (67 ms of waiting on average
-# in place of 42, as above).
+# the zones, and with much more than this those of a crowded zone fill its engines first.
 OTHER_ZONE_LOAD = 0.25
 # How much busier, in parts of its slots, an engine that holds a program's cache may be than the
 # least busy one. Reading a history again takes about as long as waiting for a third of a batch.
@@ -33,6 +30,9 @@
 # What a new connection counts: it takes a round trip, a place at the backend server, and is paid
 # for. Less than one more call in a batch of six, so that calls at the same time still spread.
 CONNECT_LOAD = 0.1
+# What it counts that an engine takes twice the usual time. A slow one still gets calls, as soon as
+# those that are faster begin to fill.
+SLOWNESS_LOAD = 0.4
 # Spreads ties, so that daemons with the same knowledge don't all choose alike.
 TIE_LOAD = 0.05
 
@@ -46,6 +46,7 @@
       is_cold: Whether it has started so lately that it is still slow.
       is_connected: Whether a kept connection to it is idle.
       lateness: How much later than usual its answers begin, in usual times of a whole call.
+      slowness: How many times the usual time between events it takes.
     """
 
     backend_id: str
@@ -54,6 +55,7 @@
     is_cold: bool
     is_connected: bool
     lateness: float
+    slowness: float = 1.0
 
 
 def place(candidates: Sequence[Candidate], *, preferred_id: str, rng: random.Random) -> str:
@@ -79,4 +81,5 @@
 
 def _load(candidate: Candidate) -> float:
     cold = COLD_LOAD if candidate.is_cold else 0.0
-    return candidate.busy + cold + LATENESS_LOAD * candidate.lateness
+    late = LATENESS_LOAD * candidate.lateness
+    return candidate.busy + cold + late + SLOWNESS_LOAD * (candidate.slowness - 1)
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -56,6 +56,8 @@
   # Loads, as daemons of earlier releases tell them; not read any more.
   obsolete6 @6 :List(BackendLoad);
   storeReachable @7 :Bool;
+  engineId @8 :Text;
+  engineEventUs @9 :Int64;
 }
 
 struct HeaderPair {
--- a/tests/policy/program_fleet.py
+++ b/tests/policy/program_fleet.py
@@ -9,6 +9,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.engine_speeds import Answer
+from quincespool.policy.engine_speeds import EngineSpeeds
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
 from quincespool.policy.program_shapes import ProgramKind
@@ -24,7 +26,9 @@
 SERVICE = "model"
 OWNERS, ENGINES, SLOTS, QUEUE = 60, 24, 6, 18
 SPEEDS = (0.7, 0.7, 1.7)
-BEGIN_MS, TURN_MS, PAUSE_MS = 30.0, 190.0, 150.0
+BEGIN_MS, TURN_MS, PAUSE_MS, EVENTS = 30.0, 190.0, 150.0, 4
+# Of what other owners learn of engines, one hears so much with their heartbeats.
+HEARD_SHARE = 0.1
 MAX_REFUSALS, FULL_RETRY_MS = 3, 250.0
 # Each turn is tried so often; callers come back no later than after a third of their time.
 TRIES, TURN_LIMIT_MS = 6, 3_000.0
@@ -76,12 +80,14 @@
         *,
         seed: int,
         has_room: bool,
+        knows_speeds: bool = False,
         seconds: int = 16,
     ) -> None:
         self._rng = random.Random(seed)
         self._rooms = [Room() for _ in range(OWNERS)] if has_room else None
         self._latencies = [BackendLatencies() for _ in range(OWNERS)]
         self._times = [ServiceTimes() for _ in range(OWNERS)]
+        self._speeds = [EngineSpeeds() for _ in range(OWNERS)] if knows_speeds else None
         self._in_flight = [[0] * ENGINES for _ in range(OWNERS)]
         self._running = [0] * ENGINES
         self._queues: list[list[tuple[Rank, int, Callable[[], None]]]] = [
@@ -161,12 +167,26 @@
                 is_connected=True,
                 lateness=self._latencies[owner].excess_ms(str(engine), usual_ms, int(self._now_ms))
                 / whole_ms,
+                slowness=self._slowness(owner, engine),
             )
             for engine in range(ENGINES)
             if engine not in tried
         ]
         return int(place(candidates, preferred_id="", rng=self._rng))
 
+    def _slowness(self, owner: int, engine: int) -> float:
+        return self._speeds[owner].slowness(SERVICE, str(engine)) if self._speeds else 1.0
+
+    def _tell_speed(self, owner: int, engine: int, event_ms: float) -> None:
+        assert self._speeds is not None
+        answer = Answer(str(engine), event_ms)
+        self._speeds[owner].observe(SERVICE, answer)
+        if self._speeds[owner].take_to_tell() is None:
+            return
+        for speeds in self._speeds:
+            if self._rng.random() < HEARD_SHARE:
+                speeds.hear(answer)
+
     def _send(self, program: _Program, engine: int) -> None:
         self._in_flight[program.owner][engine] += 1
         sent_ms = self._now_ms
@@ -183,6 +203,8 @@
         took_ms = self._rng.lognormvariate(0.0, 0.3) * TURN_MS / speed
         self._at(self._now_ms + BEGIN_MS / speed, lambda: self._begin(program, engine, sent_ms))
         self._at(self._now_ms + took_ms, lambda: self._end(program, engine, sent_ms))
+        if self._speeds is not None:
+            self._tell_speed(program.owner, engine, took_ms / EVENTS)
 
     def _begin(self, program: _Program, engine: int, sent_ms: float) -> None:
         took_ms, now_ms = self._now_ms - sent_ms, int(self._now_ms)
