--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,6 +14,7 @@
 from tests.support.client import ConnectionLostError
 from tests.support.client import fetch
 from tests.support.platform_entries import HOST_NAME
+from tests.support.platform_entries import RESUMABLE_PATH
 from tests.support.platform_entries import TOKENS_PER_EVENT
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
         await asyncio.gather(
             *[self._repeat(self._program) for _ in range(programs)],
             *[self._repeat(self._plain_call) for _ in range(plain)],
+            *[self._repeat(self._resumable_stream) for _ in range(plain)],
         )
 
     def stop(self) -> None:
@@ -168,6 +170,24 @@
         outputs = [line[6:] + b"\n" for line in reply.body.split(b"\n") if line[:6] == b"data: "]
         return Turn(call_id, before + text + b"".join(outputs))
 
+    async def _resumable_stream(self) -> None:
+        """Streams that engines cut off: each event once and in order, whole or not."""
+        call_id = self._next_id("r")
+        headers = {
+            "host": HOST_NAME,
+            "request-id": call_id,
+            "deadline-ms": str(ROUTE_LIMIT_MS),
+            "program-id": call_id,
+            "token-usage": f"5,{MOST_TOKENS}",
+        }
+        received = bytearray()
+        await self._fetch(self._pick(), _Sent(f"{RESUMABLE_PATH}x", headers, b"text"), received)
+        whole_events, _, _ = received.rpartition(b"\n\n")
+        lines = whole_events.decode().split("\n")
+        texts = [line[6:] for line in lines if line.startswith("data: ")]
+        if texts != [f"{call_id}.{number}" for number in range(1, len(texts) + 1)]:
+            self._fail("misjoined", f"{call_id}: {texts}")
+
     async def _plain_call(self) -> None:
         kind = self._chance.choice(["idempotent", "non_idempotent"])
         call_id = self._next_id("c")
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -201,7 +201,7 @@
             await asyncio.sleep(ANNOUNCE_S)
 
     def _configure(self) -> None:
-        body = make_configuration(1, plain_limit_ms=ROUTE_LIMIT_MS)
+        body = make_configuration(1, plain_limit_ms=ROUTE_LIMIT_MS, has_resumable=True)
         self.state.put("keyed.op", "config", body)
 
 
--- a/tests/support/platform_entries.py
+++ b/tests/support/platform_entries.py
@@ -11,6 +11,7 @@
 
 HOST_NAME = "callers.example"
 TOKENS_PER_EVENT = 10
+RESUMABLE_PATH = "/stream/resumable/"
 
 
 def make_configuration(
@@ -20,12 +21,16 @@
     limits: Mapping[str, object] | None = None,
     accounts: list[dict[str, object]] | None = None,
     stream_changes: Mapping[str, object] | None = None,
+    has_resumable: bool = False,
 ) -> bytes:
     """Returns a configuration with a streaming route and a plain one of each kind.
 
+    On request there is a further streaming route, `RESUMABLE_PATH`, whose turns keep no history and
+    may go on at another engine.
+
     Callers need keys if there are accounts, each as operators write it.
     """
-    stream = {
+    stream: dict[str, object] = {
         "name": "stream",
         "hostname": HOST_NAME,
         "path_prefix": "/stream/",
@@ -38,7 +43,7 @@
         "retention_s": 60.0,
         **(stream_changes or {}),
     }
-    plain = [
+    plain: list[dict[str, object]] = [
         {
             "name": kind,
             "hostname": HOST_NAME,
@@ -50,6 +55,9 @@
         }
         for kind in ("idempotent", "non_idempotent")
     ]
+    if has_resumable:
+        resumable = {"name": "resumable", "path_prefix": RESUMABLE_PATH, "resumable": True}
+        plain.append({**stream, **resumable, "retain_context": False})
     services = [
         {"name": "model", "engine": {"stream_stride": TOKENS_PER_EVENT}},
         {"name": "plain"},
