An engine that leaves is not sent the rest of a stream that it broke off

Found by reading: sent to the engine that had it last, a stream could reach one that has been leaving for longer than it takes new calls. A test fails before.

--- a/src/quincespool/gateway/backends/table.py
+++ b/src/quincespool/gateway/backends/table.py
@@ -213,6 +213,11 @@
         self._latencies.observe(life.backend_id, late_ms, now_ms)
         return True
 
+    def is_usable(self, life: BackendLife) -> bool:
+        """Whether a process is known and takes new calls."""
+        entry = self._living(life)
+        return entry is not None and not entry.leaving
+
     def latency_ms(self, backend_id: str) -> float:
         """Returns how long its answers took to begin lately; 0 if none was seen."""
         return self._latencies.mean_ms(backend_id)
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -114,7 +114,7 @@
                 tried.add(entry.backend_id)
             await asyncio.sleep(run.pause_ms / 1000)
             assert entry is not None
-            result = await self._attempt(entry)
+            result = await self._attempt_if_usable(entry)
             if result is None:
                 return
             failed = result
@@ -133,6 +133,12 @@
             connected=self._services.pool.connected(),
         )
 
+    async def _attempt_if_usable(self, entry: BackendEntry) -> NotRun | Lost | None:
+        """Sends the turn, unless the engine has begun to leave since it was chosen."""
+        if not self._services.backends.is_usable(entry.life):
+            return NotRun("backend_gone", sent=False)
+        return await self._attempt(entry)
+
     def _refusal(self, failed: NotRun | Lost) -> Refusal:
         """Returns the final answer for a turn that no engine answers whole."""
         if self._has_head:
--- a/tests/gateway/turns/test_resumed_streams.py
+++ b/tests/gateway/turns/test_resumed_streams.py
@@ -99,6 +99,20 @@
         assert _numbers(reply.body) == list(range(1, EVENTS + 1))
 
 
+async def test_an_engine_that_leaves_is_not_sent_the_rest_of_its_stream() -> None:
+    """It takes nothing new after a few seconds, whatever it has begun."""
+    async with _cluster(max_attempts=1) as cluster:
+        for engine in _streams(cluster):
+            engine.knobs.gap_ms, engine.knobs.cut_after, engine.knobs.cuts = 150, 2, 1
+        turn = asyncio.create_task(cluster.turn("a", "p"))
+        await cluster.until(lambda: any(engine.under_way for engine in _streams(cluster)))
+        busy = next(name for name in ("e1", "e2") if cluster.engines[name].under_way)
+        cluster.announce(busy, "model", state="draining")
+        _, reply = await turn
+        assert _numbers(reply.body) == list(range(1, EVENTS + 1))
+        assert len(cluster.engines[busy].runs) == 1
+
+
 async def test_a_second_break_is_survived_and_a_third_engine_is_not_asked_for() -> None:
     async with _cluster() as cluster:
         for engine in _streams(cluster):
