--- a/src/quincespool/policy/room.py
+++ b/src/quincespool/policy/room.py
@@ -26,6 +26,9 @@
 LESS_URGENT_WAIT_SHARE = 0.35
 # A program before any was seen to its end.
 FIRST_PROGRAM = Shape(calls=5.0, took_ms=2_000.0)
+# Turns that wait for nobody differ by as much, since their prompts do. No program is refused for
+# that, not even one that is late anyway.
+LEAST_WAIT_MS = 50.0
 # Weight of the newest turn in the mean wait.
 NEWEST_WEIGHT = 0.2
 # A wait holds for so long without another turn, and then halves as often: whoever is let in shows
@@ -132,7 +135,7 @@
         turns = self._shapes.usual(wish.kind).calls
         yields = any(other == service and before < rank for other, before in self._waits)
         share = LESS_URGENT_WAIT_SHARE if yields else WAIT_SHARE
-        if wait_ms * turns <= share * max(0, wish.left_ms):
+        if wait_ms < LEAST_WAIT_MS or wait_ms * turns <= share * max(0, wish.left_ms):
             return None
         retry_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, round(2 * wait_ms)))
         age_ms = now_ms - max(wait.seen_ms for wait in self._waits_up_to(service, rank))
