What a resumed stream takes says nothing of waits or speeds; no empty pieces

Found by reading: the time of a run that broke off counted as the wait of the next one; events that came while a record was awaited looked like those of a fast engine; each stream of any route sent an empty piece to its caller's daemon.

--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -112,7 +112,8 @@
                 if entry is None:
                     break
                 tried.add(entry.backend_id)
-            await asyncio.sleep(run.pause_ms / 1000)
+            if run.pause_ms:
+                await asyncio.sleep(run.pause_ms / 1000)
             assert entry is not None
             result = await self._attempt_if_usable(entry)
             if result is None:
@@ -200,15 +201,16 @@
             if isinstance(head, Lost):
                 return head
             self.engine = entry.life
-            self._admission.note_begin(self._terms, now_ms() - self._began_ms)
-            await self._records.await_start()
+            if not had_run:
+                self._admission.note_begin(self._terms, now_ms() - self._began_ms)
             return await self._relay(attempt, head)
 
     async def _relay(self, attempt: Attempt, head: AnswerHead) -> Lost | None:
+        began_ms, seen = now_ms(), self._events.event_count
+        await self._records.await_start()
         if head.status != 200:
             return await self._relay_failure(attempt, head)
         self._begin_answer(head)
-        began_ms, seen = now_ms(), self._events.event_count
         while True:
             event = await attempt.next_event()
             if isinstance(event, Piece):
@@ -219,7 +221,8 @@
                 attempt.settle(sound=True)
                 events = self._events.event_count - seen
                 self._services.backends.streamed(attempt.entry, events, now_ms() - began_ms)
-                self._reply.piece(self._progress.rest)
+                if self._progress.rest:
+                    self._reply.piece(self._progress.rest)
                 break
             elif isinstance(event, Broken):
                 if self._events.partial:
