--- a/src/quincespool/gateway/accounts/limits.py
+++ b/src/quincespool/gateway/accounts/limits.py
@@ -157,8 +157,7 @@
             self.give_back(decision)
             verdict = Denial(verdict.wait_ms)
         if isinstance(verdict, Grant):
-            if verdict.wait_ms:
-                await asyncio.sleep(verdict.wait_ms / 1000)
+            await self._wait(verdict.wait_ms, decision)
             refusal = None
         elif isinstance(verdict, Denial):
             retry_ms = verdict.retry_after_ms
@@ -184,6 +183,16 @@
             )
         return Permit(refusal, is_counted=isinstance(verdict, Grant))
 
+    async def _wait(self, wait_ms: int, decision: Decision) -> None:
+        """Waits for a call's place; one whose caller leaves meanwhile will not run."""
+        if not wait_ms:
+            return
+        try:
+            await asyncio.sleep(wait_ms / 1000)
+        except asyncio.CancelledError:
+            self.give_back(decision)
+            raise
+
     def give_back(self, decision: Decision) -> None:
         """Takes back a call that its account's home has counted and no backend server has run."""
         account = self._routes.account(decision.account)
--- a/tests/gateway/accounts/test_limits.py
+++ b/tests/gateway/accounts/test_limits.py
@@ -163,6 +163,21 @@
         assert [type(message) for message in heard] == [PermitQuestion]
 
 
+async def test_a_call_whose_caller_leaves_while_it_waits_is_given_back() -> None:
+    """Callers that lose patience would use up what their account may have run."""
+    async with GatewayCluster(2) as cluster:
+        await _configure(cluster, 2, rate_per_s=10, burst=1)
+        home = _home(cluster)
+        limits = _limits(cluster, home)
+        await _calls(cluster, home, 1)
+        before = limits.dump()["north"]
+        waiting = asyncio.create_task(cluster.call(home, "idempotent", key="k"))
+        await cluster.until(lambda: limits.dump()["north"] < before)
+        waiting.cancel()
+        await cluster.until(lambda: limits.dump()["north"] >= before)
+        assert len(cluster.all_runs()) == 1
+
+
 async def test_hosts_that_are_cut_off_give_out_a_part_only() -> None:
     """Symptom: an account passes its limit while some hosts are cut off from the others.
 
