Admission control has the field's names

No change of behaviour: policy/room.py is policy/admission.py, its classes AdmissionControl, NewProgram and Rejection; the setting is admission_control, the outcome overloaded, the line in the log program rejected.

--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -54,8 +54,8 @@
       limit_window_s: Operators look at an account's limit over any time as long as this.
       limit_slack_calls: By how many calls an account may pass it there.
       limit_overage_share: By which part of it an account may pass it besides.
-      keeps_room: Whether new programs are refused while the engines of their service are so full
-        that they can't end in time.
+      admission_control: Whether new programs are refused while the engines of their service are so
+        full that they can't end in time.
       stop_grace_ms: From SIGTERM until the platform kills the process.
     """
 
@@ -78,7 +78,7 @@
     limit_window_s: int = 5
     limit_slack_calls: int = 0
     limit_overage_share: float = 0.0
-    keeps_room: bool = False
+    admission_control: bool = False
     log_level: str = "info"
 
     @property
--- a/src/quincespool/gateway/turns/admission.py
+++ b/src/quincespool/gateway/turns/admission.py
@@ -1,4 +1,4 @@
-"""Lets new programs begin while there is room for them; `quincespool.policy.room` decides."""
+"""Lets new programs begin while engines leave them time; `quincespool.policy.admission` decides."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import not_run
+from quincespool.policy.admission import AdmissionControl
+from quincespool.policy.admission import NewProgram
 from quincespool.policy.program_shapes import ProgramKind
-from quincespool.policy.room import Room
-from quincespool.policy.room import Wish
 
 if TYPE_CHECKING:
     from quincespool.gateway.decision_log import DecisionLog
@@ -18,6 +18,7 @@
     from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.turns.ledger import Ledger
     from quincespool.net.metrics import Metrics
+    from quincespool.policy.admission import Rejection
 
 
 class ProgramAdmission(Protocol):
@@ -61,11 +62,11 @@
         return {}
 
 
-class RoomAdmission:
+class ControlledAdmission:
     """Refuses programs that can't end in time, at their first turn and at once."""
 
     def __init__(self, *, log: DecisionLog, metrics: Metrics) -> None:
-        self._room = Room()
+        self._control = AdmissionControl()
         self._log = log
         self._metrics = metrics
 
@@ -77,47 +78,53 @@
         kind = ProgramKind(terms.route, terms.rank)
         has_begun = bool(turn.previous_id) or turn.program_id in ledger.programs
         if not has_begun and turn.program_left_ms is not None:
-            no_room = self._room.refuse(Wish(terms.service, kind, turn.program_left_ms), at_ms)
-            if no_room is not None:
-                self._log.write(
-                    "no room",
-                    call_id=call.call_id,
-                    program_id=turn.program_id,
-                    account=terms.account,
-                    route=terms.route,
-                    service=terms.service,
-                    rank=terms.rank.first,
-                    route_rank=terms.rank.then,
-                    program_left_ms=turn.program_left_ms,
-                    wait_ms=round(no_room.wait_ms),
-                    wait_age_ms=no_room.age_ms,
-                    turns=round(no_room.turns, 1),
-                    retry_after_ms=no_room.retry_after_ms,
-                )
-                self._metrics.count("gateway_programs_refused_total", route=terms.route)
-                return not_run("no_room", retry_after_ms=no_room.retry_after_ms)
-        self._room.note_turn(turn.program_id, kind, at_ms)
+            program = NewProgram(terms.service, kind, turn.program_left_ms)
+            rejection = self._control.reject(program, at_ms)
+            if rejection is not None:
+                self._note_rejection(call, terms, program, rejection)
+                return not_run("overloaded", retry_after_ms=rejection.retry_after_ms)
+        self._control.note_turn(turn.program_id, kind, at_ms)
         return None
 
+    def _note_rejection(
+        self, call: Call, terms: TurnTerms, program: NewProgram, rejection: Rejection
+    ) -> None:
+        self._metrics.count("gateway_programs_refused_total", route=terms.route)
+        self._log.write(
+            "program rejected",
+            call_id=call.call_id,
+            program_id=call.program_id,
+            account=terms.account,
+            route=terms.route,
+            service=terms.service,
+            rank=terms.rank.first,
+            route_rank=terms.rank.then,
+            program_left_ms=program.left_ms,
+            wait_ms=round(rejection.wait_ms),
+            wait_age_ms=rejection.age_ms,
+            turns=round(rejection.turns, 1),
+            retry_after_ms=rejection.retry_after_ms,
+        )
+
     def note_begin(self, terms: TurnTerms, took_ms: float) -> None:
         """See `ProgramAdmission.note_begin`."""
-        self._room.note_begin(terms.service, terms.rank, took_ms, now_ms())
-        wait_ms = self._room.wait_ms(terms.service, terms.rank, now_ms())
+        self._control.note_begin(terms.service, terms.rank, took_ms, now_ms())
+        wait_ms = self._control.wait_ms(terms.service, terms.rank, now_ms())
         self._metrics.observe("gateway_turn_wait_ms", wait_ms)
 
     def note_full(self, terms: TurnTerms) -> None:
         """See `ProgramAdmission.note_full`."""
-        self._room.note_full(terms.service, terms.rank, now_ms())
+        self._control.note_full(terms.service, terms.rank, now_ms())
 
     def learn(self) -> None:
         """See `ProgramAdmission.learn`."""
-        self._room.learn(now_ms())
+        self._control.learn(now_ms())
 
     def dump(self) -> dict[str, float]:
         """See `ProgramAdmission.dump`."""
-        return self._room.dump(now_ms())
+        return self._control.dump(now_ms())
 
 
-def make_admission(*, keeps_room: bool, log: DecisionLog, metrics: Metrics) -> ProgramAdmission:
+def make_admission(*, is_controlled: bool, log: DecisionLog, metrics: Metrics) -> ProgramAdmission:
     """Returns what decides on new programs at one daemon."""
-    return RoomAdmission(log=log, metrics=metrics) if keeps_room else OpenAdmission()
+    return ControlledAdmission(log=log, metrics=metrics) if is_controlled else OpenAdmission()
--- a/src/quincespool/gateway/turns/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -95,7 +95,7 @@
             links=self.links,
         )
         self.admission = make_admission(
-            keeps_room=settings.keeps_room, log=log, metrics=services.metrics
+            is_controlled=settings.admission_control, log=log, metrics=services.metrics
         )
         self.turns = TurnRunner(
             services,
--- a/src/quincespool/limits/demand.py
+++ b/src/quincespool/limits/demand.py
@@ -14,45 +14,45 @@
 
     from quincespool.policy.program_shapes import ProgramKind
 
-# A program that comes back within this time after a refusal is the same wish.
+# A program that comes back within this time after a refusal is the same arrival.
 RETURN_MS = 2_000
-# The time over which wishes are averaged: long enough to see through chance, short enough to follow
-# a burst of some seconds.
+# The time over which arrivals are averaged: long enough to see through chance, short enough to
+# follow a burst of some seconds.
 MEMORY_MS = 2_000
 
 
-class _Wishes(NamedTuple):
-    """Wishes to begin, each counted less the longer ago it was."""
+class _Arrivals(NamedTuple):
+    """Arrivals to begin, each counted less the longer ago it was."""
 
     wanted: float
     at_ms: int
 
-    def decayed(self, now_ms: int) -> _Wishes:
+    def decayed(self, now_ms: int) -> _Arrivals:
         passed_ms = max(0, now_ms - self.at_ms)
-        return _Wishes(self.wanted * math.exp(-passed_ms / MEMORY_MS), now_ms)
+        return _Arrivals(self.wanted * math.exp(-passed_ms / MEMORY_MS), now_ms)
 
 
 class Demand:
-    """The wishes of one account's programs."""
+    """The arrivals of one account's programs."""
 
     def __init__(self) -> None:
         self._asked_ms: dict[str, int] = {}
-        self._wishes: dict[ProgramKind, _Wishes] = {}
+        self._arrivals: dict[ProgramKind, _Arrivals] = {}
 
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
-        """Takes in that a program wants to begin."""
+        """Takes in that a program would begin."""
         asked_ms = self._asked_ms.pop(program_id, None)
         while len(self._asked_ms) >= MAX_PROGRAMS:
             del self._asked_ms[next(iter(self._asked_ms))]
         self._asked_ms[program_id] = now_ms
         if asked_ms is not None and now_ms - asked_ms < RETURN_MS:
             return
-        wishes = self._wishes.pop(kind, _Wishes(0.0, now_ms)).decayed(now_ms)
-        while len(self._wishes) >= MAX_KINDS:
-            del self._wishes[next(iter(self._wishes))]
-        self._wishes[kind] = wishes._replace(wanted=wishes.wanted + 1)
+        arrivals = self._arrivals.pop(kind, _Arrivals(0.0, now_ms)).decayed(now_ms)
+        while len(self._arrivals) >= MAX_KINDS:
+            del self._arrivals[next(iter(self._arrivals))]
+        self._arrivals[kind] = arrivals._replace(wanted=arrivals.wanted + 1)
 
     def programs_per_s(self, now_ms: int) -> Iterator[tuple[ProgramKind, float]]:
         """Yields each kind that was wanted lately, and how many of it a second."""
-        for kind, wishes in self._wishes.items():
-            yield kind, wishes.decayed(now_ms).wanted / MEMORY_MS * 1000
+        for kind, arrivals in self._arrivals.items():
+            yield kind, arrivals.decayed(now_ms).wanted / MEMORY_MS * 1000
--- a/src/quincespool/limits/home.py
+++ b/src/quincespool/limits/home.py
@@ -138,7 +138,7 @@
             self._accounts[name] = account
         bucket, order = account.bucket, account.order
         if ask.may_begin and not order.is_under_way(ask.program_id, now_ms):
-            order.want(ask.program_id, ask.kind, now_ms)
+            order.note_arrival(ask.program_id, ask.kind, now_ms)
             missing = order.missing_calls(ask.kind, bucket, allowance, now_ms)
             missing = max(missing, 1.0 - bucket.level_calls)
             if missing > 0:
--- a/src/quincespool/limits/order.py
+++ b/src/quincespool/limits/order.py
@@ -51,7 +51,7 @@
     def is_under_way(self, program_id: str, now_ms: int) -> bool:
         """Whether a program has begun."""
 
-    def want(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
+    def note_arrival(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
 
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
@@ -82,7 +82,7 @@
         """Whether a program has begun."""
         return self._shapes.is_under_way(program_id, now_ms)
 
-    def want(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
+    def note_arrival(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
         self._demand.note(program_id, kind, now_ms)
 
@@ -151,7 +151,7 @@
         del program_id, now_ms
         return True
 
-    def want(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
+    def note_arrival(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
 
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
--- a/src/quincespool/policy/room.py
+++ b/src/quincespool/policy/admission.py
@@ -44,8 +44,8 @@
 MOST_RETRY_MS = 1_000
 
 
-class Wish(NamedTuple):
-    """A program that would begin.
+class NewProgram(NamedTuple):
+    """A program whose first turn has come.
 
     Attributes:
       service: Whose engines run it.
@@ -58,7 +58,7 @@
     left_ms: int
 
 
-class NoRoom(NamedTuple):
+class Rejection(NamedTuple):
     """The program can't end in time.
 
     Attributes:
@@ -96,7 +96,7 @@
         return self._replace(least_ms=min(self.least_ms, took_ms))
 
 
-class Room:
+class AdmissionControl:
     """How long turns of each service wait for engines, as one host sees it."""
 
     def __init__(self) -> None:
@@ -128,18 +128,18 @@
         waits = self._waits_up_to(service, rank)
         return max((wait.faded_ms(now_ms) for wait in waits), default=0.0)
 
-    def refuse(self, wish: Wish, now_ms: int) -> NoRoom | None:
+    def reject(self, program: NewProgram, now_ms: int) -> Rejection | None:
         """Returns why a new program may not begin, None if it may."""
-        service, rank = wish.service, wish.kind.rank
+        service, rank = program.service, program.kind.rank
         wait_ms = self.wait_ms(service, rank, now_ms)
-        turns = self._shapes.usual(wish.kind).calls
+        turns = self._shapes.usual(program.kind).calls
         yields = any(other == service and before < rank for other, before in self._waits)
         share = LESS_URGENT_WAIT_SHARE if yields else WAIT_SHARE
-        if wait_ms < LEAST_WAIT_MS or wait_ms * turns <= share * max(0, wish.left_ms):
+        if wait_ms < LEAST_WAIT_MS or wait_ms * turns <= share * max(0, program.left_ms):
             return None
         retry_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, round(2 * wait_ms)))
         age_ms = now_ms - max(wait.seen_ms for wait in self._waits_up_to(service, rank))
-        return NoRoom(wait_ms, age_ms, turns, retry_ms)
+        return Rejection(wait_ms, age_ms, turns, retry_ms)
 
     def learn(self, now_ms: int) -> None:
         """Learns from programs that are over."""
--- a/tests/gateway/turns/test_admission.py
+++ b/tests/gateway/turns/test_admission.py
@@ -50,9 +50,9 @@
     return Call("c1", "POST", "h", "/", (), b"", 3_000, turn, program_id)
 
 
-def _full_admission(log: _Log, *, keeps_room: bool = True) -> Any:
+def _full_admission(log: _Log, *, is_controlled: bool = True) -> Any:
     metrics = Metrics()
-    admission = make_admission(keeps_room=keeps_room, log=log, metrics=metrics)  # type: ignore[arg-type]
+    admission = make_admission(is_controlled=is_controlled, log=log, metrics=metrics)  # type: ignore[arg-type]
     for _ in range(20):
         admission.note_full(TERMS)
     return admission
@@ -65,7 +65,7 @@
     assert (refusal.status, refusal.verdict) == (503, Verdict.NOT_RUN)
     assert refusal.retry_after_ms > 0
     line = log.lines[-1]
-    assert line["message"] == "no room"
+    assert line["message"] == "program rejected"
     assert line.keys() >= {"call_id", "program_id", "wait_ms", "wait_age_ms", "turns"}
 
 
@@ -82,6 +82,6 @@
 
 
 def test_nothing_is_refused_where_settings_do_not_ask_for_it(log: _Log) -> None:
-    admission = _full_admission(log, keeps_room=False)
+    admission = _full_admission(log, is_controlled=False)
     assert admission.refuse(_call("p"), TERMS, Ledger()) is None
     assert admission.dump() == {}
--- a/tests/policy/program_fleet.py
+++ b/tests/policy/program_fleet.py
@@ -9,13 +9,13 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.policy.admission import AdmissionControl
+from quincespool.policy.admission import NewProgram
 from quincespool.policy.engine_speeds import Answer
 from quincespool.policy.engine_speeds import EngineSpeeds
 from quincespool.policy.placement import Candidate
 from quincespool.policy.placement import place
 from quincespool.policy.program_shapes import ProgramKind
-from quincespool.policy.room import Room
-from quincespool.policy.room import Wish
 from quincespool.policy.service_times import BackendLatencies
 from quincespool.policy.service_times import ServiceTimes
 from quincespool.policy.urgency import Rank
@@ -79,12 +79,12 @@
         bursts: tuple[Burst, ...],
         *,
         seed: int,
-        has_room: bool,
+        controlled: bool,
         knows_speeds: bool = False,
         seconds: int = 16,
     ) -> None:
         self._rng = random.Random(seed)
-        self._rooms = [Room() for _ in range(OWNERS)] if has_room else None
+        self._controls = [AdmissionControl() for _ in range(OWNERS)] if controlled else None
         self._latencies = [BackendLatencies() for _ in range(OWNERS)]
         self._times = [ServiceTimes() for _ in range(OWNERS)]
         self._speeds = [EngineSpeeds() for _ in range(OWNERS)] if knows_speeds else None
@@ -128,16 +128,16 @@
 
     def _turn(self, program: _Program) -> None:
         now_ms = int(self._now_ms)
-        room = self._rooms[program.owner] if self._rooms is not None else None
-        if room is not None:
-            room.learn(now_ms)
+        control = self._controls[program.owner] if self._controls is not None else None
+        if control is not None:
+            control.learn(now_ms)
             if not program.turns:
                 left_ms = int(program.until_ms - self._now_ms)
-                refused = room.refuse(Wish(SERVICE, program.kind, left_ms), now_ms)
-                if refused is not None:
-                    self._come_back(program, refused.retry_after_ms)
+                rejection = control.reject(NewProgram(SERVICE, program.kind, left_ms), now_ms)
+                if rejection is not None:
+                    self._come_back(program, rejection.retry_after_ms)
                     return
-            room.note_turn(str(program.number), program.kind, now_ms)
+            control.note_turn(str(program.number), program.kind, now_ms)
         tried: set[int] = set()
         while len(tried) < MAX_REFUSALS:
             engine = self._choose(program.owner, tried)
@@ -145,8 +145,8 @@
             if self._running[engine] < SLOTS or len(self._queues[engine]) < QUEUE:
                 self._send(program, engine)
                 return
-        if room is not None:
-            room.note_full(SERVICE, program.kind.rank, now_ms)
+        if control is not None:
+            control.note_full(SERVICE, program.kind.rank, now_ms)
         self._come_back(program, FULL_RETRY_MS)
 
     def _come_back(self, program: _Program, after_ms: float) -> None:
@@ -210,9 +210,9 @@
         took_ms, now_ms = self._now_ms - sent_ms, int(self._now_ms)
         self._latencies[program.owner].observe(str(engine), took_ms, now_ms)
         self._times[program.owner].observe_begin(SERVICE, took_ms)
-        if self._rooms is not None:
+        if self._controls is not None:
             rank = program.kind.rank
-            self._rooms[program.owner].note_begin(SERVICE, rank, took_ms, now_ms)
+            self._controls[program.owner].note_begin(SERVICE, rank, took_ms, now_ms)
 
     def _end(self, program: _Program, engine: int, sent_ms: float) -> None:
         self._in_flight[program.owner][engine] -= 1
--- a/tests/policy/test_engine_speeds.py
+++ b/tests/policy/test_engine_speeds.py
@@ -27,7 +27,7 @@
     """Two engines in three are 2.4 times slower than the third: spread alike, half is late."""
     load = {SHORT: 35.0, LONG: 60.0}
     runs = [
-        [ProgramFleet(load, (), seed=seed, has_room=True, knows_speeds=knows) for seed in SEEDS]
+        [ProgramFleet(load, (), seed=seed, controlled=True, knows_speeds=knows) for seed in SEEDS]
         for knows in (False, True)
     ]
     blind, seeing = ([run.run() for run in fleets] for fleets in runs)
