While engines are full, accounts above their usual yield to the others

Cause: an account that sends many times its usual, and is let through up to its limit, fills the engines, and its programs and those of the others are refused alike.

Change: what its home says with each grant (most of its limit is used) goes with the turn to its owner; new programs of such an account have three tenths of the waits that others may take. Programs that have begun go on.

--- a/src/quincespool/gateway/accounts/limits.py
+++ b/src/quincespool/gateway/accounts/limits.py
@@ -92,10 +92,12 @@
     Attributes:
       refusal: Its final answer if it may not.
       is_counted: Whether the account's home has counted it.
+      is_pressed: Whether the account has used most of what it may have run.
     """
 
     refusal: Refusal | None
     is_counted: bool
+    is_pressed: bool = False
 
 
 class AccountLimits:
@@ -181,7 +183,9 @@
                 burst=account.burst,
                 configuration_version=self._routes.version,
             )
-        return Permit(refusal, is_counted=isinstance(verdict, Grant))
+        is_granted = isinstance(verdict, Grant)
+        is_pressed = isinstance(verdict, Grant) and verdict.is_pressed
+        return Permit(refusal, is_counted=is_granted, is_pressed=is_pressed)
 
     async def _wait(self, wait_ms: int, decision: Decision) -> None:
         """Waits for a call's place; one whose caller leaves meanwhile will not run."""
--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -88,6 +88,7 @@
         if permit.refusal is not None:
             reply.refuse(permit.refusal)
             return ""
+        decision = decision._replace(is_pressed=permit.is_pressed)
         try:
             if decision.route.kind is CallKind.STREAMING:
                 return await self._relay.run(call, make_terms(decision), reply, until_ms=until_ms)
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -79,6 +79,7 @@
     resumable: bool
     resumes_after: int
     route_rank: int
+    pressed: bool
 
 
 class RelayCancel(NamedTuple):
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -242,6 +242,7 @@
     Attributes:
       rank: Importance of the account's calls on the route.
       account: Name of the caller's account; empty if there is none.
+      is_pressed: Whether the account has used most of what it may have run.
     """
 
     version: int
@@ -249,6 +250,7 @@
     service: Service
     rank: Rank
     account: str = ""
+    is_pressed: bool = False
 
 
 class TurnTerms(NamedTuple):
@@ -267,6 +269,7 @@
       keeps_history: Whether the gateway adds what came before the turn.
       retention_ms: How long the turn can be continued from.
       is_resumable: Whether it may go on at another engine after it was broken off.
+      is_pressed: Whether the account has used most of what it may have run.
     """
 
     version: int
@@ -281,6 +284,7 @@
     keeps_history: bool
     retention_ms: int
     is_resumable: bool
+    is_pressed: bool
 
 
 def make_terms(decision: Decision) -> TurnTerms:
@@ -299,6 +303,7 @@
         keeps_history=route.keeps_history,
         retention_ms=route.retention_ms,
         is_resumable=route.is_resumable,
+        is_pressed=decision.is_pressed,
     )
 
 
--- a/src/quincespool/gateway/turns/admission.py
+++ b/src/quincespool/gateway/turns/admission.py
@@ -78,7 +78,8 @@
         kind = ProgramKind(terms.route, terms.rank)
         has_begun = bool(turn.previous_id) or turn.program_id in ledger.programs
         if not has_begun and turn.program_left_ms is not None:
-            program = NewProgram(terms.service, kind, turn.program_left_ms)
+            left_ms, is_pressed = turn.program_left_ms, terms.is_pressed
+            program = NewProgram(terms.service, kind, left_ms, is_pressed)
             rejection = self._control.reject(program, at_ms)
             if rejection is not None:
                 self._note_rejection(call, terms, program, rejection)
@@ -99,6 +100,7 @@
             service=terms.service,
             rank=terms.rank.first,
             route_rank=terms.rank.then,
+            pressed=program.is_pressed,
             program_left_ms=program.left_ms,
             wait_ms=round(rejection.wait_ms),
             wait_age_ms=rejection.age_ms,
--- a/src/quincespool/gateway/turns/relay_codec.py
+++ b/src/quincespool/gateway/turns/relay_codec.py
@@ -47,6 +47,7 @@
         route_rank=terms.rank.then,
         resumable=terms.is_resumable,
         resumes_after=write_optional(call.resumes_after),
+        pressed=terms.is_pressed,
     )
 
 
@@ -84,6 +85,7 @@
         keeps_history=message.keeps_history,
         retention_ms=message.retention_ms,
         is_resumable=message.resumable,
+        is_pressed=message.pressed,
     )
     return call, terms
 
--- a/src/quincespool/policy/admission.py
+++ b/src/quincespool/policy/admission.py
@@ -3,7 +3,8 @@
 Answers bursts that engines take into their queues. Each turn of each program then waits, so that
 nearly all programs are late, also those that are half done, and what is urgent finds the queues
 full of what is not. A new program begins only if the waits of its turns leave it time to end; one
-that has begun goes on. A host goes by how long its own turns waited: it asks nobody.
+that has begun goes on. A host goes by how long its own turns waited: it asks nobody. An account
+that sends many times its usual, and fills the engines so, is the first that finds none.
 """
 
 from __future__ import annotations
@@ -24,6 +25,9 @@
 WAIT_SHARE = 0.5
 # The same where more urgent programs use the service: what is less urgent leaves room first.
 LESS_URGENT_WAIT_SHARE = 0.35
+# What programs of an account that sends more than its usual have of that: engines are full of its
+# turns, and others find places while it waits.
+PRESSED_PART = 0.3
 # A program before any was seen to its end.
 FIRST_PROGRAM = Shape(calls=5.0, took_ms=2_000.0)
 # Turns that wait for nobody differ by as much, since their prompts do. No program is refused for
@@ -51,11 +55,13 @@
       service: Whose engines run it.
       kind: What it is expected to be like.
       left_ms: Until it should be finished.
+      is_pressed: Whether its account has used most of what it may have run.
     """
 
     service: str
     kind: ProgramKind
     left_ms: int
+    is_pressed: bool = False
 
 
 class Rejection(NamedTuple):
@@ -135,6 +141,7 @@
         turns = self._shapes.usual(program.kind).calls
         yields = any(other == service and before < rank for other, before in self._waits)
         share = LESS_URGENT_WAIT_SHARE if yields else WAIT_SHARE
+        share *= PRESSED_PART if program.is_pressed else 1.0
         if wait_ms < LEAST_WAIT_MS or wait_ms * turns <= share * max(0, program.left_ms):
             return None
         retry_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, round(2 * wait_ms)))
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -103,6 +103,7 @@
   resumable @31 :Bool;
   resumesAfter @32 :Int64;  # -1 if the caller has no event of it yet.
   routeRank @33 :Int64;  # Of the route among calls of accounts of one rank.
+  pressed @34 :Bool;  # Whether the account has used most of what it may have run.
 }
 
 struct RelayCancel {
--- a/tests/gateway/accounts/test_limits.py
+++ b/tests/gateway/accounts/test_limits.py
@@ -178,6 +178,21 @@
         assert len(cluster.all_runs()) == 1
 
 
+async def test_the_owner_of_a_program_knows_that_its_account_has_used_most_of_its_limit() -> None:
+    """Where engines are full, such an account leaves its places to others first."""
+    async with GatewayCluster(2) as cluster:
+        await _configure(cluster, 2, rate_per_s=0.1)
+        told: list[bool] = []
+        for node in cluster.nodes.values():
+            admission = node.daemon._parts.admission
+            admission.refuse = lambda _, terms, __: told.append(terms.is_pressed)  # type: ignore[assignment,method-assign]
+        await cluster.turn("a", "north-1", key="k")
+        await _calls(cluster, "ab", BURST - 8)
+        await cluster.turn("a", "north-1", key="k")
+        await cluster.turn("a", "south-1", key="free")
+        assert told == [False, True, False]
+
+
 async def test_hosts_that_are_cut_off_give_out_a_part_only() -> None:
     """Symptom: an account passes its limit while some hosts are cut off from the others.
 
--- a/tests/gateway/turns/test_admission.py
+++ b/tests/gateway/turns/test_admission.py
@@ -29,6 +29,7 @@
     keeps_history=False,
     retention_ms=60_000,
     is_resumable=False,
+    is_pressed=False,
 )
 
 
--- a/tests/policy/program_fleet.py
+++ b/tests/policy/program_fleet.py
@@ -33,9 +33,12 @@
 # Each turn is tried so often; callers come back no later than after a third of their time.
 TRIES, TURN_LIMIT_MS = 6, 3_000.0
 SHORT, LONG = ProgramKind("short", Rank(0)), ProgramKind("long", Rank(2))
-TURNS = {SHORT: 3, LONG: 8}
+# Programs like the short ones, of an account that sends many times its usual.
+HOT = ProgramKind("hot", Rank(0))
+TURNS = {SHORT: 3, LONG: 8, HOT: 3}
 # A program has so many times what it takes on idle engines, and so much besides.
-FACTOR, BESIDES_MS = {SHORT: 1.4, LONG: 1.6}, {SHORT: 250, LONG: 500}
+FACTOR = {SHORT: 1.4, LONG: 1.6, HOT: 1.4}
+BESIDES_MS = {SHORT: 250, LONG: 500, HOT: 250}
 
 
 class Burst(NamedTuple):
@@ -81,6 +84,7 @@
         seed: int,
         controlled: bool,
         knows_speeds: bool = False,
+        pressed: ProgramKind | None = None,
         seconds: int = 16,
     ) -> None:
         self._rng = random.Random(seed)
@@ -96,6 +100,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._number = 0
         self._now_ms = 0.0
+        self._pressed = pressed
         self._outcome = Outcome(Counter(), Counter(), Counter())
         for kind, rate_per_s in per_s.items():
             self._arrive(kind, rate_per_s, bursts, seconds * 1_000)
@@ -133,7 +138,9 @@
             control.learn(now_ms)
             if not program.turns:
                 left_ms = int(program.until_ms - self._now_ms)
-                rejection = control.reject(NewProgram(SERVICE, program.kind, left_ms), now_ms)
+                is_pressed = program.kind == self._pressed
+                wanted = NewProgram(SERVICE, program.kind, left_ms, is_pressed)
+                rejection = control.reject(wanted, now_ms)
                 if rejection is not None:
                     self._come_back(program, rejection.retry_after_ms)
                     return
--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -17,6 +17,7 @@
 from quincespool.policy.admission import NewProgram
 from quincespool.policy.program_shapes import ProgramKind
 from quincespool.policy.urgency import Rank
+from tests.policy.program_fleet import HOT
 from tests.policy.program_fleet import LONG
 from tests.policy.program_fleet import SHORT
 from tests.policy.program_fleet import Burst
@@ -143,3 +144,22 @@
     rejection = control.reject(_new_program(), at_ms)
     assert rejection is not None
     assert rejection.turns == pytest.approx(20, rel=0.1)
+
+
+def test_an_account_far_above_its_usual_does_not_cost_the_others_their_programs() -> None:
+    """Nine tenths of the engines' places go to one account; the others are refused as often."""
+    load = {SHORT: 35.0, HOT: 260.0}
+    alike, fair = (
+        [
+            ProgramFleet(load, (), seed=seed, controlled=True, pressed=pressed).run()
+            for seed in SEEDS
+        ]
+        for pressed in (None, HOT)
+    )
+    assert _in_time(fair, SHORT) > _in_time(alike, SHORT)
+    assert _in_time(fair, SHORT) > _in_time(fair, HOT)
+
+
+def test_an_account_that_is_pressed_begins_where_engines_are_idle() -> None:
+    pressed = _new_program()._replace(is_pressed=True)
+    assert _control_that_waits(LEAST_WAIT_MS - 1).reject(pressed, 0) is None
