--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -27,8 +27,8 @@
 # the turns on it are given back while their callers still wait.
 UNACKNOWLEDGED_MS = 800
 PROBE_INTERVAL_S = 0.4
-# A link on which nothing is waited for is left to the kernel's probes, which wake no process: with
-# 63 daemons, messages on all links that nobody waits for wake each of them 30 times a second.
+# A link on which nothing is waited for is left to the kernel's probes, which wake no process. In a
+# large group, messages on all idle links would wake each daemon more often than its callers do.
 IDLE_BEFORE_PROBES_S = 3
 MAX_UNSENT_BYTES = 8_000_000
 # A link that is lost sooner is made again only when it is needed: a peer that takes links and ends
--- a/src/quincespool/limits/demand.py
+++ b/src/quincespool/limits/demand.py
@@ -22,14 +22,14 @@
 
 
 class _Arrivals(NamedTuple):
-    """Arrivals to begin, each counted less the longer ago it was."""
+    """Programs that came, each counted less the longer ago it was."""
 
-    wanted: float
+    programs: float
     at_ms: int
 
     def decayed(self, now_ms: int) -> _Arrivals:
         passed_ms = max(0, now_ms - self.at_ms)
-        return _Arrivals(self.wanted * math.exp(-passed_ms / MEMORY_MS), now_ms)
+        return _Arrivals(self.programs * math.exp(-passed_ms / MEMORY_MS), now_ms)
 
 
 class Demand:
@@ -50,9 +50,9 @@
         arrivals = self._arrivals.pop(kind, _Arrivals(0.0, now_ms)).decayed(now_ms)
         while len(self._arrivals) >= MAX_KINDS:
             del self._arrivals[next(iter(self._arrivals))]
-        self._arrivals[kind] = arrivals._replace(wanted=arrivals.wanted + 1)
+        self._arrivals[kind] = arrivals._replace(programs=arrivals.programs + 1)
 
     def programs_per_s(self, now_ms: int) -> Iterator[tuple[ProgramKind, float]]:
         """Yields each kind that was wanted lately, and how many of it a second."""
         for kind, arrivals in self._arrivals.items():
-            yield kind, arrivals.decayed(now_ms).wanted / MEMORY_MS * 1000
+            yield kind, arrivals.decayed(now_ms).programs / MEMORY_MS * 1000
