--- a/src/quincespool/limits/demand.py
+++ b/src/quincespool/limits/demand.py
@@ -38,6 +38,7 @@
     def __init__(self) -> None:
         self._asked_ms: dict[str, int] = {}
         self._arrivals: dict[ProgramKind, _Arrivals] = {}
+        self._refused_ms: dict[ProgramKind, int] = {}
 
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
@@ -52,7 +53,20 @@
             del self._arrivals[next(iter(self._arrivals))]
         self._arrivals[kind] = arrivals._replace(programs=arrivals.programs + 1)
 
+    def note_refused(self, kind: ProgramKind, now_ms: int) -> None:
+        """Takes in that a program could not begin."""
+        self._refused_ms.pop(kind, None)
+        while len(self._refused_ms) >= MAX_KINDS:
+            del self._refused_ms[next(iter(self._refused_ms))]
+        self._refused_ms[kind] = now_ms
+
     def programs_per_s(self, now_ms: int) -> Iterator[tuple[ProgramKind, float]]:
-        """Yields each kind that was wanted lately, and how many of it a second."""
+        """Yields each kind of which a program was refused lately, and how many come a second.
+
+        A kind whose programs all begin needs nothing kept for it.
+        """
         for kind, arrivals in self._arrivals.items():
+            refused_ms = self._refused_ms.get(kind)
+            if refused_ms is None or now_ms - refused_ms >= RETURN_MS:
+                continue
             yield kind, arrivals.decayed(now_ms).programs / MEMORY_MS * 1000
--- a/src/quincespool/limits/home.py
+++ b/src/quincespool/limits/home.py
@@ -142,6 +142,7 @@
             missing = order.missing_calls(ask.kind, bucket, allowance, now_ms)
             missing = max(missing, 1.0 - bucket.level_calls)
             if missing > 0:
+                order.note_refused(ask.kind, now_ms)
                 return _denial(missing / allowance.rate_per_s * 1000)
             wait_ms = 0
         else:
--- a/src/quincespool/limits/order.py
+++ b/src/quincespool/limits/order.py
@@ -54,6 +54,9 @@
     def note_arrival(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
 
+    def note_refused(self, kind: ProgramKind, now_ms: int) -> None:
+        """Takes in that a program could not begin."""
+
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in a call that is let through."""
 
@@ -86,6 +89,10 @@
         """Takes in that a program would begin."""
         self._demand.note(program_id, kind, now_ms)
 
+    def note_refused(self, kind: ProgramKind, now_ms: int) -> None:
+        """Takes in that a program could not begin."""
+        self._demand.note_refused(kind, now_ms)
+
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in a call that is let through."""
         self._shapes.note(program_id, kind, now_ms)
@@ -154,6 +161,9 @@
     def note_arrival(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
 
+    def note_refused(self, kind: ProgramKind, now_ms: int) -> None:
+        """Takes in that a program could not begin."""
+
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in a call that is let through."""
 
--- a/tests/limits/test_order.py
+++ b/tests/limits/test_order.py
@@ -171,3 +171,16 @@
         order.note(f"p{number}", KIND, 0)
     assert not order.is_under_way("p0", 0)
     assert order.is_under_way(f"p{MAX_PROGRAMS + 9}", 0)
+
+
+def test_nothing_is_kept_for_urgent_programs_that_all_begin() -> None:
+    """Below its limit an account's long programs were refused for short ones that found room."""
+    order = ProgramsFirst()
+    for number in range(10):
+        order.note_arrival(f"s{number}", SHORT, number * 100)
+    room = Bucket(FIRST_PROGRAM.calls, 1_000)
+    slow = Allowance(rate_per_s=1, capacity_calls=40)
+    assert order.missing_calls(LONG, room, slow, 1_000) == 0
+    order.note_refused(SHORT, 1_000)
+    assert order.missing_calls(LONG, room, slow, 1_000) > 0
+    assert order.missing_calls(SHORT, room, slow, 1_000) == 0
