--- a/tests/limits/test_order.py
+++ b/tests/limits/test_order.py
@@ -178,7 +178,7 @@
     order = ProgramsFirst()
     for number in range(10):
         order.note_arrival(f"s{number}", SHORT, number * 100)
-    room = Bucket(FIRST_PROGRAM.calls, 1_000)
+    room = Bucket(FIRST_PROGRAM.calls - 1, 1_000)
     slow = Allowance(rate_per_s=1, capacity_calls=40)
     assert order.missing_calls(LONG, room, slow, 1_000) == 0
     order.note_refused(SHORT, 1_000)
