Events of a stream are split in one place, once

Found on reading the change again. A resumable stream was split into events for what may be handed out, and its bytes a second time for the record: one splitter (event_stream.WholeEvents) serves both, and the reader takes the events it is given. Also: whether an answer has begun was kept as a count; the waits of a service were gathered twice for a rejection.

--- a/src/quincespool/gateway/turns/stream_progress.py
+++ b/src/quincespool/gateway/turns/stream_progress.py
@@ -6,57 +6,24 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from typing import TYPE_CHECKING
 
+from quincespool.gateway.turns.event_stream import WholeEvents
 
-class StreamEvent(NamedTuple):
-    """One whole event.
-
-    Attributes:
-      number: Its id; None if it has none that is a number.
-      has_data: Whether it is more than a comment that keeps the connection open.
-      raw: All its bytes, the empty line after it included.
-    """
-
-    number: int | None
-    has_data: bool
-    raw: bytes
+if TYPE_CHECKING:
+    from quincespool.gateway.turns.event_stream import StreamEvent
 
 
 class GapError(Exception):
     """A run does not go on where the last one ended: its events can't be joined."""
 
 
-class WholeEvents:
-    """Splits the bytes of one run into whole events."""
-
-    def __init__(self) -> None:
-        self._rest = b""
-        self._lines: list[bytes] = []
-
-    @property
-    def rest(self) -> bytes:
-        """The bytes behind the last whole event."""
-        return b"".join(line + b"\n" for line in self._lines) + self._rest
-
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Takes bytes as they come; returns the events that they completed."""
-        events = []
-        lines = (self._rest + data).split(b"\n")
-        self._rest = lines.pop()
-        for line in lines:
-            self._lines.append(line)
-            if not line.removesuffix(b"\r"):
-                events.append(_read_event(self._lines))
-                self._lines.clear()
-        return events
-
-
 class StreamProgress:
     """The events of one answer, over all runs at engines that it takes.
 
     Attributes:
       last: Number of the last event that the caller has; None before the first, or if it has none.
+      has_begun: Whether the caller has got an event of this answer.
     """
 
     def __init__(self, *, after: int | None) -> None:
@@ -66,7 +33,7 @@
           after: Number of the last event that the caller had before this answer, if it said so.
         """
         self.last = after
-        self._handed_out = 0
+        self.has_begun = False
         self._unnumbered = False
         self._step: int | None = None
         self._run = WholeEvents()
@@ -77,11 +44,6 @@
         """Whether another run can be told where to go on."""
         return not self._unnumbered
 
-    @property
-    def has_begun(self) -> bool:
-        """Whether the caller has got an event of this answer."""
-        return bool(self._handed_out)
-
     @property
     def rest(self) -> bytes:
         """What the present run has sent behind its last whole event."""
@@ -102,7 +64,7 @@
 
     def _is_new(self, event: StreamEvent) -> bool:
         number, last = event.number, self.last
-        if not event.has_data:
+        if event.text is None:
             return True
         if number is None:
             if self._is_resumed:
@@ -117,16 +79,5 @@
             self._step = number - last
         self.last = number
         self._is_resumed = False
-        self._handed_out += 1
+        self.has_begun = True
         return True
-
-
-def _read_event(lines: list[bytes]) -> StreamEvent:
-    raw = b"".join(line + b"\n" for line in lines)
-    has_data = any(line.startswith(b"data:") for line in lines)
-    number = None
-    for line in lines:
-        if line.startswith(b"id:"):
-            text = line[3:].strip()
-            number = int(text) if text.isdigit() and len(text) < 19 else None
-    return StreamEvent(number, has_data, raw)
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -260,7 +260,10 @@
             data = b"".join(event.raw for event in events)
             if not data:
                 return None
-        await self._records.hand_out(self._events.feed(data))
+            completed = self._events.take(events)
+        else:
+            completed = self._events.feed(data)
+        await self._records.hand_out(completed)
         self._reply.piece(data)
         return None
 
--- a/src/quincespool/policy/admission.py
+++ b/src/quincespool/policy/admission.py
@@ -131,13 +131,13 @@
 
         Engines take urgent turns first, so that no turn waits for less than a more urgent one.
         """
-        waits = self._waits_up_to(service, rank)
-        return max((wait.faded_ms(now_ms) for wait in waits), default=0.0)
+        return _longest_ms(self._waits_up_to(service, rank), now_ms)
 
     def reject(self, program: NewProgram, now_ms: int) -> Rejection | None:
         """Returns why a new program may not begin, None if it may."""
         service, rank = program.service, program.kind.rank
-        wait_ms = self.wait_ms(service, rank, now_ms)
+        waits = self._waits_up_to(service, rank)
+        wait_ms = _longest_ms(waits, now_ms)
         turns = self._shapes.usual(program.kind).calls
         yields = any(other == service and before < rank for other, before in self._waits)
         share = LESS_URGENT_WAIT_SHARE if yields else WAIT_SHARE
@@ -145,7 +145,7 @@
         if wait_ms < LEAST_WAIT_MS or wait_ms * turns <= share * max(0, program.left_ms):
             return None
         retry_ms = min(MOST_RETRY_MS, max(LEAST_RETRY_MS, round(2 * wait_ms)))
-        age_ms = now_ms - max(wait.seen_ms for wait in self._waits_up_to(service, rank))
+        age_ms = now_ms - max(wait.seen_ms for wait in waits)
         return Rejection(wait_ms, age_ms, turns, retry_ms)
 
     def learn(self, now_ms: int) -> None:
@@ -171,3 +171,7 @@
         mean_ms = known.faded_ms(now_ms) if known is not None else 0.0
         mean_ms += NEWEST_WEIGHT * (wait_ms - mean_ms)
         self._waits[service, rank] = _Wait(mean_ms, now_ms)
+
+
+def _longest_ms(waits: list[_Wait], now_ms: int) -> float:
+    return max((wait.faded_ms(now_ms) for wait in waits), default=0.0)
--- a/src/quincespool/policy/engine_speeds.py
+++ b/src/quincespool/policy/engine_speeds.py
@@ -17,8 +17,6 @@
 MOST_ANSWERS = 12
 # Weight of the newest answer in what is usual for the service.
 NEWEST_WEIGHT = 0.05
-
-
 # Engines that differ by less from what is usual are not told of.
 TOLD_DIFFERENCE = 0.15
 
