Mappings that keep the newest entries are kept in one way

Found on reading the change again: the demand of an account dropped its oldest entries in three loops that stood already in the homes of limits, in what they have answered, and in the births of backend servers. One function serves these six. Same entries are kept, in the same order.

--- a/src/quincespool/gateway/backends/table.py
+++ b/src/quincespool/gateway/backends/table.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from quincespool.newest_entries import put_newest
 from quincespool.policy.engine_speeds import Answer
 from quincespool.policy.engine_speeds import EngineSpeeds
 from quincespool.policy.outliers import OwnFailures
@@ -90,7 +91,7 @@
         if reborn:
             self._forget(backend_id)
         if entry.born_ms is not None:
-            self._note_birth(backend_id, entry.born_ms)
+            put_newest(self._born_ms, backend_id, entry.born_ms, most=MAX_BIRTHS)
         self.entries[backend_id] = entry
         if reborn:
             return EntryNews.NEW_LIFE
@@ -281,12 +282,6 @@
         own = self._own_failures.is_ejected(backend_id, now_ms)
         return own or self._shared_failures.is_outlier(backend_id, now_ms)
 
-    def _note_birth(self, backend_id: str, born_ms: int) -> None:
-        self._born_ms.pop(backend_id, None)
-        while len(self._born_ms) >= MAX_BIRTHS:
-            del self._born_ms[next(iter(self._born_ms))]
-        self._born_ms[backend_id] = born_ms
-
     def _forget(self, backend_id: str) -> None:
         self._lapsing.pop(backend_id, None)
         self.entries.pop(backend_id, None)
--- a/src/quincespool/limits/demand.py
+++ b/src/quincespool/limits/demand.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.newest_entries import put_newest
 from quincespool.policy.program_shapes import MAX_KINDS
 from quincespool.policy.program_shapes import MAX_PROGRAMS
 
@@ -42,23 +43,17 @@
 
     def note(self, program_id: str, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program would begin."""
-        asked_ms = self._asked_ms.pop(program_id, None)
-        while len(self._asked_ms) >= MAX_PROGRAMS:
-            del self._asked_ms[next(iter(self._asked_ms))]
-        self._asked_ms[program_id] = now_ms
+        asked_ms = self._asked_ms.get(program_id)
+        put_newest(self._asked_ms, program_id, now_ms, most=MAX_PROGRAMS)
         if asked_ms is not None and now_ms - asked_ms < RETURN_MS:
             return
-        arrivals = self._arrivals.pop(kind, _Arrivals(0.0, now_ms)).decayed(now_ms)
-        while len(self._arrivals) >= MAX_KINDS:
-            del self._arrivals[next(iter(self._arrivals))]
-        self._arrivals[kind] = arrivals._replace(programs=arrivals.programs + 1)
+        arrivals = self._arrivals.get(kind, _Arrivals(0.0, now_ms)).decayed(now_ms)
+        arrivals = arrivals._replace(programs=arrivals.programs + 1)
+        put_newest(self._arrivals, kind, arrivals, most=MAX_KINDS)
 
     def note_refused(self, kind: ProgramKind, now_ms: int) -> None:
         """Takes in that a program could not begin."""
-        self._refused_ms.pop(kind, None)
-        while len(self._refused_ms) >= MAX_KINDS:
-            del self._refused_ms[next(iter(self._refused_ms))]
-        self._refused_ms[kind] = now_ms
+        put_newest(self._refused_ms, kind, now_ms, most=MAX_KINDS)
 
     def programs_per_s(self, now_ms: int) -> Iterator[tuple[ProgramKind, float]]:
         """Yields each kind of which a program was refused lately, and how many come a second.
--- a/src/quincespool/limits/home.py
+++ b/src/quincespool/limits/home.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from quincespool.limits.bucket import Bucket
+from quincespool.newest_entries import put_newest
 from quincespool.policy.program_shapes import ProgramKind
 
 if TYPE_CHECKING:
@@ -172,10 +173,7 @@
         return {name: round(one.bucket.level_calls, 1) for name, one in self._accounts.items()}
 
     def _open(self, name: str, allowance: Allowance, *, term: Term, now_ms: int) -> _Account:
-        known = self._accounts.pop(name, None)
-        if known is None:
-            while len(self._accounts) >= MAX_ACCOUNTS:
-                del self._accounts[next(iter(self._accounts))]
+        known = self._accounts.get(name)
         if known is None or known.term.number != term.number:
             known = self._begin_term(known, allowance, term=term, now_ms=now_ms)
         whole = known.whole.refilled(allowance, now_ms)
@@ -184,7 +182,7 @@
             # What others have let through before the term is no longer in any window.
             bucket = whole
         account = known._replace(bucket=bucket, whole=whole)
-        self._accounts[name] = account
+        put_newest(self._accounts, name, account, most=MAX_ACCOUNTS)
         return account
 
     def _is_early(self, term: Term, now_ms: int) -> bool:
--- a/src/quincespool/limits/home_answers.py
+++ b/src/quincespool/limits/home_answers.py
@@ -13,6 +13,7 @@
 from quincespool.limits.bucket import Allowance
 from quincespool.limits.bucket import Bucket
 from quincespool.limits.home import Denial
+from quincespool.newest_entries import put_newest
 
 if TYPE_CHECKING:
     from quincespool.limits.home import Verdict
@@ -89,7 +90,4 @@
         return self._accounts.get(name) or _Known(Bucket(CAPACITY_CALLS, now_ms))
 
     def _keep(self, name: str, known: _Known) -> None:
-        self._accounts.pop(name, None)
-        while len(self._accounts) >= MAX_ACCOUNTS:
-            del self._accounts[next(iter(self._accounts))]
-        self._accounts[name] = known
+        put_newest(self._accounts, name, known, most=MAX_ACCOUNTS)
