Logs tell apart why a call got no answer

Now: outcomes cut_off and failed, a line 'call failed' with the id, a line 'link lost' with the turns on it, and the true count of records. No decision changes.

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -32,6 +32,12 @@
     from quincespool.net.requests import RequestError
 
 
+# How calls end that get no answer: their caller has left, this process ends, or it has a fault.
+CALLER_GONE = "caller_gone"
+CUT_OFF = "cut_off"
+FAILED = "failed"
+
+
 class Front:
     """Answers callers."""
 
@@ -69,6 +75,12 @@
         served_by = ""
         try:
             served_by = await self._serve(call, decision, reply, started_ms)
+        except Exception as error:
+            reply.outcome = FAILED
+            self._services.log.write_always(
+                "call failed", call_id=call.call_id, program_id=call.program_id, error=repr(error)
+            )
+            raise
         finally:
             self._note(call, decision, reply, started_ms, served_by=served_by)
 
@@ -117,7 +129,7 @@
         served_by: str,
     ) -> None:
         took_ms = now_ms() - started_ms
-        outcome = reply.outcome or "caller_gone"
+        outcome = reply.outcome or reply.unanswered_outcome
         route = decision.route.name if decision is not None else ""
         self._services.metrics.count("gateway_calls_total", outcome=outcome)
         self._services.metrics.observe("gateway_call_ms", took_ms)
@@ -170,6 +182,10 @@
         self._call = call
         self._services = services
 
+    @property
+    def unanswered_outcome(self) -> str:
+        return CALLER_GONE if self._connection.lost else CUT_OFF
+
     def head(self, status: int, headers: Headers) -> None:
         self.status = status
         self._connection.start_stream(status, list(headers))
--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -41,6 +41,7 @@
 
     Attributes:
       lost: Whether it is over.
+      detail: Why it is over, as far as known; empty if this daemon has broken it off.
       waiting: Answers that are to come on it.
       made_s: Steady clock at which it was made.
     """
@@ -58,6 +59,7 @@
         self._frames = FrameReader()
         self._transport: asyncio.Transport | None = None
         self.lost = False
+        self.detail = ""
         self.waiting = 0
         self.made_s = time.monotonic()
 
@@ -98,6 +100,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells what is on the link that it is over."""
         self.lost = True
+        self.detail = repr(exc) if exc is not None else ""
         self._on_lost(self)
 
 
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -212,8 +212,8 @@
         for waiting in self._waiting:
             if not waiting.kept.done():
                 waiting.kept.set_exception(LostPartitionError())
-        self._waiting.clear()
         self._on_change(self, reason)
+        self._waiting.clear()
 
     def dump(self) -> dict[str, object]:
         """Returns the state for people to read."""
--- a/src/quincespool/gateway/turns/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -112,6 +112,7 @@
             links=self.links,
             turns=self.turns,
             store_reachable=lambda: store_health.reachable,
+            log=log,
         )
         self.limits = AccountLimits(
             member_id=settings.member_id,
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -39,6 +39,7 @@
     from collections.abc import Callable
 
     from quincespool.gateway.callers.reply import Reply
+    from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.members.links import Link
     from quincespool.gateway.members.links import Links
     from quincespool.gateway.members.table import Members
@@ -112,6 +113,7 @@
         links: Links,
         turns: TurnRunner,
         store_reachable: Callable[[], bool],
+        log: DecisionLog,
     ) -> None:
         self._member_id = member_id
         self._partition_for = partition_for
@@ -120,6 +122,7 @@
         self._links = links
         self._turns = turns
         self._store_reachable = store_reachable
+        self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
@@ -203,11 +206,16 @@
 
     def on_lost(self, link: Link) -> None:
         """Ends what was on a link."""
-        for (one, _), task in list(self._serving.items()):
-            if one is link:
-                task.cancel()
-        for pending in list(self._pending.values()):
-            if pending.link is link and not pending.done.done():
+        serving = [task for (one, _), task in self._serving.items() if one is link]
+        waiting = [one for one in self._pending.values() if one.link is link]
+        if serving or waiting:
+            self._log.write(
+                "link lost", serving=len(serving), waiting=len(waiting), detail=link.detail
+            )
+        for task in serving:
+            task.cancel()
+        for pending in waiting:
+            if not pending.done.done():
                 pending.done.set_result(may_have_run("owner_lost"))
 
     async def _hand_over(
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -120,6 +120,11 @@
         self._unread_bytes = 0
         self._lost = False
 
+    @property
+    def lost(self) -> bool:
+        """Whether nothing can be sent to the caller any more."""
+        return self._lost
+
     @property
     def busy(self) -> bool:
         """Whether a request is coming in, being answered or its answer not sent yet."""
--- /dev/null
+++ b/tests/gateway/callers/test_unanswered.py
@@ -0,0 +1,52 @@
+"""What the log says of calls that end without an answer, so that their causes can be told apart."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING
+
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+
+if TYPE_CHECKING:
+    import pytest
+
+
+def _lines(caplog: pytest.LogCaptureFixture, message: str) -> list[dict[str, object]]:
+    lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
+    return [line for line in lines if line.get("message") == message]
+
+
+async def test_a_call_that_ends_with_the_process_is_not_logged_as_left_by_its_caller(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level("INFO")
+    async with GatewayCluster(1) as cluster:
+        for engine in cluster.engines.values():
+            engine.knobs.gap_ms = 1_000
+        calling = asyncio.create_task(cluster.call("a", "idempotent"))
+        await cluster.until(cluster.all_runs)
+        for task in list(cluster.nodes["a"].daemon._front_port._tasks.values()):
+            task.cancel()
+        await cluster.until(lambda: _lines(caplog, "call answered"))
+        calling.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await calling
+    assert [line["outcome"] for line in _lines(caplog, "call answered")] == ["cut_off"]
+
+
+async def test_a_fault_of_the_daemon_is_logged_with_the_id_of_its_call(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caplog.set_level("INFO")
+
+    async def fail(*_: object, **__: object) -> str:
+        raise KeyError("x")
+
+    async with GatewayCluster(1) as cluster:
+        monkeypatch.setattr(cluster.nodes["a"].daemon._parts.relay, "run", fail)
+        with contextlib.suppress(ConnectionLostError):
+            await cluster.turn("a", "p", call_id="t1")
+    assert [line["call_id"] for line in _lines(caplog, "call failed")] == ["t1"]
+    assert [line["outcome"] for line in _lines(caplog, "call answered")] == ["failed"]
