A stopping daemon refuses what it could not answer before its end

Cause: a stopping daemon took every request on its open connections, whatever time was left to it, and ended with them under way. Class: work is taken on without a look at whether the taker will be there to finish it. Why this works: each call has a time limit at which it is answered at the latest, so one whose limit lies before the end of the stop can't be cut, and every other one is refused at once, as not run, to go to another daemon. Weighed: a shorter deadline handed to the engine (a run that ends as 504 in place of a refusal that can be repeated), and a guess from how long calls take (no promise).

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -18,6 +18,8 @@
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.gateway.accounts.limits import AccountLimits
     from quincespool.gateway.backends.attempt import Services
     from quincespool.gateway.callers.plain import PlainCalls
@@ -32,10 +34,13 @@
     from quincespool.net.requests import RequestError
 
 
-# How calls end that get no answer: their caller has left, this process ends, or it has a fault.
+# How calls end otherwise: their caller has left, this process ends first, or it has a fault.
 CALLER_GONE = "caller_gone"
 CUT_OFF = "cut_off"
 FAILED = "failed"
+STOPPING = "stopping"
+# Another daemon takes the call at once.
+STOPPING_RETRY_MS = 50
 
 
 class Front:
@@ -49,12 +54,14 @@
         limits: AccountLimits,
         plain: PlainCalls,
         relay: Relay,
+        has_time_until: Callable[[int], bool],
     ) -> None:
         self._services = services
         self._routes = routes
         self._limits = limits
         self._plain = plain
         self._relay = relay
+        self._has_time_until = has_time_until
 
     async def handle(self, connection: Connection, request: HttpRequest) -> None:
         """Answers one request."""
@@ -96,6 +103,9 @@
             reply.refuse(not_run("crashes_backends"))
             return ""
         until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
+        if not self._has_time_until(until_ms):
+            reply.refuse(not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS))
+            return ""
         permit = await self._limits.admit(call, decision, until_ms=until_ms)
         if permit.refusal is not None:
             reply.refuse(permit.refusal)
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -201,6 +201,9 @@
     def _note_configuration(self) -> None:
         self._parts.copies.caught_up()
 
+    def _leaves_time_until(self, until_ms: int) -> bool:
+        return self._stop.leaves_time_until(until_ms)
+
     def _release_predecessor(self, incarnation: int) -> None:
         """Frees what the process before this one owned; it has not lived to do so itself."""
         self._spawn(self._ownership.release(self._settings.member_id, incarnation))
@@ -212,6 +215,7 @@
             limits=self._parts.limits,
             plain=PlainCalls(self._services),
             relay=self._parts.relay,
+            has_time_until=self._leaves_time_until,
         )
         self._front_port = HttpPort(
             front,
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -17,8 +17,10 @@
 
 # Callers keep an address for up to three times as long as the directory says.
 ADDRESS_KEPT_FACTOR = 3
-# Kept of the stop's time for what is still under way after the callers should be gone.
+# Kept of the stop's time for the end of the process.
 STOP_MARGIN_MS = 700
+# An answer is sent this long after the time limit of its call at the latest.
+ANSWER_MARGIN_MS = 200
 CHECK_S = 0.05
 
 
@@ -41,16 +43,26 @@
         self._relay = relay
         self._live = live
         self._log = log
+        self._last_ms: int | None = None
 
     @property
     def under_way(self) -> int:
         """What callers, here and at other daemons, still wait for."""
         return self._front_port.busy + self._relay.serving
 
+    def leaves_time_until(self, until_ms: int) -> bool:
+        """Whether a call with this time limit, by the steady clock, is answered before the end.
+
+        Callers use the connections that they have until they are closed; what is taken on one of
+        them without the time for it would be cut off after it ran.
+        """
+        return self._last_ms is None or until_ms + ANSWER_MARGIN_MS <= self._last_ms
+
     def begin(self) -> bool:
         """Takes no new callers from now on; returns whether it had not begun before."""
-        if self._presence.draining:
+        if self._last_ms is not None:
             return False
+        self._last_ms = now_ms() + self._live.current.stop_grace_ms - STOP_MARGIN_MS
         self._presence.draining = True
         self._front_port.draining = True
         self._log.write_always("stopping", under_way=self._front_port.busy)
@@ -63,8 +75,8 @@
         await self._ownership.leave()
         self._presence.announce()
         kept_ms = ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
-        last_ms = began_ms + self._live.current.stop_grace_ms - STOP_MARGIN_MS
-        while now_ms() < last_ms:
+        assert self._last_ms is not None
+        while now_ms() < self._last_ms:
             if now_ms() - began_ms > kept_ms and not self.under_way:
                 return
             await asyncio.sleep(CHECK_S)
