A stopping daemon answers a request that came behind another one

What callers saw: two requests sent in one go, SIGTERM while the first is answered: its answer says 'connection: close', and the second, read whole, gets none (not run). Cause: a stopping daemon announced the end of the connection with every answer, also with one behind which a request had come already. Class: an end is announced without a look at what was taken in before. Evidence: the test failed before (one answer of two). Now only the answer behind which nothing waits says 'close'.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -365,7 +365,9 @@
 
     def _response_head(self, status: int, headers: Sequence[tuple[str, str]]) -> h11.Response:
         request_unread = self._http.their_state is not h11.DONE
-        if self._owner.draining or request_unread:
+        # What came behind this request is answered first, and says it in its turn.
+        ends_here = self._owner.draining and not self._http.trailing_data[0]
+        if ends_here or request_unread:
             headers = [*headers, ("connection", "close")]
         return h11.Response(status_code=status, headers=list(headers))
 
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -8,6 +8,7 @@
 
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
+from tests.support.platform_entries import HOST_NAME
 
 if TYPE_CHECKING:
     import pytest
@@ -32,6 +33,22 @@
     assert [line["outcome"] for line in _lines(caplog, "call answered")] == ["cut_off"]
 
 
+async def test_a_request_behind_another_one_is_answered_by_a_daemon_that_stops() -> None:
+    request = f"POST /idempotent/x HTTP/1.1\r\nhost: {HOST_NAME}\r\ndeadline-ms: 1000\r\n"
+    both = "".join(f"{request}request-id: r{n}\r\ncontent-length: 0\r\n\r\n" for n in (1, 2))
+    async with GatewayCluster(1) as cluster:
+        cluster.engines["s1"].knobs.gap_ms = 200
+        host, _, port = cluster.nodes["a"].address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(both.encode())
+        await cluster.until(cluster.all_runs)
+        cluster.nodes["a"].daemon.begin_stop()
+        answers = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert answers.count(b"HTTP/1.1 200 ") == 2
+    assert answers.count(b"connection: close") == 1
+
+
 async def test_a_fault_of_the_daemon_is_logged_with_the_id_of_its_call(
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
