The time for a planned stop comes from the platform's settings

The template left stop_grace_ms to its default of 8 s, whatever the platform gives before it kills: with less, a stop would have been cut in its middle; with more, it would refuse callers it has time for. The setting is in seconds now, as the platform tells it (stop_grace_s), and fractions count.

--- a/src/quincespool/gateway/live_settings.py
+++ b/src/quincespool/gateway/live_settings.py
@@ -17,9 +17,7 @@
 
 # The others are addresses, names and what all daemons share; a daemon that changed them under way
 # would be another one.
-LIVE_FIELDS = frozenset(
-    {"addresses_valid_ms", "backends_interval_ms", "log_level", "stop_grace_ms"}
-)
+LIVE_FIELDS = frozenset({"addresses_valid_ms", "backends_interval_ms", "log_level", "stop_grace_s"})
 
 
 class LiveSettings:
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -64,7 +64,8 @@
         """Takes no new callers from now on; returns whether it had not begun before."""
         if self._last_ms is not None:
             return False
-        self._last_ms = now_ms() + self._live.current.stop_grace_ms - STOP_MARGIN_MS
+        grace_ms = int(1_000 * self._live.current.stop_grace_s)
+        self._last_ms = now_ms() + grace_ms - STOP_MARGIN_MS
         self._presence.draining = True
         self._front_port.draining = True
         self._log.write_always("stopping", under_way=self._front_port.busy)
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -19,7 +19,7 @@
 RANGES: dict[str, tuple[int, int]] = {
     "metrics_port": (1, 65_535),
     "peer_port": (1, 65_535),
-    "stop_grace_ms": (1_000, 600_000),
+    "stop_grace_s": (1, 600),
     "store_partitions": (1, 4_096),
     "owner_topics": (1, 64),
     "owner_lease_ms": (1_000, 60_000),
@@ -50,13 +50,13 @@
         stop using one within the time that it drains.
       addresses_valid_ms: How long callers keep an answer of the directory. Whoever must ask again
         may ask a host without power first, for a second; whoever keeps an answer may connect to
-        one. Three times as long must fit into `stop_grace_ms`, since some callers keep it for that.
+        one. Three times as long must fit into `stop_grace_s`, since some callers keep it for that.
       limit_window_s: Operators look at an account's limit over any time as long as this.
       limit_slack_calls: By how many calls an account may pass it there.
       limit_overage_share: By which part of it an account may pass it besides.
       admission_control: Whether new programs are refused while the engines of their service are so
         full that they can't end in time.
-      stop_grace_ms: From SIGTERM until the platform kills the process.
+      stop_grace_s: From SIGTERM until the platform kills the process.
     """
 
     member_id: str
@@ -69,7 +69,7 @@
     peer_port: int
     store_address: str
     store_partitions: int
-    stop_grace_ms: int = 8_000
+    stop_grace_s: float = 8.0
     owner_topics: int = 4
     owner_lease_ms: int = 1_000
     store_limit_ms: int = 600
--- a/tests/gateway/test_live_settings.py
+++ b/tests/gateway/test_live_settings.py
@@ -52,7 +52,7 @@
 def test_a_file_with_a_fault_changes_nothing(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
-    live = _reload(tmp_path / "s.json", {"addresses_valid_ms": 300, "stop_grace_ms": -1})
+    live = _reload(tmp_path / "s.json", {"addresses_valid_ms": 300, "stop_grace_s": -1})
 
     assert live.current == SETTINGS
-    assert "stop_grace_ms" in str(caplog.records[-1].msg)
+    assert "stop_grace_s" in str(caplog.records[-1].msg)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -20,7 +20,8 @@
     from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.turns.relay import Relay
 
-GRACE_MS = 2_000
+GRACE_S = 2.0
+TIME_MS = 1_000 * GRACE_S - STOP_MARGIN_MS - ANSWER_MARGIN_MS
 
 
 class _Port:
@@ -59,7 +60,7 @@
 
 
 def _make_stop(port: _Port) -> PlannedStop:
-    live = SimpleNamespace(current=SimpleNamespace(stop_grace_ms=GRACE_MS, addresses_valid_ms=10))
+    live = SimpleNamespace(current=SimpleNamespace(stop_grace_s=GRACE_S, addresses_valid_ms=10))
     quiet = SimpleNamespace(
         draining=False, announce=lambda: None, write_always=lambda *_, **__: None, serving=0
     )
@@ -86,6 +87,6 @@
     stop = _make_stop(_Port())
     assert stop.leaves_time_until(now_ms() + 60_000)
     stop.begin()
-    last_ms = now_ms() + GRACE_MS - STOP_MARGIN_MS - ANSWER_MARGIN_MS
+    last_ms = now_ms() + int(TIME_MS)
     assert stop.leaves_time_until(last_ms - 10)
     assert not stop.leaves_time_until(last_ms + 10)
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -121,7 +121,7 @@
             "owner_topics": 1,
             "owner_lease_ms": 1_000,
             "backends_interval_ms": 100,
-            "stop_grace_ms": 4_000,
+            "stop_grace_s": 4.0,
             "addresses_valid_ms": 500,
         }
 
