A connection is closed only when its caller has read the last answer

What callers saw: an answer that the daemon logs as given (here 503 'stopping') does not arrive; the connection ends in a reset. Cause: behind an answer with 'connection: close' the socket was closed at once. With bytes of the caller unread in it, such as its next request, the kernel sends a reset in place of what is still on its way. Class: an end that takes back what was given. The test failed before. A stop waits for such connections too.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -127,9 +127,9 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is coming in, being answered or its answer not sent yet."""
+        """Whether a request is coming in, being answered or its answer may not be read yet."""
         unsent = not self._lost and self._transport.get_write_buffer_size() > 0
-        return unsent or self._phase not in {_Phase.IDLE, _Phase.DISCARD}
+        return unsent or self._phase is not _Phase.IDLE
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time limit for the first request."""
@@ -315,18 +315,17 @@
             self._loop.call_soon(self._advance)
             return
         self._drop_body()
-        if self._http.their_state in {h11.DONE, h11.MUST_CLOSE, h11.CLOSED}:
-            self._transport.close()
-            return
         self._linger()
 
     def _linger(self) -> None:
-        """Reads on for a while after a refusal.
+        """Sends no more, and reads on for a while behind the last answer.
 
-        Closing with bytes unread resets the connection; the caller would see the reset in place of
-        the answer that says what was wrong. Reading until the caller closes prevents it.
+        Closing with bytes unread resets the connection; a caller that has sent more, such as the
+        rest of what was refused or its next request, would see the reset in place of the answer.
+        Reading until the caller closes prevents it.
         """
         self._enter(_Phase.DISCARD, LINGER_LIMIT_S)
+        self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -49,6 +49,25 @@
     assert answers.count(b"connection: close") == 1
 
 
+async def test_the_last_answer_arrives_although_its_caller_has_sent_more() -> None:
+    request = f"POST /idempotent/x HTTP/1.1\r\nhost: {HOST_NAME}\r\ndeadline-ms: 1000\r\n"
+    first, second = (f"{request}request-id: r{n}\r\ncontent-length: 0\r\n\r\n" for n in (1, 2))
+    async with GatewayCluster(1) as cluster:
+        cluster.engines["s1"].knobs.gap_ms = 200
+        host, _, port = cluster.nodes["a"].address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(first.encode())
+        await cluster.until(cluster.all_runs)
+        cluster.nodes["a"].daemon.begin_stop()
+        (connection,) = cluster.nodes["a"].daemon._front_port._connections
+        # What is sent from here on waits in the socket while the answer is written.
+        connection._transport.pause_reading()
+        writer.write(second.encode())
+        answers = await asyncio.wait_for(reader.read(), 5)
+        writer.close()
+    assert answers.startswith(b"HTTP/1.1 200 ")
+
+
 async def test_a_fault_of_the_daemon_is_logged_with_the_id_of_its_call(
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
