A request whose handler meets a fault is answered

Callers saw their connection end without an answer, and those whose turn was relayed waited until its time limit and got 504.

Cause: an exception in a handler only aborted the connection; at the owner of a relayed turn it ended a task that nobody looks at. Class: a fault of our own that is told to nobody who waits for the outcome.

Now a request is answered 502 (may have run) if no head was sent, and broken off if one was; never twice, since a connection knows which request it still owes an answer. The owner of a relayed turn sends that refusal to the daemon that relays.

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -10,6 +10,7 @@
 from quincespool.gateway.backends.attempt import Whole
 from quincespool.gateway.backends.crashes import fingerprint
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.model import FAILED
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Turn
 from quincespool.gateway.model import make_terms
@@ -36,10 +37,9 @@
     from quincespool.net.requests import RequestError
 
 
-# How calls end otherwise: their caller has left, this process ends first, or it has a fault.
+# How calls end otherwise: their caller has left, or this process ends first.
 CALLER_GONE = "caller_gone"
 CUT_OFF = "cut_off"
-FAILED = "failed"
 STOPPING = "stopping"
 # Another daemon takes the call at once.
 STOPPING_RETRY_MS = 50
@@ -89,10 +89,11 @@
                 reply.refuse(may_have_run(CUT_OFF))
             raise
         except Exception as error:
-            reply.outcome = FAILED
             self._services.log.write_always(
                 "call failed", call_id=call.call_id, program_id=call.program_id, error=repr(error)
             )
+            if not reply.outcome:
+                reply.refuse(may_have_run(FAILED))
             raise
         finally:
             self._note(call, decision, reply, started_ms, served_by=served_by)
@@ -135,6 +136,11 @@
         refusal = not_run(error.message, status=error.status)
         return _refusal_response(self._services, refusal, call_id)
 
+    def failed(self, request: HttpRequest) -> HttpResponse:
+        """Returns the answer to a request whose handling has met a fault of this program."""
+        refusal = may_have_run(FAILED)
+        return _refusal_response(self._services, refusal, self._services.wire.read_call_id(request))
+
     def _note(
         self,
         call: Call,
--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -36,6 +36,9 @@
     def refuse(self, request: HttpRequest | None, error: RequestError) -> HttpResponse:
         """Returns the answer to a request that cannot be read."""
 
+    def failed(self, request: HttpRequest) -> HttpResponse:
+        """Returns the answer to a request whose handling has met a fault of this program."""
+
 
 class HttpPort:
     """Accepts connections and runs one task a request.
@@ -122,7 +125,7 @@
         work = self._handler.handle(connection, request)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks[connection] = task
-        task.add_done_callback(lambda done: self._finish(connection, done))
+        task.add_done_callback(lambda done: self._finish(connection, request, done))
 
     def refuse(self, connection: Connection, error: RequestError) -> None:
         """See `ConnectionOwner.refuse`."""
@@ -132,14 +135,15 @@
         """See `ConnectionOwner.overloaded`."""
         connection.respond(HttpResponse(503, [("retry-after", OVERLOAD_RETRY_S)], b""))
 
-    def _finish(self, connection: Connection, task: asyncio.Task[None]) -> None:
+    def _finish(
+        self, connection: Connection, request: HttpRequest, task: asyncio.Task[None]
+    ) -> None:
         if self._tasks.get(connection) is task:
             del self._tasks[connection]
         if task.cancelled():
             return
         error = task.exception()
         if error is not None:
-            # A fault of this program: the caller sees the connection end, which promises nothing.
-            connection.abort()
             loop = asyncio.get_running_loop()
             loop.call_exception_handler({"message": "request failed", "exception": error})
+            connection.fail(request, self._handler.failed(request))
--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -49,6 +49,11 @@
         del request
         return HttpResponse(error.status, _JSON, msgspec.json.encode({"error": error.message}))
 
+    def failed(self, request: HttpRequest) -> HttpResponse:
+        """Returns the answer to a request whose handling has met a fault of this program."""
+        del request
+        return HttpResponse(500, _JSON, msgspec.json.encode({"error": "internal error"}))
+
     def _answer(self, request: HttpRequest) -> HttpResponse:
         if self._wire.is_readiness_question(request):
             return HttpResponse(200 if self._is_ready() else 503, [], b"")
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -330,6 +330,10 @@
     return account if space else ""
 
 
+# Of a call that has met a fault of this program.
+FAILED = "failed"
+
+
 def not_run(reason: str, *, retry_after_ms: int = 0, status: int = 503) -> Refusal:
     """Returns the refusal of a call that has not run and never will."""
     return Refusal(status, Verdict.NOT_RUN, reason, retry_after_ms)
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -21,6 +21,7 @@
 from quincespool.gateway.members.messages import TurnSettled
 from quincespool.gateway.members.messages import read_optional
 from quincespool.gateway.members.messages import write_optional
+from quincespool.gateway.model import FAILED
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
@@ -49,6 +50,7 @@
     from quincespool.gateway.model import TurnTerms
     from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.turns.runner import TurnRunner
 
 # A partition that changes hands is back within some tens of milliseconds, after a death within the
@@ -273,12 +275,28 @@
             reply.refuse(not_run(NOT_OWNER))
             return
         until_ms = now_ms() + message.left_ms
-        run = self._turns.run(call, terms, owned, reply, until_ms=until_ms)
-        task = start_kept(run, self._tasks)
+        task = start_kept(self._run_for(call, terms, owned, reply, until_ms), self._tasks)
         key = (link, message.relay_id)
         self._serving[key] = task
         task.add_done_callback(lambda _: self._serving.pop(key, None))
 
+    async def _run_for(
+        self,
+        call: Call,
+        terms: TurnTerms,
+        owned: OwnedPartition,
+        reply: _RemoteReply,
+        until_ms: int,
+    ) -> None:
+        """Runs a turn for another daemon, which waits until its time limit if it hears nothing."""
+        try:
+            await self._turns.run(call, terms, owned, reply, until_ms=until_ms)
+        except Exception as error:
+            self._log.write_always(
+                "call failed", call_id=call.call_id, program_id=call.program_id, error=repr(error)
+            )
+            reply.refuse(may_have_run(FAILED))
+
     async def _settle_at(self, address: str, message: SettleTurn, until_ms: int) -> Settlement:
         link = await self._links.get(address)
         if link is None:
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -119,6 +119,7 @@
         self._body_bytes = 0
         self._unread_bytes = 0
         self._lost = False
+        self._request: HttpRequest | None = None
 
     @property
     def lost(self) -> bool:
@@ -218,6 +219,18 @@
         self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
         self._finish()
 
+    def fail(self, request: HttpRequest, response: HttpResponse) -> None:
+        """Answers a request whose handler has failed; breaks off an answer that has begun.
+
+        Without effect if the request was answered whole before.
+        """
+        if self._lost or self._request is not request:
+            return
+        if self._http.our_state is h11.SEND_RESPONSE:
+            self.respond(response)
+        else:
+            self.abort()
+
     def abort(self) -> None:
         """Breaks the connection off."""
         self._lost = True
@@ -303,10 +316,12 @@
         self._drop_body()
         self._unread_bytes = len(self._http.trailing_data[0])
         self._enter(_Phase.ANSWER, None)
+        self._request = request
         self._owner.handle(self, request)
 
     def _finish(self) -> None:
         """After a response: the next request, or the end of the connection."""
+        self._request = None
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._unread_bytes = 0
