A message that cannot be handled ends one turn, not its link

Callers saw several answers cut at once (owner_lost): every turn that two daemons had on one link.

Cause: an exception while a daemon took one message left data_received, and asyncio closes a transport whose protocol does that. Class: a fault with one item ends what carries all of them.

Now the link reports the fault and goes on, and a fault with an answer's message ends its turn at the handler that waits for it, which answers its caller; the owner is told to stop.

Evidence: the last two tests of tests/gateway/callers/test_handler_faults.py; with the sources before, the sound turn beside the faulty one is cut.

--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -92,11 +92,19 @@
             while (message := self._frames.next_message()) is not None:
                 sender, decoded = CODEC.decode(message)
                 if not isinstance(decoded, LinkProbe):
-                    self._on_message(self, sender, decoded)
+                    self._hand_on(sender, decoded)
         except (FrameError, CodecError):
             # Not a daemon of this version; nothing that follows on this link can be read.
             self.close()
 
+    def _hand_on(self, sender: str, message: Any) -> None:
+        """Hands a message on; a fault with one is no reason to end what else is on the link."""
+        try:
+            self._on_message(self, sender, message)
+        except Exception as error:
+            loop = asyncio.get_running_loop()
+            loop.call_exception_handler({"message": "message not handled", "exception": error})
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells what is on the link that it is over."""
         self.lost = True
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -243,7 +243,7 @@
         except TimeoutError:
             link.send(RelayCancel(relay_id))
             return may_have_run("timeout", status=504)
-        except asyncio.CancelledError:
+        except BaseException:
             link.send(RelayCancel(relay_id))
             raise
         finally:
@@ -254,6 +254,15 @@
         pending = self._pending.get(message.relay_id)
         if pending is None or pending.done.done():
             return
+        try:
+            self._hand_on(pending, message)
+        except Exception as error:
+            # It ends this turn, at its caller's handler, not the link with everything on it.
+            pending.done.set_exception(error)
+
+    def _hand_on(
+        self, pending: _Pending, message: RelayHead | RelayPiece | RelayEnd | RelayRefused
+    ) -> None:
         if isinstance(message, RelayHead):
             pending.reply.head(message.status, read_headers(message.headers))
         elif isinstance(message, RelayPiece):
--- a/tests/gateway/callers/test_handler_faults.py
+++ b/tests/gateway/callers/test_handler_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -73,3 +74,43 @@
         _, reply = await cluster.turn(other, "p")
     assert reply.status == 502
     assert reply.json()["may_have_run"]
+
+
+async def test_a_fault_with_one_turn_leaves_the_others_on_its_link_alone(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """One message that could not be handled closed the link with every turn that was on it."""
+    piece = _ConnectionReply.piece
+
+    def fail_once(reply: _ConnectionReply, data: bytes) -> None:
+        if reply._call.call_id == "t1":
+            raise KeyError("x")
+        piece(reply, data)
+
+    async with GatewayCluster(2) as cluster:
+        for engine in cluster.engines.values():
+            engine.knobs.gap_ms = 100
+        monkeypatch.setattr(_ConnectionReply, "piece", fail_once)
+        _, other = _owner_and_other(cluster, "p")
+        sound = asyncio.create_task(cluster.turn(other, "p", call_id="t2"))
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn(other, "p", call_id="t1")
+        assert (await sound)[1].status == 200
+        await cluster.until(lambda: not any(one.under_way for one in cluster.engines.values()))
+
+
+async def test_a_fault_with_a_message_ends_no_link(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A question that could not be read closed the link with every turn that was on it."""
+    async with GatewayCluster(2) as cluster:
+        for engine in cluster.engines.values():
+            engine.knobs.gap_ms = 200
+        owner, other = _owner_and_other(cluster, "p")
+        turn = asyncio.create_task(cluster.turn(other, "p", call_id="t1"))
+        await cluster.until(lambda: cluster.runs("t1"))
+
+        def fail(*_: object) -> None:
+            raise KeyError("x")
+
+        monkeypatch.setattr(cluster.nodes[owner].daemon._parts.finder, "on_message", fail)
+        await cluster.nodes[other].daemon._parts.finder.find("none", "")
+        assert (await turn)[1].status == 200
