A refusal of the store that cannot be read is still one of the store

Callers of every program in a partition were turned away until a restart, or no later configuration came into force.

Cause: the body of a 409 or 410 was decoded without looking whether it can be; the decoder's own exception is none that the callers of the store know, and ended the writer of a partition or the reader of a topic. Class: an answer from outside that raises what the interface does not name.

Now it is a StoreError (409, tried again) or an ExpiredError from offset 0 (410, which lists the topic anew or goes on with the next record).

No store seen so far has sent such a body.

--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -54,7 +54,7 @@
 
 
 class _Gone(msgspec.Struct):
-    first: int
+    first: int = 0
 
 
 class _Item(msgspec.Struct):
@@ -212,19 +212,29 @@
 
 
 def _error(answer: ChannelAnswer) -> StoreError:
-    """Decodes a refusal: 409 is a writer's conflict, 410 names the first record that is kept."""
-    if answer.status == 409 and answer.body:
-        conflict = msgspec.json.decode(answer.body, type=_Conflict)
+    """Decodes a refusal: 409 is a writer's conflict, 410 names the first record that is kept.
+
+    Whatever its body is, it is a refusal of the store, which its callers know how to meet.
+    """
+    if answer.status == 409:
+        conflict = _decode_refusal(answer, _Conflict())
         if conflict.why == "fenced":
             return FencedError()
         if conflict.why == "seq":
             return SequenceError(conflict.expected or conflict.sequence)
     if answer.status == 410:
-        return ExpiredError(msgspec.json.decode(answer.body, type=_Gone).first)
+        return ExpiredError(_decode_refusal(answer, _Gone()).first)
     detail = answer.body[:200].decode("utf-8", "replace")
     return StoreError(f"status {answer.status}: {detail}", refused=True)
 
 
+def _decode_refusal(answer: ChannelAnswer, unreadable: T) -> T:
+    try:
+        return msgspec.json.decode(answer.body, type=type(unreadable))
+    except msgspec.MsgspecError:
+        return unreadable
+
+
 def _decode(answer: ChannelAnswer, kind: type[T]) -> T:
     """Decodes a body; one that can't be read may have been done all the same."""
     try:
