A task that the service rests on begins again after a fault

Callers saw every turn of some programs fail until a restart; or a daemon that has lost its lease for good, or follows no later configuration and no later entry of a backend server.

Cause: the writer of a partition, the renewal of the lease, the followers of topics, probes of links and timers ended by an exception that nobody looked at. Class: a task that the daemon's service rests on may end unnoticed.

Now such tasks run under keep_running, which logs `part failed` and begins them again. A partition whose writer has met a fault is given up, so that it is taken over and read anew. A follower hands records on one by one and goes on behind one that meets a fault; begun again alone, it would stop at that record for ever. A timer that cannot tell its interval comes again after 1 s.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
+from quincespool.gateway.futures import report_fault
 from quincespool.net.body_memory import BodyMemory
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_connection import ConnectionLimits
@@ -144,6 +145,5 @@
             return
         error = task.exception()
         if error is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_exception_handler({"message": "request failed", "exception": error})
+            report_fault("request failed", error)
             connection.fail(request, self._handler.failed(request))
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -21,6 +21,7 @@
 from quincespool.gateway.callers.routes import RouteTable
 from quincespool.gateway.callers.side_ports import SidePorts
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.futures import keep_running
 from quincespool.gateway.live_settings import LiveSettings
 from quincespool.gateway.members.presence import Presence
 from quincespool.gateway.members.table import Members
@@ -275,15 +276,15 @@
         for port, address in zip(self._side_ports, settings.side_addresses, strict=True):
             await port.start(*split_address(address))
         self._log.write_always("started", incarnation=self._incarnation)
-        for work in (
-            self._beliefs.configuration.run(),
-            self._beliefs.backend_entries.run(),
-            self._beliefs.daemon_entries.run(),
-            self._own_when_complete(),
-            self._links.probe(),
-            self._presence.register(self._store),
+        for part, make_work in (
+            ("configuration", self._beliefs.configuration.run),
+            ("backend entries", self._beliefs.backend_entries.run),
+            ("daemon entries", self._beliefs.daemon_entries.run),
+            ("ownership", self._own_when_complete),
+            ("link probes", self._links.probe),
+            ("registration", lambda: self._presence.register(self._store)),
         ):
-            self._spawn(work)
+            self._spawn(keep_running(part, make_work, self._log))
         self._upkeep.subscribe(self._ticker)
 
     async def _own_when_complete(self) -> None:
--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import cast
 
+from quincespool.gateway.futures import report_fault
 from quincespool.gateway.futures import start_kept
 from quincespool.gateway.members.messages import CODEC
 from quincespool.gateway.members.messages import LinkProbe
@@ -102,8 +103,7 @@
         try:
             self._on_message(self, sender, message)
         except Exception as error:
-            loop = asyncio.get_running_loop()
-            loop.call_exception_handler({"message": "message not handled", "exception": error})
+            report_fault("message not handled", error)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells what is on the link that it is over."""
--- a/src/quincespool/gateway/store/beliefs.py
+++ b/src/quincespool/gateway/store/beliefs.py
@@ -130,7 +130,7 @@
         self.configuration = Follower(
             wire.CONFIGURATION_TOPIC,
             store=store,
-            on_records=self._take_configuration,
+            on_record=self._take_configuration,
             on_listing=lambda _: None,
             wait_ms=CONFIGURATION_WAIT_MS,
             pause_ms=lambda: 0,
@@ -138,7 +138,7 @@
         self.backend_entries = Follower(
             wire.BACKENDS_TOPIC,
             store=store,
-            on_records=self._take_backends,
+            on_record=self._take_backend_record,
             on_listing=self._list_backends,
             wait_ms=0,
             pause_ms=lambda: entries_interval_ms(backends_interval_ms(), len(members.entries)),
@@ -146,7 +146,7 @@
         self.daemon_entries = Follower(
             wire.DAEMONS_TOPIC,
             store=store,
-            on_records=self._take_daemons,
+            on_record=self._take_daemon,
             on_listing=lambda _: None,
             wait_ms=DAEMONS_WAIT_MS,
             pause_ms=lambda: members_pause_ms(len(members.entries)),
@@ -197,19 +197,18 @@
             self._log.write("backend lapsed", backend_id=backend_id)
         self._pool.close_stale()
 
-    def _take_configuration(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            if record.key != self._wire.CONFIGURATION_KEY or record.value is None:
-                continue
-            try:
-                configuration = self._wire.read_configuration(record.value)
-            except msgspec.MsgspecError as error:
-                # The present one stays in force; operators see a version that does not come.
-                self._log.write_always(
-                    "configuration unreadable", offset=record.offset, detail=str(error)
-                )
-                continue
-            self._adopt(configuration, offset=record.offset, source="store")
+    def _take_configuration(self, record: KeyedRecord) -> None:
+        if record.key != self._wire.CONFIGURATION_KEY or record.value is None:
+            return
+        try:
+            configuration = self._wire.read_configuration(record.value)
+        except msgspec.MsgspecError as error:
+            # The present one stays in force; operators see a version that does not come.
+            self._log.write_always(
+                "configuration unreadable", offset=record.offset, detail=str(error)
+            )
+            return
+        self._adopt(configuration, offset=record.offset, source="store")
 
     def _adopt(self, configuration: Configuration, *, offset: int, source: str) -> None:
         if not self._routes.adopt(configuration):
@@ -226,20 +225,19 @@
             keys=len(accounts.by_key) if accounts is not None else 0,
         )
 
-    def _take_backends(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            if record.value is None:
-                self._remove_backend(record.key, record.offset)
-                continue
-            try:
-                entry = self._wire.read_backend(record.key, record.value)
-            except msgspec.MsgspecError as error:
-                # Whoever wrote it has put it in the place of an entry that could be read; what that
-                # one said holds no more. The backend server's next one brings it back.
-                self._backends.discard(record.key)
-                self._log.write("backend entry unreadable", key=record.key, detail=str(error))
-                continue
-            self._take_backend(entry, record.offset)
+    def _take_backend_record(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._remove_backend(record.key, record.offset)
+            return
+        try:
+            entry = self._wire.read_backend(record.key, record.value)
+        except msgspec.MsgspecError as error:
+            # Whoever wrote it has put it in the place of an entry that could be read; what that
+            # one said holds no more. The backend server's next one brings it back.
+            self._backends.discard(record.key)
+            self._log.write("backend entry unreadable", key=record.key, detail=str(error))
+            return
+        self._take_backend(entry, record.offset)
 
     def _take_backend(self, entry: BackendEntry, offset: int) -> None:
         news = self._backends.put(entry)
@@ -274,31 +272,30 @@
             keys, now_ms=self._now_ms(), lapses_until_ms=self._store_health.lapses_until_ms
         )
 
-    def _take_daemons(self, records: list[KeyedRecord]) -> None:
-        for record in records:
-            if record.value is None:
-                self._members.remove(record.key)
-                self._log.write("daemon left", peer_id=record.key, offset=record.offset)
-                continue
-            try:
-                daemon = self._wire.read_daemon(record.key, record.value)
-            except msgspec.MsgspecError as error:
-                self._log.write("daemon entry unreadable", key=record.key, detail=str(error))
-                continue
-            if daemon.member_id == self._member_id:
-                if daemon.incarnation != self._incarnation:
-                    self._on_predecessor(daemon.incarnation)
-                continue
-            if self._members.put(daemon, self._now_ms()):
-                self._on_new_daemon(daemon)
-                self._log.write(
-                    "daemon entry",
-                    peer_id=daemon.member_id,
-                    address=daemon.peer_address,
-                    zone=daemon.zone,
-                    incarnation=daemon.incarnation,
-                    offset=record.offset,
-                )
+    def _take_daemon(self, record: KeyedRecord) -> None:
+        if record.value is None:
+            self._members.remove(record.key)
+            self._log.write("daemon left", peer_id=record.key, offset=record.offset)
+            return
+        try:
+            daemon = self._wire.read_daemon(record.key, record.value)
+        except msgspec.MsgspecError as error:
+            self._log.write("daemon entry unreadable", key=record.key, detail=str(error))
+            return
+        if daemon.member_id == self._member_id:
+            if daemon.incarnation != self._incarnation:
+                self._on_predecessor(daemon.incarnation)
+            return
+        if self._members.put(daemon, self._now_ms()):
+            self._on_new_daemon(daemon)
+            self._log.write(
+                "daemon entry",
+                peer_id=daemon.member_id,
+                address=daemon.peer_address,
+                zone=daemon.zone,
+                incarnation=daemon.incarnation,
+                offset=record.offset,
+            )
 
     def dump(self) -> dict[str, Any]:
         """Returns what is believed, for people to read."""
--- a/src/quincespool/gateway/store/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.futures import report_fault
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import StoreError
 
@@ -32,7 +33,7 @@
         topic: str,
         *,
         store: Store,
-        on_records: Callable[[list[KeyedRecord]], None],
+        on_record: Callable[[KeyedRecord], None],
         on_listing: Callable[[list[str]], None],
         wait_ms: int,
         pause_ms: Callable[[], int],
@@ -42,7 +43,7 @@
         Args:
           topic: What to follow.
           store: Where.
-          on_records: Takes records as they come.
+          on_record: Takes each record as it comes.
           on_listing: Takes all keys after a listing, which shows what was dropped unseen.
           wait_ms: How long a read waits for the first record; 0 to ask at intervals instead.
           pause_ms: Time between two reads.
@@ -50,7 +51,7 @@
         self.synced_event = asyncio.Event()
         self._topic = topic
         self._store = store
-        self._on_records = on_records
+        self._on_record = on_record
         self._on_listing = on_listing
         self._wait_ms = wait_ms
         self._pause_ms = pause_ms
@@ -78,15 +79,22 @@
         page: KeyedPage
         if self._offset is None:
             page = await self._store.read_newest(self._topic)
-            self._on_records(page.records)
+            self._hand_on(page.records)
             self._on_listing([record.key for record in page.records])
             self.synced_event.set()
         else:
             page = await self._store.read_keyed(self._topic, self._offset, wait_ms=self._wait_ms)
-            if page.records:
-                self._on_records(page.records)
+            self._hand_on(page.records)
         self._offset = page.end_offset
 
+    def _hand_on(self, records: list[KeyedRecord]) -> None:
+        """Hands records on one by one; a fault with one must not stop the topic at its place."""
+        for record in records:
+            try:
+                self._on_record(record)
+            except Exception as error:
+                report_fault(f"record {record.offset} of {self._topic} not handled", error)
+
     async def _rest(self) -> None:
         pause_ms = self._pause_ms()
         if pause_ms:
--- a/src/quincespool/gateway/ticker.py
+++ b/src/quincespool/gateway/ticker.py
@@ -5,9 +5,14 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.futures import report_fault
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+# Pause of a subscriber that cannot tell its interval.
+FAULT_PAUSE_MS = 1_000
+
 
 class Ticker:
     """Calls subscribers at their intervals; a late call is not made up for."""
@@ -33,7 +38,14 @@
 
         def arm() -> None:
             loop = asyncio.get_running_loop()
-            self._handles[number] = loop.call_later(interval_ms() / 1000, run)
+            self._handles[number] = loop.call_later(pause_ms() / 1000, run)
+
+        def pause_ms() -> int:
+            try:
+                return interval_ms()
+            except Exception as error:
+                report_fault("no interval", error)
+                return FAULT_PAUSE_MS
 
         arm()
 
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -13,6 +13,7 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import forget_error
+from quincespool.gateway.futures import report_fault
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import FencedError
 from quincespool.gateway.store.interface import SequenceError
@@ -37,6 +38,8 @@
 # figure, and at once when any other request shows that the store is back.
 FIRST_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
+# A fault in reading a partition is likely to come again when it is read again.
+FAULT_PAUSE_S = 1.0
 # A batch stays well under the platform's two megabytes a call.
 MAX_BATCH_BYTES = 1_000_000
 
@@ -241,6 +244,12 @@
             # Only this task appends under this epoch, so the sequence can differ only if the store
             # has forgotten the writer; a new take-over reads what is there.
             self.lose(f"sequence {error.expected} expected, {self._sequence} sent")
+        except Exception as error:
+            # Whoever takes the partition over begins anew; nothing would be written here any more.
+            report_fault("partition failed", error)
+            if not self.ready:
+                await asyncio.sleep(FAULT_PAUSE_S)
+            self.lose(f"failed: {error!r}")
 
     async def _take_over(self) -> None:
         """Shuts the last owner out, then reads everything that it has written."""
