A chain with a missing link is looked for elsewhere and answered, never run short

What callers saw: a connection closed with no answer (at the owner), or 503 and 504 until their tries were used up (a search that passed through that owner).

Cause: `Ledger.history` took each link of a chain for granted, `admit` looked at its last one only. The store drops the oldest records first, so an owner that takes a partition over may read a turn and not the one before it: KeyError. Class: a reader that assumes that what was read once is always there. The same walk had no end for a turn that names itself, which a caller can bring about by using an id twice; the daemon stood still for ever then.

Why this works: `Program.chain` is the only walk; a link that is missing makes the turn absent, so the owner asks all owners through the finder, as for any turn it hasn't. A program that has continued the chain has it whole and is found, since all programs with a turn are remembered, not the first one of an account. If nobody has it the answer is 404, after the store has confirmed every owner.

The store's stand-in learns a retention, trimming, and a size with 507.

--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -98,13 +98,30 @@
         self.kept_until_ms = 0
         self.retention_ms = 0
 
+    def chain(self, turn_id: str) -> list[bytes] | None:
+        """Returns the texts up to a turn, newest first; None if one of them is not here."""
+        texts: list[bytes] = []
+        while turn_id:
+            kept = self.turns.get(turn_id)
+            # The store drops the oldest records first, so a later owner may have read a turn and
+            # not the one before it. A caller that uses an id twice can make a chain endless.
+            if kept is None or len(texts) == len(self.turns):
+                return None
+            texts.append(kept.text)
+            turn_id = kept.previous_id
+        return texts
+
+    def has_whole(self, turn_id: str) -> bool:
+        """Whether a turn and all before it are here."""
+        return self.chain(turn_id) is not None
+
 
 class Ledger:
     """The programs of one partition, folded from its records."""
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
-        # One program for each account: ids are the callers', and two of them may choose the same.
+        # Of all accounts: ids are the callers', and two of them may choose the same.
         self._programs_of: dict[str, tuple[str, ...]] = {}
 
     def apply(self, record: Record) -> None:
@@ -126,20 +143,23 @@
             self._keep(program, record, record.input + record.output)
 
     def find(self, turn_id: str, account: str) -> str:
-        """Returns the id of an account's program with a turn, empty if there is none."""
-        programs = self._programs_of.get(turn_id, ())
-        return next((one for one in programs if account_of(one) == account), "")
+        """Returns the id of an account's program with a turn and all before it, empty if none."""
+        for program_id in self._programs_of.get(turn_id, ()):
+            if account_of(program_id) == account and self.programs[program_id].has_whole(turn_id):
+                return program_id
+        return ""
 
     def is_foreign(self, turn_id: str, account: str) -> bool:
         """Whether only other accounts have such a turn."""
-        return turn_id in self._programs_of and not self.find(turn_id, account)
+        programs = self._programs_of.get(turn_id, ())
+        return bool(programs) and all(account_of(one) != account for one in programs)
 
     def admit(
         self, *, program_id: str, previous_id: str, budget_tokens: int | None, most_tokens: int
     ) -> Admission:
         """Says whether a turn may start, every open turn counted at its most."""
         program = self.programs.get(program_id)
-        if previous_id and (program is None or previous_id not in program.turns):
+        if previous_id and (program is None or not program.has_whole(previous_id)):
             return Admission.NO_SUCH_TURN
         return _within(program, budget_tokens, most_tokens)
 
@@ -151,16 +171,16 @@
             return Admission.FINE
         return _within(program, budget_tokens, start.most_tokens)
 
-    def history(self, program_id: str, previous_id: str) -> bytes:
-        """Returns what a turn that continues `previous_id` is to read first, oldest turn first."""
-        texts: list[bytes] = []
+    def history(self, program_id: str, previous_id: str) -> bytes | None:
+        """Returns what a turn that continues `previous_id` is to read first, oldest turn first.
+
+        None if a part of it is not here: a history that lacks one must not reach an engine.
+        """
         program = self.programs.get(program_id)
-        turn_id = previous_id
-        while turn_id and program is not None:
-            kept = program.turns[turn_id]
-            texts.append(kept.text)
-            turn_id = kept.previous_id
-        return b"".join(reversed(texts))
+        if program is None:
+            return None if previous_id else b""
+        texts = program.chain(previous_id)
+        return None if texts is None else b"".join(reversed(texts))
 
     def retention_ms(self, program_id: str) -> int:
         """Returns how long the turns of a program are kept after each one's end."""
@@ -182,21 +202,21 @@
         ]
         for program_id in over:
             for turn_id in self.programs.pop(program_id).turns:
-                self._forget_turn(account_of(program_id), turn_id)
+                self._forget_turn(program_id, turn_id)
         return len(over)
 
-    def _forget_turn(self, account: str, turn_id: str) -> None:
+    def _forget_turn(self, program_id: str, turn_id: str) -> None:
         programs = self._programs_of.pop(turn_id, ())
-        left = tuple(one for one in programs if account_of(one) != account)
+        left = tuple(one for one in programs if one != program_id)
         if left:
             self._programs_of[turn_id] = left
 
     def _keep(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
         program.turns[record.turn_id] = _Kept(record.previous_id, text)
-        # The first program with a turn is the one that made it; others only continue from it.
-        if not self.find(record.turn_id, account_of(record.program_id)):
-            others = self._programs_of.get(record.turn_id, ())
-            self._programs_of[record.turn_id] = (*others, record.program_id)
+        # Others than the one that made it have its history whole when its own has lost a part.
+        programs = self._programs_of.get(record.turn_id, ())
+        if record.program_id not in programs:
+            self._programs_of[record.turn_id] = (*programs, record.program_id)
         program.retention_ms = record.retention_ms
         until_ms = record.at_ms + record.retention_ms
         program.kept_until_ms = max(program.kept_until_ms, until_ms)
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -180,7 +180,10 @@
         call, turn = self._call, self._turn
         history = b""
         if self._terms.keeps_history:
-            history = self._owned.ledger.history(turn.program_id, turn.previous_id)
+            kept = self._owned.ledger.history(turn.program_id, turn.previous_id)
+            if kept is None:
+                raise BrokenTurnError(self._refusal(NotRun("history_gone", sent=False)))
+            history = kept
         headers = self._services.wire.write_attempt_headers(
             call,
             account=self._terms.account,
--- a/tests/support/standins/platform_store.py
+++ b/tests/support/standins/platform_store.py
@@ -8,7 +8,10 @@
 
 import asyncio
 import base64
+import bisect
+import math
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -43,6 +46,8 @@
 class _Partition:
     def __init__(self) -> None:
         self.records: list[bytes] = []
+        # When each record came.
+        self.times_s: list[float] = []
         self.first = 0
         self.epoch = -1
         self.next_sequence: int | None = None
@@ -52,6 +57,16 @@
     def end(self) -> int:
         return self.first + len(self.records)
 
+    def add(self, records: list[bytes]) -> None:
+        self.records += records
+        self.times_s += [time.monotonic()] * len(records)
+
+    def drop(self, count: int) -> None:
+        """Deletes the oldest records."""
+        count = max(0, min(count, len(self.records)))
+        del self.records[:count], self.times_s[:count]
+        self.first += count
+
 
 class _Member(NamedTuple):
     seen_s: float
@@ -102,31 +117,47 @@
 
 
 class StoreState:
-    """What lasts."""
+    """What lasts.
+
+    Attributes:
+      retention_s: How long records of other than keyed topics are kept.
+      total_bytes: Beyond these in all records appends get 507.
+    """
 
     def __init__(self) -> None:
+        self.retention_s = math.inf
+        self.total_bytes = math.inf
         self.partitions: dict[tuple[str, int], _Partition] = {}
         self.groups: dict[str, _Group] = {}
         self.changed = asyncio.Event()
         self.calls = 0
+        self.calls_to: Counter[str] = Counter()
         self._kept: dict[str, list[bytes]] = {}
 
     def partition(self, topic: str, number: int) -> _Partition:
-        return self.partitions.setdefault((topic, number), _Partition())
+        partition = self.partitions.setdefault((topic, number), _Partition())
+        if not topic.startswith("keyed."):
+            over_s = time.monotonic() - self.retention_s
+            partition.drop(bisect.bisect(partition.times_s, over_s))
+        return partition
+
+    @property
+    def stored_bytes(self) -> int:
+        """What all records hold."""
+        return sum(len(one) for part in self.partitions.values() for one in part.records)
 
     def put(self, topic: str, key: str, value: bytes | None) -> None:
         """Writes a keyed record, as operators and backend servers do."""
         name = key.encode()
         record = len(name).to_bytes(1, "big") + name + (value or b"")
-        self.partition(topic, 0).records.append(record)
+        self.partition(topic, 0).add([record])
         self.wake()
 
     def forget_history(self, topic: str) -> None:
         """Deletes the records of a keyed topic; the newest of each key is still listed."""
         partition = self.partition(topic, 0)
         self._kept.setdefault(topic, []).extend(partition.records)
-        partition.first = partition.end
-        partition.records = []
+        partition.drop(len(partition.records))
         self.wake()
 
     def all_keyed(self, topic: str) -> list[bytes]:
@@ -149,6 +180,7 @@
 
     async def handle(self, exchange: Exchange) -> None:
         self.state.calls += 1
+        self.state.calls_to[exchange.request.path] += 1
         if self.knobs.silent:
             await asyncio.Event().wait()
         if self.knobs.down:
@@ -185,6 +217,8 @@
             rows = [[*part, member, 0] for part, member in group.holders.items()]
             return {"parts": rows}
         if request.path == "/log-trim":
+            trimmed = self.state.partition(request.query["topic"], int(request.query["part"]))
+            trimmed.drop(int(request.query["before"]) - trimmed.first)
             return {}
         raise RefusedError(404, "no such call")
 
@@ -196,8 +230,10 @@
             known = _check_writer(partition, int(query["epoch"]), int(query["sequence"]), records)
             if known is not None:
                 return known
+        if self.state.stored_bytes + len(request.body) > self.state.total_bytes:
+            raise RefusedError(507, "full")
         offset = partition.end
-        partition.records += records
+        partition.add(records)
         answer = {"offset": offset, "end": partition.end}
         if "epoch" in query and records:
             partition.answers[int(query["sequence"])] = answer
