Programs that outlive the store's retention are written again before it ends

What callers saw: 404 for a turn answered seconds ago, and a budget that could be spent once more, for programs older than the store's retention whose partition got a new owner.

Cause: a program's state was only as old as the records that the store still has; nobody wrote the old ones again. Class: state that is held in memory and taken to be in the store for ever.

Why this works: the owner hands over, at three quarters of the retention since a program's oldest record, its turns as history and then one record of what it has come to (`ProgramRenewed`: tokens spent and reserved). That record is the last, so an owner that is lost in between leaves the older ones in force, and it tells a state, no change: read after the records it replaces or in their place it comes to the same. Age is the greater one by wall clock and by steady clock, so a clock set back does not delay it. Programs whose records the store keeps longer than they can be continued are not written: they cost no call. `store_retention_s` comes from the platform's settings.

The ledger machine now has renewals, owners lost within one, and dropped records, and compares the state with that of all records; it fails if `reserved` is left out.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -31,6 +31,7 @@
 from quincespool.gateway.store.hedged_calls import HedgedCalls
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns.program_parts import ProgramParts
+from quincespool.gateway.turns.renewal import Renewals
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
@@ -209,6 +210,7 @@
         self._spawn(self._ownership.release(self._settings.member_id, incarnation))
 
     def _make_ports(self) -> None:
+        settings = self._settings
         front = Front(
             self._services,
             routes=self._routes,
@@ -246,6 +248,9 @@
             ownership=self._ownership,
             turns=self._parts.turns,
             quiet_backends=QuietBackends(self._services),
+            renewals=Renewals(
+                store_retention_ms=int(1_000 * settings.store_retention_s), metrics=self._metrics
+            ),
         )
         self._stop = PlannedStop(
             ownership=self._ownership,
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -24,6 +24,7 @@
     "owner_topics": (1, 64),
     "owner_lease_ms": (1_000, 60_000),
     "store_limit_ms": (50, 60_000),
+    "store_retention_s": (1, 31_536_000),
     "backends_interval_ms": (50, 60_000),
     "addresses_valid_ms": (100, 60_000),
     "limit_window_s": (1, 3_600),
@@ -46,6 +47,8 @@
         quarter of one another.
       owner_lease_ms: After this long without a renewal a daemon's partitions go to others.
       store_limit_ms: How long one request to the store may take.
+      store_retention_s: How long the store keeps a record. Programs that live longer are written
+        again before that.
       backends_interval_ms: How often the entries of backend servers are read; must leave time to
         stop using one within the time that it drains.
       addresses_valid_ms: How long callers keep an answer of the directory. Whoever must ask again
@@ -73,6 +76,7 @@
     owner_topics: int = 4
     owner_lease_ms: int = 1_000
     store_limit_ms: int = 600
+    store_retention_s: float = 300.0
     backends_interval_ms: int = 400
     addresses_valid_ms: int = 2_000
     limit_window_s: int = 5
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -64,7 +64,22 @@
     at_ms: int
 
 
-Record = TurnStarted | TurnEnded | TurnBroken | HistoryPart
+class ProgramRenewed(msgspec.Struct, tag="p", array_like=True, frozen=True):
+    """What a program has come to, after its turns as history: older records need not last.
+
+    It tells the state and no change, so reading it after the records that it replaces, or in their
+    place, comes to the same.
+    """
+
+    program_id: str
+    spent_tokens: int
+    reserved: dict[str, int]
+    retention_ms: int
+    kept_until_ms: int
+    at_ms: int
+
+
+Record = TurnStarted | TurnEnded | TurnBroken | HistoryPart | ProgramRenewed
 
 
 class Admission(StrEnum):
@@ -87,11 +102,20 @@
       spent_tokens: Handed out by turns that are over.
       reserved: The most that each open turn can still hand out, by turn id.
       kept_until_ms: When the last of its turns can no longer be continued.
+      oldest_ms: When the oldest record was written that a later owner needs.
     """
 
-    __slots__ = ("kept_until_ms", "reserved", "retention_ms", "spent_tokens", "turns")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "kept_until_ms",
+        "oldest_ms",
+        "reserved",
+        "retention_ms",
+        "spent_tokens",
+        "turns",
+    )
+
+    def __init__(self, oldest_ms: int) -> None:
+        self.oldest_ms = oldest_ms
         self.spent_tokens = 0
         self.reserved: dict[str, int] = {}
         self.turns: dict[str, _Kept] = {}
@@ -126,7 +150,16 @@
 
     def apply(self, record: Record) -> None:
         """Folds one record in. A record that was applied already changes nothing."""
-        program = self.programs.setdefault(record.program_id, Program())
+        program = self.programs.get(record.program_id)
+        if program is None:
+            program = self.programs[record.program_id] = Program(record.at_ms)
+        if isinstance(record, ProgramRenewed):
+            program.spent_tokens = record.spent_tokens
+            program.reserved = dict(record.reserved)
+            program.retention_ms = record.retention_ms
+            program.kept_until_ms = max(program.kept_until_ms, record.kept_until_ms)
+            program.oldest_ms = record.at_ms
+            return
         if isinstance(record, TurnStarted):
             program.reserved[record.turn_id] = record.most_tokens
             program.kept_until_ms = max(program.kept_until_ms, record.at_ms)
@@ -187,6 +220,30 @@
         program = self.programs.get(program_id)
         return program.retention_ms if program is not None else 0
 
+    def renewed(self, program_id: str, at_ms: int) -> list[Record]:
+        """Returns records that make all earlier ones of a program needless, in their order.
+
+        The one that says so is the last: an owner may be lost between any two of them.
+        """
+        program = self.programs[program_id]
+        # None of them may keep the program longer than it is kept.
+        left_ms = program.kept_until_ms - at_ms
+        records: list[Record] = [
+            HistoryPart(turn_id, program_id, kept.previous_id, kept.text, left_ms, at_ms)
+            for turn_id, kept in program.turns.items()
+        ]
+        records.append(
+            ProgramRenewed(
+                program_id=program_id,
+                spent_tokens=program.spent_tokens,
+                reserved=dict(program.reserved),
+                retention_ms=program.retention_ms,
+                kept_until_ms=program.kept_until_ms,
+                at_ms=at_ms,
+            )
+        )
+        return records
+
     def expire(self, now_ms: int, *, grace_ms: int) -> int:
         """Forgets programs whose turns can no longer be continued; returns how many.
 
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -18,6 +18,7 @@
     from quincespool.gateway.store.beliefs import Beliefs
     from quincespool.gateway.ticker import Ticker
     from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.renewal import Renewals
     from quincespool.gateway.turns.runner import TurnRunner
 
 # Between two looks at a peer that is silent; a small part of the time for which it may be.
@@ -42,6 +43,7 @@
         ownership: Ownership,
         turns: TurnRunner,
         quiet_backends: QuietBackends,
+        renewals: Renewals,
     ) -> None:
         self._beliefs = beliefs
         self._presence = presence
@@ -50,6 +52,7 @@
         self._ownership = ownership
         self._turns = turns
         self._quiet_backends = quiet_backends
+        self._renewals = renewals
 
     def subscribe(self, ticker: Ticker) -> None:
         """Has the work done at its intervals."""
@@ -58,6 +61,7 @@
         ticker.every(self._backend_silence_ms, self._quiet_backends.check)
         ticker.every(lambda: UPKEEP_INTERVAL_MS, self._keep_up)
         ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
+        ticker.every(self._renewal_interval_ms, self._renew)
 
     def _daemon_silence_ms(self) -> int:
         due_ms = self._members.silence_due_ms(now_ms())
@@ -66,6 +70,9 @@
     def _backend_silence_ms(self) -> int:
         return max(SILENCE_CHECK_MS, min(self._quiet_backends.due_ms(), QUIET_MS))
 
+    def _renewal_interval_ms(self) -> int:
+        return min(EXPIRY_INTERVAL_MS, self._renewals.interval_ms)
+
     def _keep_up(self) -> None:
         self._beliefs.expire()
         self._presence.follow_isolation()
@@ -77,3 +84,9 @@
         for owned in self._ownership.owned.values():
             owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
         self._turns.forget_programs()
+
+    def _renew(self) -> None:
+        partitions = list(self._ownership.owned.values())
+        for owned in partitions:
+            self._renewals.renew(owned, wall_ms=wall_ms(), now_ms=now_ms())
+        self._renewals.forget_others({one for owned in partitions for one in owned.ledger.programs})
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -97,6 +97,9 @@
     ),
     "gateway_backend_connections_total": MetricSpec("counter", "New connections to them."),
     "gateway_store_calls_total": MetricSpec("counter", "Requests to the store by path and status."),
+    "gateway_programs_renewed_total": MetricSpec(
+        "counter", "Programs written again before the store drops their oldest records."
+    ),
     "gateway_store_hedges_total": MetricSpec("counter", "Requests to it sent once more."),
     "gateway_limits_total": MetricSpec("counter", "Calls of limited accounts by what was decided."),
     "gateway_limit_ms": MetricSpec("histogram", "From a call of a limited account to its permit."),
--- a/tests/gateway/gateway_cluster.py
+++ b/tests/gateway/gateway_cluster.py
@@ -77,8 +77,9 @@
 class GatewayCluster:
     """Daemons `a`, `b`, ...; two engines and one plain service."""
 
-    def __init__(self, count: int = 2) -> None:
+    def __init__(self, count: int = 2, *, store_retention_s: float = 300.0) -> None:
         self.state = StoreState()
+        self.state.retention_s = store_retention_s
         self.nodes: dict[str, Node] = {}
         self.engines: dict[str, PlatformEngine] = {}
         self._count = count
@@ -118,6 +119,7 @@
             store_partitions=8,
             owner_topics=1,
             owner_lease_ms=LEASE_MS,
+            store_retention_s=self.state.retention_s,
             backends_interval_ms=50,
             addresses_valid_ms=100,
         )
--- a/tests/gateway/turns/test_ledger_machine.py
+++ b/tests/gateway/turns/test_ledger_machine.py
@@ -29,7 +29,7 @@
 
 
 class LedgerMachine(RuleBasedStateMachine):
-    """Turns start, hand out tokens and end; owners change; records come twice.
+    """Turns start, hand out tokens and end; owners change; records come twice, or are dropped.
 
     The oracle knows what callers have got: tokens by program, and the text of each whole turn.
     """
@@ -37,14 +37,16 @@
     def __init__(self) -> None:
         super().__init__()
         self.ledger = Ledger()
-        self.records: list[bytes] = []
+        self.records: list[tuple[str, bytes]] = []
+        # From which record on each program stands in the log whole.
+        self.whole_from = dict.fromkeys(PROGRAMS, 0)
         self.open: dict[str, tuple[str, str]] = {}
         self.handed_out = dict.fromkeys(PROGRAMS, 0)
         self.texts: dict[str, dict[str, bytes]] = {program: {} for program in PROGRAMS}
         self.count = 0
 
     def write(self, record: Record) -> None:
-        self.records.append(encode_record(record))
+        self.records.append((record.program_id, encode_record(record)))
         self.ledger.apply(record)
 
     @rule(program=st.sampled_from(PROGRAMS), pick=st.integers(0, 5))
@@ -78,16 +80,35 @@
         for _ in range(1 + twice):
             self.write(record)
 
+    @rule(program=st.sampled_from(PROGRAMS), dies_after=st.one_of(st.none(), st.integers(0, 3)))
+    def renew(self, program: str, dies_after: int | None) -> None:
+        """The owner writes a program again, or dies while it does."""
+        if program not in self.ledger.programs:
+            return
+        start = len(self.records)
+        renewed = self.ledger.renewed(program, 0)
+        for record in renewed[:dies_after]:
+            self.write(record)
+        if dies_after is None or dies_after >= len(renewed):
+            self.whole_from[program] = start
+
     @precondition(lambda self: self.open)
-    @rule()
-    def lose_owner(self) -> None:
-        """The owner dies: what its open turns have handed out nobody knows."""
+    @rule(dropped=st.integers(0, 100))
+    def lose_owner(self, dropped: int) -> None:
+        """The owner dies: what its open turns have handed out nobody knows.
+
+        The store has dropped some of the records that were written again.
+        """
         for program, _ in self.open.values():
             self.handed_out[program] += MOST
         self.open.clear()
         self.ledger = Ledger()
-        for data in self.records:
-            self.ledger.apply(decode_record(data))
+        everything = Ledger()
+        for number, (program, data) in enumerate(self.records):
+            everything.apply(decode_record(data))
+            if number >= min(dropped, self.whole_from[program]):
+                self.ledger.apply(decode_record(data))
+        assert _state(self.ledger) == _state(everything)
 
     @invariant()
     def budgets_hold(self) -> None:
@@ -103,6 +124,13 @@
                 assert self.ledger.find(turn, "") == program
 
 
+def _state(ledger: Ledger) -> dict[str, object]:
+    return {
+        name: (one.spent_tokens, one.reserved, one.turns, one.kept_until_ms, one.oldest_ms)
+        for name, one in ledger.programs.items()
+    }
+
+
 LedgerMachine.TestCase.settings = settings(max_examples=80, stateful_step_count=40, deadline=None)
 test_ledger_machine = LedgerMachine.TestCase
 
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -4,9 +4,11 @@
 
 import asyncio
 
+from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import TurnEnded
+from quincespool.gateway.turns.ledger import TurnStarted
 from tests.gateway.gateway_cluster import GatewayCluster
 
 RECORDS_A_TURN = 2
@@ -75,3 +77,68 @@
     admission = ledger.admit(program_id="p", previous_id="t", budget_tokens=None, most_tokens=1)
     assert admission is Admission.NO_SUCH_TURN
     assert ledger.history("p", "t") is None
+
+
+async def test_a_program_that_outlives_the_store_keeps_its_history_and_its_budget() -> None:
+    async with GatewayCluster(store_retention_s=2) as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|", budget=75)
+        second, _ = await cluster.turn("a", "p1", previous=first, body=b"two|", budget=75)
+        await asyncio.sleep(5)
+        await _replace_all(cluster)
+
+        for previous in ("", second):
+            _, reply = await cluster.turn("h", "p1", previous=previous, budget=75)
+            assert reply.status == 402
+        third, reply = await cluster.turn("h", "p1", previous=second, body=b"three|")
+        assert reply.status == 200
+        outputs = [
+            b"".join(f"{turn}.{number}\n".encode() for number in (1, 2, 3))
+            for turn in (first, second)
+        ]
+        whole = b"one|" + outputs[0] + b"two|" + outputs[1]
+        assert cluster.runs(third) == [whole + b"three|"]
+
+
+async def test_all_programs_that_are_due_together_are_written_again() -> None:
+    async with GatewayCluster(store_retention_s=2) as cluster:
+        programs = [f"p{number}" for number in range(40)]
+        turns = [cluster.turn("ab"[number % 2], one) for number, one in enumerate(programs)]
+        firsts = [call_id for call_id, _ in await asyncio.gather(*turns)]
+        await asyncio.sleep(5)
+        await _replace_all(cluster)
+
+        again = [
+            cluster.turn("h", program, previous=first)
+            for program, first in zip(programs, firsts, strict=True)
+        ]
+        answers = await asyncio.gather(*again)
+        assert [reply.status for _, reply in answers] == [200] * 40
+
+
+async def test_programs_that_the_store_outlives_are_not_written_again() -> None:
+    async with GatewayCluster(store_retention_s=5) as cluster:
+        cluster.configure(2, retention_s=1.0)
+        await asyncio.sleep(0.5)
+        await cluster.turn("a", "p1")
+        appends = cluster.state.calls_to["/log-append"]
+        # Past the age at which a program that lives on is written again.
+        await asyncio.sleep(4.5)
+        assert cluster.state.calls_to["/log-append"] == appends
+
+
+async def test_a_program_is_written_again_with_its_open_turn() -> None:
+    async with GatewayCluster(1, store_retention_s=2) as cluster:
+        first, _ = await cluster.turn("a", "p1", budget=130)
+        owned = next(
+            one
+            for one in cluster.nodes["a"].daemon._ownership.owned.values()
+            if "p1" in one.ledger.programs
+        )
+        await owned.keep(TurnStarted("open", "p1", 60, wall_ms()))
+        await asyncio.sleep(5)
+        await _replace_all(cluster)
+
+        _, reply = await cluster.turn("h", "p1", previous=first, budget=130, most=50)
+        assert reply.status == 402
+        _, reply = await cluster.turn("h", "p1", previous=first, budget=130, most=30)
+        assert reply.status == 200
