--- a/tests/soak/test_planned_stop.py
+++ b/tests/soak/test_planned_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -26,6 +27,10 @@
 EVENT_GAP_MS = 300
 CONNECTIONS = 60
 SEND_INTERVAL_S = 0.06
+# All turns are under way when the first daemon is told to stop.
+OVERLAP_TURNS = 40
+OVERLAP_SEND_S = 0.01
+OVERLAP_STOP_S = 0.4
 
 
 class _Lost(NamedTuple):
@@ -81,3 +86,33 @@
         for connection in connections:
             connection.close()
     assert lost == []
+
+
+@pytest.mark.parametrize("seed", range(2))
+async def test_no_turn_that_ran_is_cut_when_all_daemons_stop_one_after_the_other(
+    seed: int, tmp_path: Path
+) -> None:
+    chance = random.Random(seed)
+    async with SoakDeployment(tmp_path, 4) as deployment:
+        for engine in deployment.engines.values():
+            engine.knobs.gap_ms = EVENT_GAP_MS
+        answers: dict[str, asyncio.Task[ConnectionLostError | None]] = {}
+        connections = []
+        for number in range(OVERLAP_TURNS):
+            connection = await connect(chance.choice(deployment.daemons).address)
+            connections.append(connection)
+            call_id = f"turn-{number}"
+            work = asyncio.create_task(_send(connection, "/stream/x", call_id))
+            answers[call_id] = work
+            await asyncio.sleep(OVERLAP_SEND_S)
+        ending = []
+        for daemon in deployment.daemons:
+            ending.append(asyncio.create_task(daemon.end(signal.SIGTERM)))
+            await asyncio.sleep(chance.uniform(0, OVERLAP_STOP_S))
+        await asyncio.gather(*ending)
+        ran = {call_id for call_id, _ in deployment.runs()}
+        cut = {call_id for call_id, work in answers.items() if await work is not None}
+        for connection in connections:
+            connection.close()
+    assert len(ran) > OVERLAP_TURNS / 2
+    assert sorted(ran & cut) == []
