An owner that gives a partition up writes on for its turns until it is fenced

What callers saw: a turn that had run ended cut as record_not_kept, the store sound, where all owners stopped at once. Cause: a partition that was given up (planned stop, reassigned, stepped aside) lost its writer at once, so that records of its turns needed a next owner, and there was none. Class: something is given up while work that rests on it is under way.

Now it takes no new turns, is not claimed in heartbeats and answers no search, but its writer goes on under its epoch until the store says fenced, or another one claims a higher epoch; then records settle there as before. The epoch is the fence, not membership: whatever is appended before a next owner's first append is read by that owner, and nothing after it is taken, so budget and histories are those of an owner that was not told (specs/turns.py has it already). Without planned stop it goes when its turns have ended and nothing waits.

--- a/specs/turns.py
+++ b/specs/turns.py
@@ -3,7 +3,9 @@
 The store keeps a partition's records and refuses an append under an epoch lower than the highest
 it has seen. Whoever is given the partition makes an empty append under a new epoch, reads all
 records, and serves. Earlier owners are not told: each may go on at any time, also after a long
-freeze, and an append whose answer was lost may be applied late.
+freeze, and an append whose answer was lost may be applied late. One that has left the group writes
+for its turns, and for those of owners before it, until the next one has shut it out; it differs
+from one that was not told only in that it admits nothing.
 
 A turn generates one token at most. The records are those of `quincespool.gateway.turns.ledger`.
 
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -68,6 +68,8 @@
         on_assignment: Callable[[int, int], None],
     ) -> None:
         self.owned: dict[Partition, OwnedPartition] = {}
+        # Given up, and still written for turns under way, by partition the newest last.
+        self._retired: list[OwnedPartition] = []
         self.generation = 0
         self.confirmed_until_ms = 0
         self._member_id = _owner_id(member_id, incarnation)
@@ -104,9 +106,18 @@
 
     def yield_to(self, partition: Partition, epoch: int) -> None:
         """Gives a partition up that another daemon has taken over under a higher epoch."""
-        owned = self.owned.get(partition)
-        if owned is not None and epoch > owned.epoch:
-            owned.lose("taken over")
+        writers = [one for one in self._retired if one.partition == partition]
+        if partition in self.owned:
+            writers.append(self.owned[partition])
+        for writer in writers:
+            if epoch > writer.epoch:
+                writer.lose("taken over")
+
+    def end_retired(self) -> None:
+        """Lets go of partitions that were given up and that no turn needs any more."""
+        for one in list(self._retired):
+            if not one.in_use:
+                one.lose("turns ended")
 
     def renew_soon(self) -> None:
         """Renews now rather than at the next interval: somebody has seen a newer generation."""
@@ -244,13 +255,18 @@
 
     def forget(self, lost: OwnedPartition) -> None:
         """Takes note that a partition was lost; the next renewal tells whether it comes back."""
+        if lost in self._retired:
+            self._retired.remove(lost)
         if self.owned.get(lost.partition) is lost:
             del self.owned[lost.partition]
             self._poke.set()
 
     def _give_up(self, partitions: list[Partition], reason: str) -> None:
         for partition in partitions:
-            self.owned.pop(partition).lose(reason)
+            owned = self.owned.pop(partition)
+            if owned.ready:
+                self._retired.append(owned)
+            owned.retire(reason)
 
 
 def _owner_id(member_id: str, incarnation: int) -> str:
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -27,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterator
 
     from quincespool.gateway.store.hedged_calls import HedgedCalls
     from quincespool.gateway.store.interface import Partition
@@ -77,6 +79,7 @@
       ledger: The state after all records, those on their way included.
       ready: Whether it has read all records and may serve.
       lost: Whether another daemon has taken over.
+      retired: Whether it takes no more turns, and only writes for those under way.
       stalled: Whether the last append was not acknowledged.
       uncertain: What was handed out meanwhile.
     """
@@ -96,6 +99,7 @@
         self.ledger = Ledger()
         self.ready = False
         self.lost = False
+        self.retired = False
         self.stalled = False
         self.ready_event = asyncio.Event()
         self.uncertain = UncertainTokens()
@@ -103,6 +107,7 @@
         self._hedged = hedged
         self._on_change = on_change
         self._sequence = 0
+        self._turns = 0
         self._check: asyncio.Task[None] | None = None
         self._next_check: asyncio.Task[None] | None = None
         self._waiting: list[_Waiting] = []
@@ -200,6 +205,33 @@
         """Whether nothing waits to be appended."""
         return not self._waiting
 
+    @property
+    def in_use(self) -> bool:
+        """Whether turns under way, or what they have handed over, need it."""
+        return not self.lost and (self._turns > 0 or not self.idle)
+
+    @contextlib.contextmanager
+    def turn_under_way(self) -> Iterator[None]:
+        """Counts a turn while it runs."""
+        self._turns += 1
+        try:
+            yield
+        finally:
+            self._turns -= 1
+
+    def retire(self, reason: str) -> None:
+        """Has it write on, for turns under way, until another daemon has taken over.
+
+        The epoch is the fence, not membership in the group: nobody may be there to take over, and
+        what is appended before somebody does is read by whoever it is.
+        """
+        if not self.ready:
+            self.lose(reason)
+            return
+        self.retired = True
+        self.flush()
+        self._on_change(self, reason)
+
     def lose(self, reason: str) -> None:
         """Stops writing; whatever waits fails."""
         if self.lost:
@@ -222,6 +254,7 @@
             "number": self.partition.number,
             "epoch": self.epoch,
             "ready": self.ready,
+            "retired": self.retired,
             "stalled": self.stalled,
             "waiting_records": len(self._waiting),
             "programs": len(self.ledger.programs),
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -103,8 +103,9 @@
             engine=self._last_engine.get(turn.program_id),
         )
         try:
-            async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
-                await run.answer()
+            with owned.turn_under_way():
+                async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
+                    await run.answer()
         except TimeoutError:
             reply.refuse(run.timeout_refusal())
         except BrokenTurnError as error:
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -76,4 +76,5 @@
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
             owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+        self._ownership.end_retired()
         self._turns.forget_programs()
--- a/tests/gateway/turns/partition_walk.py
+++ b/tests/gateway/turns/partition_walk.py
@@ -192,6 +192,8 @@
         self.told_whole = 0
         self.said_absent = 0
         self.uncertain = 0
+        self.left = 0
+        self.told_after_leaving = 0
         self._chance = random.Random(seed)
         self._store = FaultyStore(self._chance, faults or Faults())
         self._owners: list[OwnedPartition] = []
@@ -231,6 +233,8 @@
             self._take_over()
         elif draw < 0.05:
             self._store.refuses_all = not self._store.refuses_all
+        elif draw < 0.06:
+            self._retire()
         elif draw < 0.15:
             self._store.apply_late()
         elif len(self._turns) < MAX_TURNS:
@@ -249,8 +253,15 @@
         if len(self._owners) > MAX_OWNERS:
             self._owners.pop(0).lose("killed")
 
+    def _retire(self) -> None:
+        """Has the newest owner leave: it writes for its turns until somebody takes over."""
+        newest = self._owners[-1]
+        if newest.ready and not newest.retired:
+            newest.retire("leaves")
+            self.left += 1
+
     def _spawn_turn(self) -> None:
-        ready = [one for one in self._owners if one.ready]
+        ready = [one for one in self._owners if one.ready and not one.retired]
         if not ready:
             return
         # Mostly the newest; callers of a daemon that was superseded reach the old one.
@@ -310,6 +321,7 @@
             return
         if await self._kept(ended_kept, ended):
             self.told_whole += 1
+            self.told_after_leaving += owned.retired and not owned.lost
             told = self._texts.setdefault(program, {})
             told[turn] = whole.get(previous, b"") + text + b"!"
 
--- a/tests/gateway/turns/test_partition_walk.py
+++ b/tests/gateway/turns/test_partition_walk.py
@@ -36,6 +36,7 @@
     await walk.run(STEPS)
     assert walk.told_whole > STEPS / 100
     assert walk.said_absent
+    assert walk.told_after_leaving
 
 
 @pytest.mark.parametrize("seed", RUNNING_ON_SEEDS)
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from quincespool.gateway.model import Refusal
+    from tests.support.client import Reply
 
 
 async def test_a_turn_is_continued_at_another_daemon() -> None:
@@ -279,6 +280,36 @@
             assert reply.status == 200
 
 
+async def test_turns_end_whole_while_every_owner_stops_at_once() -> None:
+    async with GatewayCluster(2) as cluster:
+        turns = await _begin_long_turns(cluster, 16)
+        for node in cluster.nodes.values():
+            node.daemon.begin_stop()
+        answers = await asyncio.gather(*turns)
+        assert [reply.status for _, reply in answers] == [200] * 16
+
+
+async def test_a_partition_that_was_dealt_anew_is_let_go_when_its_turns_have_ended() -> None:
+    async with GatewayCluster(1) as cluster:
+        await _begin_long_turns(cluster, 0)
+        await cluster.add_node("b")
+        ownership = cluster.nodes["a"].daemon._ownership
+        await cluster.until(lambda: len(ownership.owned) == 4)
+        await cluster.until(lambda: not ownership._retired, limit_s=3)
+
+
+async def _begin_long_turns(
+    cluster: GatewayCluster, count: int
+) -> list[asyncio.Task[tuple[str, Reply]]]:
+    """Begins turns at daemon `a` whose streams take most of a second."""
+    for engine in ("e1", "e2"):
+        cluster.engines[engine].knobs.gap_ms = 300
+    work = [cluster.turn("a", f"p{number}") for number in range(count)]
+    turns = [asyncio.create_task(one) for one in work]
+    await cluster.until(lambda: len(cluster.all_runs()) == count)
+    return turns
+
+
 async def test_a_daemon_that_starts_again_frees_what_it_owned_before() -> None:
     """Symptom: programs stand still for a second after a daemon was killed and is back at once.
 
