The last owner that has left keeps what other stopping daemons still have to write

What callers saw: turns that had run ended cut as record_not_kept where daemons stop one after the other: the next owner had shut the first one out, then stopped as well, and nobody claimed the partition any more. Cause: records were settled only at a daemon that claims the partition; a stopping one says no more what it had, and might end first.

Now a record goes to the highest claim heard of, withdrawn or not; that daemon keeps it under its epoch while nobody has fenced it. Before it leaves, an owner has read what it took over (200 ms at most, as before for its records) and tells all claims, which may be only milliseconds old. Having taken over lately from a daemon that may still stop, it ends only when no other daemon is stopping, or its time is over.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -252,6 +252,7 @@
             presence=self._presence,
             front_port=self._front_port,
             relay=self._parts.relay,
+            members=self._members,
             live=self._live,
             log=self._log,
         )
--- a/src/quincespool/gateway/members/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -113,6 +113,10 @@
         """Sends a heartbeat to those whose turn it is."""
         self._send_beat(self._members.beat_targets())
 
+    def tell_claims(self) -> None:
+        """Tells all others what is owned, however lately they were told something else."""
+        self._send_beat(self._members.others)
+
     def announce(self) -> None:
         """Tells all others at once, such as that this daemon stops or owns another partition."""
         if self._announcing is not None:
--- a/src/quincespool/gateway/members/table.py
+++ b/src/quincespool/gateway/members/table.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from quincespool.gateway.store.interface import Partition
 from quincespool.policy.silence import ASK_MS
 from quincespool.policy.silence import BEAT_MS
 from quincespool.policy.silence import SILENCE_MS
@@ -16,7 +17,6 @@
     from quincespool.gateway.members.messages import Heartbeat
     from quincespool.gateway.members.messages import PartitionClaim
     from quincespool.gateway.model import Daemon
-    from quincespool.gateway.store.interface import Partition
 
 # How many daemons each heartbeat goes to, so that what one sends and receives does not grow with
 # their number: 50 datagrams a second are received whatever the size, half a percent of a core at
@@ -61,6 +61,8 @@
         self._seen: dict[str, _Seen] = {}
         # Epochs by claimed partition and member id, as last heard.
         self._claims: dict[tuple[str, int], dict[str, int]] = {}
+        # The highest claim of each partition so far, with the member id.
+        self._last_claims: dict[Partition, tuple[int, str]] = {}
         self._entered_ms: dict[str, int] = {}
         # In the order in which they follow this one in the ring.
         self._ring: list[Daemon] = []
@@ -218,6 +220,18 @@
                 best = (daemon, epoch)
         return best
 
+    def writer(self, partition: Partition, now_ms: int) -> tuple[Daemon, int] | None:
+        """Returns who can keep records of a partition's turns: its owner, or the last one.
+
+        An owner that stops claims nothing any more and writes until somebody else does.
+        """
+        owner = self.owner(partition, now_ms)
+        epoch, member_id = self._last_claims.get(partition, (-1, ""))
+        last = self.entries.get(member_id)
+        if last is None or not self.is_alive(member_id, now_ms):
+            return owner
+        return owner if owner is not None and owner[1] >= epoch else (last, epoch)
+
     def caller_addresses(self, now_ms: int, *, own_serves: bool, zone: str = "") -> list[str]:
         """Returns the addresses that callers of a zone should use."""
         serving = self._serving(now_ms, own_serves=own_serves)
@@ -245,7 +259,10 @@
         for claimants in self._claims.values():
             claimants.pop(member_id, None)
         for claim in claims:
-            self._claims.setdefault((claim.topic, claim.number), {})[member_id] = claim.epoch
+            partition = Partition(claim.topic, claim.number)
+            self._claims.setdefault(partition, {})[member_id] = claim.epoch
+            last = self._last_claims.get(partition, (-1, ""))
+            self._last_claims[partition] = max(last, (claim.epoch, member_id))
 
     @property
     def _is_large(self) -> bool:
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -12,6 +12,7 @@
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.live_settings import LiveSettings
     from quincespool.gateway.members.presence import Presence
+    from quincespool.gateway.members.table import Members
     from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.turns.relay import Relay
 
@@ -36,6 +37,7 @@
         presence: Presence,
         front_port: HttpPort,
         relay: Relay,
+        members: Members,
         live: LiveSettings,
         log: DecisionLog,
     ) -> None:
@@ -43,6 +45,7 @@
         self._presence = presence
         self._front_port = front_port
         self._relay = relay
+        self._members = members
         self._live = live
         self._log = log
         self._last_ms: int | None = None
@@ -74,7 +77,7 @@
     async def drain(self) -> None:
         """Returns when nothing is under way any more, or the time for the stop is over."""
         kept_ms = now_ms() + ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
-        await self._ownership.leave()
+        await self._ownership.leave(self._presence.tell_claims)
         self._presence.announce()
         await self._until_idle(kept_ms)
         self._front_port.stop()
@@ -85,12 +88,29 @@
         """Waits for a time, and until nothing is under way, but not beyond the end of the stop."""
         assert self._last_ms is not None
         while now_ms() < self._last_ms:
-            if now_ms() >= not_before_ms and not self.under_way:
+            if now_ms() >= not_before_ms and self._is_done():
                 await _read_what_waits()
-                if not self.under_way:
+                if self._is_done():
                     return
             await asyncio.sleep(CHECK_S)
 
+    def _is_done(self) -> bool:
+        """Whether nobody waits, here or at a daemon whose turns need this one."""
+        if self.under_way:
+            return False
+        # A partition was taken over from a daemon that stops too, and nobody has it now: turns that
+        # are under way there can be kept only here.
+        lately_ms = now_ms() - self._live.current.stop_grace_ms
+        return not (self._ownership.writes_since(lately_ms) and self._others_stop())
+
+    def _others_stop(self) -> bool:
+        at_ms = now_ms()
+        return any(
+            self._members.is_alive(one.member_id, at_ms)
+            and self._members.is_draining(one.member_id)
+            for one in self._members.others
+        )
+
 
 async def _read_what_waits() -> None:
     for _ in range(READ_TURNS):
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -113,8 +113,23 @@
             if epoch > writer.epoch:
                 writer.lose("taken over")
 
+    def writer(self, partition: Partition) -> OwnedPartition | None:
+        """Returns who writes a partition here, perhaps only for turns under way."""
+        retired = [one for one in self._retired if one.partition == partition]
+        return self.owned.get(partition) or (retired[-1] if retired else None)
+
+    def writes_since(self, since_ms: int) -> bool:
+        """Whether a partition that was given up has no new owner, and had another one that lately.
+
+        Turns of the owner before this one may still be under way, and end here.
+        """
+        return any(one.inherits and one.since_ms > since_ms for one in self._retired)
+
     def end_retired(self) -> None:
         """Lets go of partitions that were given up and that no turn needs any more."""
+        if not self._wanted:
+            # For the turns of others this one may be the last who can write.
+            return
         for one in list(self._retired):
             if not one.in_use:
                 one.lose("turns ended")
@@ -138,17 +153,22 @@
                 pass
             self._poke.clear()
 
-    async def leave(self) -> None:
-        """Gives all partitions up, what waits to be written first."""
+    async def leave(self, tell_claims: Callable[[], None]) -> None:
+        """Gives all partitions up, what waits to be written first.
+
+        Others are told before what was owned: until somebody takes a partition over, what they
+        still have of its turns is kept here.
+        """
         self._wanted = False
         self._forget_dealt()
         self._poke.set()
         for owned in self.owned.values():
             owned.flush()
         for _ in range(20):
-            if all(one.idle or one.stalled for one in self.owned.values()):
+            if all(one.stalled or (one.ready and one.idle) for one in self.owned.values()):
                 break
             await asyncio.sleep(0.01)
+        tell_claims()
         self._give_up(list(self.owned), "leaving")
         await self._release(self._member_id)
 
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -77,6 +77,7 @@
       epoch: Under which it writes; a daemon that takes the partition over uses a higher one, after
         which nothing of this one is appended any more, however late it arrives.
       ledger: The state after all records, those on their way included.
+      inherits: Whether there were records when it took over.
       ready: Whether it has read all records and may serve.
       lost: Whether another daemon has taken over.
       retired: Whether it takes no more turns, and only writes for those under way.
@@ -97,6 +98,7 @@
         self.since_ms = now_ms()
         self.epoch = epoch
         self.ledger = Ledger()
+        self.inherits = False
         self.ready = False
         self.lost = False
         self.retired = False
@@ -279,6 +281,7 @@
         """Shuts the last owner out, then reads everything that it has written."""
         started_s = time.monotonic()
         end_offset = await self._append([])
+        self.inherits = end_offset > 0
         offset = 0
         while offset < end_offset:
             offset = await self._read_from(offset)
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -170,14 +170,17 @@
     async def settle_elsewhere(
         self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
     ) -> bool:
-        """Lets a partition's new owner keep a record; returns whether it has."""
+        """Lets a partition's new owner keep a record; returns whether it has.
+
+        One that has given the partition up since still writes while nobody else does.
+        """
         until_ms = now_ms() + left_ms
         while now_ms() < until_ms:
-            owned = self._ownership.owned.get(partition)
-            owner = self._members.owner(partition, now_ms())
+            own = self._ownership.writer(partition)
+            owner = self._members.writer(partition, now_ms())
             outcome = Settlement.NOT_HERE
-            if owned is not None:
-                outcome = await owned.settle(record, budget_tokens=budget_tokens)
+            if own is not None and (owner is None or owner[1] <= own.epoch):
+                outcome = await own.settle(record, budget_tokens=budget_tokens)
             elif owner is not None:
                 message = _write_settle(next(self._ids), partition, record, budget_tokens)
                 outcome = await self._settle_at(owner[0].peer_address, message, until_ms)
@@ -295,7 +298,7 @@
             self._settling.pop(message.settle_id, None)
 
     async def _settle_for(self, link: Link, message: SettleTurn) -> None:
-        owned = self._ownership.owned.get(Partition(message.topic, message.number))
+        owned = self._ownership.writer(Partition(message.topic, message.number))
         outcome = Settlement.NOT_HERE
         try:
             record = decode_record(message.record)
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -8,11 +8,14 @@
 from typing import cast
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.members.table import Members
 from quincespool.gateway.planned_stop import ANSWER_MARGIN_MS
 from quincespool.gateway.planned_stop import STOP_MARGIN_MS
 from quincespool.gateway.planned_stop import PlannedStop
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.gateway.callers.http_port import HttpPort
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.live_settings import LiveSettings
@@ -54,20 +57,28 @@
 
 
 class _Ownership:
-    async def leave(self) -> None:
-        return
+    def writes_since(self, since_ms: int) -> bool:
+        return since_ms < 0
+
+    async def leave(self, tell_claims: Callable[[], None]) -> None:
+        tell_claims()
 
 
 def _make_stop(port: _Port) -> PlannedStop:
     live = SimpleNamespace(current=SimpleNamespace(stop_grace_ms=GRACE_MS, addresses_valid_ms=10))
     quiet = SimpleNamespace(
-        draining=False, announce=lambda: None, write_always=lambda *_, **__: None, serving=0
+        tell_claims=lambda: None,
+        draining=False,
+        announce=lambda: None,
+        write_always=lambda *_, **__: None,
+        serving=0,
     )
     return PlannedStop(
         ownership=cast("Ownership", _Ownership()),
         presence=cast("Presence", quiet),
         front_port=cast("HttpPort", port),
         relay=cast("Relay", quiet),
+        members=Members("a"),
         live=cast("LiveSettings", live),
         log=cast("DecisionLog", quiet),
     )
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -15,6 +15,7 @@
 from tests.support.platform_entries import TOKENS_PER_EVENT
 
 if TYPE_CHECKING:
+    from quincespool.gateway.daemon import GatewayDaemon
     from quincespool.gateway.model import Refusal
     from tests.support.client import Reply
 
@@ -289,6 +290,20 @@
         assert [reply.status for _, reply in answers] == [200] * 16
 
 
+async def test_turns_end_whole_if_the_next_owner_stops_before_they_end() -> None:
+    async with GatewayCluster(2) as cluster:
+        turns = await _begin_long_turns(cluster, 16)
+        cluster.nodes["a"].daemon.begin_stop()
+        await cluster.until(lambda: _ready_count(cluster, "b") == 8, limit_s=0.5)
+        cluster.nodes["b"].daemon.begin_stop()
+        ended = asyncio.create_task(_close_when_stopped(cluster.nodes["b"].daemon))
+        answers = await asyncio.gather(*turns)
+        assert [reply.status for _, reply in answers] == [200] * 16
+        await cluster.nodes["a"].daemon.stopped.wait()
+        await cluster.nodes["a"].daemon.close()
+        await asyncio.wait_for(ended, 2)
+
+
 async def test_a_partition_that_was_dealt_anew_is_let_go_when_its_turns_have_ended() -> None:
     async with GatewayCluster(1) as cluster:
         await _begin_long_turns(cluster, 0)
@@ -310,6 +325,11 @@
     return turns
 
 
+async def _close_when_stopped(daemon: GatewayDaemon) -> None:
+    await daemon.stopped.wait()
+    await daemon.close()
+
+
 async def test_a_daemon_that_starts_again_frees_what_it_owned_before() -> None:
     """Symptom: programs stand still for a second after a daemon was killed and is back at once.
 
