A stop ends only when the records of its turns are appended or settled

What callers see otherwise: nothing at once; a program's budget counts a turn that broke off at its most, or what was handed out with no durable start not at all, since the process ended with the record still waiting, or on its way to the next owner. Cause: only answers counted as under way. Class: something is given up while work that rests on it is under way; met by reading, not by a run.

Now the end waits, within the time of the stop, for records that wait while the store takes them, for turns that settle after they broke off, and for records of other daemons being kept here. A partition whose append is stalled holds nothing up by itself, as before.

test_a_stop_waits_until_records_of_its_turns_are_settled failed on the commit before.

--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -95,8 +95,8 @@
             await asyncio.sleep(CHECK_S)
 
     def _is_done(self) -> bool:
-        """Whether nobody waits, here or at a daemon whose turns need this one."""
-        if self.under_way:
+        """Whether nobody waits, and records of turns need this daemon no more."""
+        if self.under_way or self._relay.settling or self._ownership.is_writing:
             return False
         # A partition was taken over from a daemon that stops too, and nobody has it now: turns that
         # are under way there can be kept only here.
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -118,6 +118,12 @@
         retired = [one for one in self._retired if one.partition == partition]
         return self.owned.get(partition) or (retired[-1] if retired else None)
 
+    @property
+    def is_writing(self) -> bool:
+        """Whether records wait to be appended, and the store takes them."""
+        writers = [*self._retired, *self.owned.values()]
+        return any(not one.idle and not one.stalled for one in writers)
+
     def writes_since(self, since_ms: int) -> bool:
         """Whether a partition that was given up has no new owner, and had another one that lately.
 
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -128,12 +128,18 @@
         self._serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
         self._settling: dict[int, asyncio.Future[Settlement]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._settling_for: set[asyncio.Task[None]] = set()
 
     @property
     def serving(self) -> int:
         """Turns of other daemons' callers under way here."""
         return len(self._serving)
 
+    @property
+    def settling(self) -> int:
+        """Records of turns under way that lost their owner, here or for other daemons."""
+        return len(self._settling_for) + self._turns.settling
+
     async def run(self, call: Call, terms: TurnTerms, reply: Reply, *, until_ms: int) -> str:
         """Answers a turn; returns the member id of the daemon that did, empty if none."""
         assert call.turn is not None
@@ -199,7 +205,7 @@
             if task is not None:
                 task.cancel()
         elif isinstance(message, SettleTurn):
-            start_kept(self._settle_for(link, message), self._tasks)
+            start_kept(self._settle_for(link, message), self._settling_for)
         elif isinstance(message, TurnSettled):
             future = self._settling.pop(message.settle_id, None)
             if future is not None and not future.done():
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -62,11 +62,17 @@
         self._finder = finder
         self._admission = admission
         self._store_reachable = store_reachable
+        self._settling: set[asyncio.Task[None]] = set()
         self._run_services = TurnServices(
-            services, RecordServices(settle_elsewhere, store_reachable), admission
+            services, RecordServices(settle_elsewhere, store_reachable, self._settling), admission
         )
         self._last_engine: dict[str, BackendLife] = {}
 
+    @property
+    def settling(self) -> int:
+        """Turns that broke off and of which the present owner is still to be told."""
+        return len(self._settling)
+
     async def run(
         self, call: Call, terms: TurnTerms, owned: OwnedPartition, reply: Reply, *, until_ms: int
     ) -> None:
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -42,8 +42,6 @@
 LEAST_PATIENCE_MS = 2_000
 STORE_AWAY = "store_away"
 
-_settling: set[asyncio.Task[None]] = set()
-
 
 class BrokenTurnError(Exception):
     """Ends a turn with the gateway's own final answer."""
@@ -71,10 +69,12 @@
     Attributes:
       settle_elsewhere: Has a record kept by the partition's next owner.
       store_reachable: Whether the store answers this daemon.
+      settling: Work on turns that broke off before their start was durable.
     """
 
     settle_elsewhere: SettleElsewhere
     store_reachable: Callable[[], bool]
+    settling: set[asyncio.Task[None]]
 
 
 class TurnRecords:
@@ -189,7 +189,7 @@
             )
             kept = self._owned.submit(record)
             if not self._start_is_kept:
-                start_kept(self._settle_broken(kept, record), _settling)
+                start_kept(self._settle_broken(kept, record), self._services.settling)
 
     @property
     def _start_is_kept(self) -> bool:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -57,6 +57,8 @@
 
 
 class _Ownership:
+    is_writing = False
+
     def writes_since(self, since_ms: int) -> bool:
         return since_ms < 0
 
@@ -64,7 +66,7 @@
         tell_claims()
 
 
-def _make_stop(port: _Port) -> PlannedStop:
+def _make_stop(port: _Port, relay: SimpleNamespace | None = None) -> PlannedStop:
     live = SimpleNamespace(current=SimpleNamespace(stop_grace_ms=GRACE_MS, addresses_valid_ms=10))
     quiet = SimpleNamespace(
         tell_claims=lambda: None,
@@ -72,12 +74,13 @@
         announce=lambda: None,
         write_always=lambda *_, **__: None,
         serving=0,
+        settling=0,
     )
     return PlannedStop(
         ownership=cast("Ownership", _Ownership()),
         presence=cast("Presence", quiet),
         front_port=cast("HttpPort", port),
-        relay=cast("Relay", quiet),
+        relay=cast("Relay", relay or quiet),
         members=Members("a"),
         live=cast("LiveSettings", live),
         log=cast("DecisionLog", quiet),
@@ -100,3 +103,17 @@
     last_ms = now_ms() + GRACE_MS - STOP_MARGIN_MS - ANSWER_MARGIN_MS
     assert stop.leaves_time_until(last_ms - 10)
     assert not stop.leaves_time_until(last_ms + 10)
+
+
+async def test_a_stop_waits_until_records_of_its_turns_are_settled() -> None:
+    port = _Port()
+    port.events.clear()
+    relay = SimpleNamespace(serving=0, settling=1)
+    stop = _make_stop(port, relay)
+    stop.begin()
+    draining = asyncio.create_task(stop.drain())
+    await asyncio.sleep(0.3)
+    assert "closed" not in port.events
+    relay.settling = 0
+    await draining
+    assert port.events[-1] == "ended"
