A stopping owner takes no relayed turn that it could not end in time

Cause: the check against the end of the stop is made for callers of this daemon only.

Now the owner refuses such a turn as one that it doesn't own, unrun; it waits for the next owner as any other.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -159,6 +159,7 @@
             beliefs=self._beliefs,
             on_partition=self._note_partition,
             on_refused=self._note_refused,
+            has_time_until=self._leaves_time_until,
         )
         self._ownership = self._parts.ownership
         self._links = self._parts.links
--- a/src/quincespool/gateway/turns/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -64,6 +64,7 @@
         beliefs: Beliefs,
         on_partition: Callable[[OwnedPartition, str], None],
         on_refused: Callable[[str], None],
+        has_time_until: Callable[[int], bool],
     ) -> None:
         topics = settings.owner_topic_names
         partitions = list_partitions(topics, settings.store_partitions)
@@ -112,6 +113,7 @@
             links=self.links,
             turns=self.turns,
             store_reachable=lambda: store_health.reachable,
+            has_time_until=has_time_until,
             log=log,
         )
         self.limits = AccountLimits(
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -113,6 +113,7 @@
         links: Links,
         turns: TurnRunner,
         store_reachable: Callable[[], bool],
+        has_time_until: Callable[[int], bool],
         log: DecisionLog,
     ) -> None:
         self._member_id = member_id
@@ -122,6 +123,7 @@
         self._links = links
         self._turns = turns
         self._store_reachable = store_reachable
+        self._has_time_until = has_time_until
         self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
@@ -278,10 +280,11 @@
         call, terms = read_relay(message)
         reply = _RemoteReply(link, message.relay_id)
         owned = self._ownership.serving(self._partition_for(message.program_id))
-        if owned is None:
+        until_ms = now_ms() + message.left_ms
+        if owned is None or not self._has_time_until(until_ms):
+            # One that is about to leave the group has another owner soon.
             reply.refuse(not_run(NOT_OWNER))
             return
-        until_ms = now_ms() + message.left_ms
         run = self._turns.run(call, terms, owned, reply, until_ms=until_ms)
         task = start_kept(run, self._tasks)
         key = (link, message.relay_id)
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.turns.turn_records import STORE_AWAY
 from tests.gateway.gateway_cluster import GatewayCluster
@@ -304,6 +305,17 @@
         await asyncio.wait_for(ended, 2)
 
 
+async def test_an_owner_that_stops_takes_no_turn_that_it_could_not_end() -> None:
+    async with GatewayCluster(2) as cluster:
+        program = next(one for one in map(str, itertools.count()) if _owns(cluster, "b", one))
+        stop = cluster.nodes["b"].daemon._stop
+        stop.begin()
+        stop._last_ms = now_ms() + 1_000
+        call_id, reply = await cluster.turn("a", program)
+        assert reply.status == 503
+        assert not cluster.runs(call_id)
+
+
 async def test_a_partition_that_was_dealt_anew_is_let_go_when_its_turns_have_ended() -> None:
     async with GatewayCluster(1) as cluster:
         await _begin_long_turns(cluster, 0)
