The others renew at once when an owner has left

What callers saw: a turn of a program whose owner has just left waited for up to a renewal (333 ms) and the daemon in question might end before; the test of a planned stop, whose stop lasts 300 ms, failed now and then for that. Cause: the others heard of the leaving, not of the generation that it made, and renewed at their next interval.

Now one heartbeat to all after the leaving bears the generation behind the known one, which has them renew, once; a group that does not count on then costs them one call each.

--- a/src/quincespool/gateway/members/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -117,6 +117,13 @@
         """Tells all others what is owned, however lately they were told something else."""
         self._send_beat(self._members.others)
 
+    def tell_left(self) -> None:
+        """Has all others renew now, who would take over at their next interval.
+
+        Told once: the group counts a generation on when a member leaves, but need not.
+        """
+        self._send_beat(self._members.others, generation=self._ownership.generation + 1)
+
     def announce(self) -> None:
         """Tells all others at once, such as that this daemon stops or owns another partition."""
         if self._announcing is not None:
@@ -180,7 +187,7 @@
             if one.ready
         )
 
-    def _send_beat(self, daemons: list[Daemon]) -> None:
+    def _send_beat(self, daemons: list[Daemon], *, generation: int | None = None) -> None:
         self._sequence += 1
         speed = self._backend_reports.take_speed_to_tell()
         beat = Heartbeat(
@@ -188,7 +195,7 @@
             sequence=self._sequence,
             draining=self.draining,
             configuration_version=self._beliefs.configuration_version,
-            generation=self._ownership.generation,
+            generation=self._ownership.generation if generation is None else generation,
             claims=self._claims(),
             store_reachable=self._beliefs.store_reachable,
             engine_id=speed.backend_id if speed is not None else "",
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -78,7 +78,7 @@
         """Returns when nothing is under way any more, or the time for the stop is over."""
         kept_ms = now_ms() + ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
         await self._ownership.leave(self._presence.tell_claims)
-        self._presence.announce()
+        self._presence.tell_left()
         await self._until_idle(kept_ms)
         self._front_port.stop()
         await self._until_idle(now_ms())
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -70,6 +70,7 @@
     live = SimpleNamespace(current=SimpleNamespace(stop_grace_ms=GRACE_MS, addresses_valid_ms=10))
     quiet = SimpleNamespace(
         tell_claims=lambda: None,
+        tell_left=lambda: None,
         draining=False,
         announce=lambda: None,
         write_always=lambda *_, **__: None,
