--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -161,6 +161,7 @@
             beliefs=self._beliefs,
             on_partition=self._note_partition,
             on_refused=self._note_refused,
+            has_time_until=self._leaves_time_until,
         )
         self._ownership = self._parts.ownership
         self._links = self._parts.links
@@ -258,6 +259,7 @@
             presence=self._presence,
             front_port=self._front_port,
             relay=self._parts.relay,
+            members=self._members,
             live=self._live,
             log=self._log,
         )
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -68,6 +68,8 @@
         on_assignment: Callable[[int, int], None],
     ) -> None:
         self.owned: dict[Partition, OwnedPartition] = {}
+        # Given up, and still written for turns under way, by partition the newest last.
+        self._retired: list[OwnedPartition] = []
         self.generation = 0
         self.confirmed_until_ms = 0
         self._member_id = _owner_id(member_id, incarnation)
@@ -104,9 +106,39 @@
 
     def yield_to(self, partition: Partition, epoch: int) -> None:
         """Gives a partition up that another daemon has taken over under a higher epoch."""
-        owned = self.owned.get(partition)
-        if owned is not None and epoch > owned.epoch:
-            owned.lose("taken over")
+        writers = [one for one in self._retired if one.partition == partition]
+        if partition in self.owned:
+            writers.append(self.owned[partition])
+        for writer in writers:
+            if epoch > writer.epoch:
+                writer.lose("taken over")
+
+    def writer(self, partition: Partition) -> OwnedPartition | None:
+        """Returns who writes a partition here, perhaps only for turns under way."""
+        retired = [one for one in self._retired if one.partition == partition]
+        return self.owned.get(partition) or (retired[-1] if retired else None)
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether records wait to be appended, and the store takes them."""
+        writers = [*self._retired, *self.owned.values()]
+        return any(not one.idle and not one.stalled for one in writers)
+
+    def writes_since(self, since_ms: int) -> bool:
+        """Whether a partition that was given up has no new owner, and had another one that lately.
+
+        Turns of the owner before this one may still be under way, and end here.
+        """
+        return any(one.inherits and one.since_ms > since_ms for one in self._retired)
+
+    def end_retired(self) -> None:
+        """Lets go of partitions that were given up and that no turn needs any more."""
+        if not self._wanted:
+            # For the turns of others this one may be the last who can write.
+            return
+        for one in list(self._retired):
+            if not one.in_use:
+                one.lose("turns ended")
 
     def renew_soon(self) -> None:
         """Renews now rather than at the next interval: somebody has seen a newer generation."""
@@ -127,17 +159,22 @@
                 pass
             self._poke.clear()
 
-    async def leave(self) -> None:
-        """Gives all partitions up, what waits to be written first."""
+    async def leave(self, tell_claims: Callable[[], None]) -> None:
+        """Gives all partitions up, what waits to be written first.
+
+        Others are told before what was owned: until somebody takes a partition over, what they
+        still have of its turns is kept here.
+        """
         self._wanted = False
         self._forget_dealt()
         self._poke.set()
         for owned in self.owned.values():
             owned.flush()
         for _ in range(20):
-            if all(one.idle or one.stalled for one in self.owned.values()):
+            if all(one.stalled or (one.ready and one.idle) for one in self.owned.values()):
                 break
             await asyncio.sleep(0.01)
+        tell_claims()
         self._give_up(list(self.owned), "leaving")
         await self._release(self._member_id)
 
@@ -244,13 +281,18 @@
 
     def forget(self, lost: OwnedPartition) -> None:
         """Takes note that a partition was lost; the next renewal tells whether it comes back."""
+        if lost in self._retired:
+            self._retired.remove(lost)
         if self.owned.get(lost.partition) is lost:
             del self.owned[lost.partition]
             self._poke.set()
 
     def _give_up(self, partitions: list[Partition], reason: str) -> None:
         for partition in partitions:
-            self.owned.pop(partition).lose(reason)
+            owned = self.owned.pop(partition)
+            if owned.ready:
+                self._retired.append(owned)
+            owned.retire(reason)
 
 
 def _owner_id(member_id: str, incarnation: int) -> str:
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from enum import StrEnum
 from typing import TYPE_CHECKING
@@ -28,6 +29,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterator
 
     from quincespool.gateway.store.hedged_calls import HedgedCalls
     from quincespool.gateway.store.interface import Partition
@@ -78,8 +80,10 @@
       epoch: Under which it writes; a daemon that takes the partition over uses a higher one, after
         which nothing of this one is appended any more, however late it arrives.
       ledger: The state after all records, those on their way included.
+      inherits: Whether there were records when it took over.
       ready: Whether it has read all records and may serve.
       lost: Whether another daemon has taken over.
+      retired: Whether it takes no more turns, and only writes for those under way.
       stalled: Whether the last append was not acknowledged.
       uncertain: What was handed out meanwhile.
     """
@@ -97,8 +101,10 @@
         self.since_ms = now_ms()
         self.epoch = epoch
         self.ledger = Ledger()
+        self.inherits = False
         self.ready = False
         self.lost = False
+        self.retired = False
         self.stalled = False
         self.ready_event = asyncio.Event()
         self.uncertain = UncertainTokens()
@@ -106,6 +112,7 @@
         self._hedged = hedged
         self._on_change = on_change
         self._sequence = 0
+        self._turns = 0
         self._check: asyncio.Task[None] | None = None
         self._next_check: asyncio.Task[None] | None = None
         self._waiting: list[_Waiting] = []
@@ -203,6 +210,33 @@
         """Whether nothing waits to be appended."""
         return not self._waiting
 
+    @property
+    def in_use(self) -> bool:
+        """Whether turns under way, or what they have handed over, need it."""
+        return not self.lost and (self._turns > 0 or not self.idle)
+
+    @contextlib.contextmanager
+    def turn_under_way(self) -> Iterator[None]:
+        """Counts a turn while it runs."""
+        self._turns += 1
+        try:
+            yield
+        finally:
+            self._turns -= 1
+
+    def retire(self, reason: str) -> None:
+        """Has it write on, for turns under way, until another daemon has taken over.
+
+        The epoch is the fence, not membership in the group: nobody may be there to take over, and
+        what is appended before somebody does is read by whoever it is.
+        """
+        if not self.ready:
+            self.lose(reason)
+            return
+        self.retired = True
+        self.flush()
+        self._on_change(self, reason)
+
     def lose(self, reason: str) -> None:
         """Stops writing; whatever waits fails."""
         if self.lost:
@@ -225,6 +259,7 @@
             "number": self.partition.number,
             "epoch": self.epoch,
             "ready": self.ready,
+            "retired": self.retired,
             "stalled": self.stalled,
             "waiting_records": len(self._waiting),
             "programs": len(self.ledger.programs),
@@ -255,6 +290,7 @@
         """Shuts the last owner out, then reads everything that it has written."""
         started_s = time.monotonic()
         end_offset = await self._append([])
+        self.inherits = end_offset > 0
         offset = 0
         while offset < end_offset:
             offset = await self._read_from(offset)
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -115,6 +115,7 @@
         links: Links,
         turns: TurnRunner,
         store_reachable: Callable[[], bool],
+        has_time_until: Callable[[int], bool],
         log: DecisionLog,
     ) -> None:
         self._member_id = member_id
@@ -124,18 +125,25 @@
         self._links = links
         self._turns = turns
         self._store_reachable = store_reachable
+        self._has_time_until = has_time_until
         self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _Pending] = {}
         self._serving: dict[tuple[Link, int], asyncio.Task[None]] = {}
         self._settling: dict[int, asyncio.Future[Settlement]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._settling_for: set[asyncio.Task[None]] = set()
 
     @property
     def serving(self) -> int:
         """Turns of other daemons' callers under way here."""
         return len(self._serving)
 
+    @property
+    def settling(self) -> int:
+        """Records of turns under way that lost their owner, here or for other daemons."""
+        return len(self._settling_for) + self._turns.settling
+
     async def run(self, call: Call, terms: TurnTerms, reply: Reply, *, until_ms: int) -> str:
         """Answers a turn; returns the member id of the daemon that did, empty if none."""
         assert call.turn is not None
@@ -172,14 +180,17 @@
     async def settle_elsewhere(
         self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
     ) -> bool:
-        """Lets a partition's new owner keep a record; returns whether it has."""
+        """Lets a partition's new owner keep a record; returns whether it has.
+
+        One that has given the partition up since still writes while nobody else does.
+        """
         until_ms = now_ms() + left_ms
         while now_ms() < until_ms:
-            owned = self._ownership.owned.get(partition)
-            owner = self._members.owner(partition, now_ms())
+            own = self._ownership.writer(partition)
+            owner = self._members.writer(partition, now_ms())
             outcome = Settlement.NOT_HERE
-            if owned is not None:
-                outcome = await owned.settle(record, budget_tokens=budget_tokens)
+            if own is not None and (owner is None or owner[1] <= own.epoch):
+                outcome = await own.settle(record, budget_tokens=budget_tokens)
             elif owner is not None:
                 message = _write_settle(next(self._ids), partition, record, budget_tokens)
                 outcome = await self._settle_at(owner[0].peer_address, message, until_ms)
@@ -198,7 +209,7 @@
             if task is not None:
                 task.cancel()
         elif isinstance(message, SettleTurn):
-            start_kept(self._settle_for(link, message), self._tasks)
+            start_kept(self._settle_for(link, message), self._settling_for)
         elif isinstance(message, TurnSettled):
             future = self._settling.pop(message.settle_id, None)
             if future is not None and not future.done():
@@ -280,10 +291,11 @@
         call, terms = read_relay(message)
         reply = _RemoteReply(link, message.relay_id)
         owned = self._ownership.serving(self._partition_for(message.program_id))
-        if owned is None:
+        until_ms = now_ms() + message.left_ms
+        if owned is None or not self._has_time_until(until_ms):
+            # One that is about to leave the group has another owner soon.
             reply.refuse(not_run(NOT_OWNER))
             return
-        until_ms = now_ms() + message.left_ms
         task = start_kept(self._run_for(call, terms, owned, reply, until_ms), self._tasks)
         key = (link, message.relay_id)
         self._serving[key] = task
@@ -322,7 +334,7 @@
             self._settling.pop(message.settle_id, None)
 
     async def _settle_for(self, link: Link, message: SettleTurn) -> None:
-        owned = self._ownership.owned.get(Partition(message.topic, message.number))
+        owned = self._ownership.writer(Partition(message.topic, message.number))
         outcome = Settlement.NOT_HERE
         try:
             record = decode_record(message.record)
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -62,11 +62,17 @@
         self._finder = finder
         self._admission = admission
         self._store_reachable = store_reachable
+        self._settling: set[asyncio.Task[None]] = set()
         self._run_services = TurnServices(
-            services, RecordServices(settle_elsewhere, store_reachable), admission
+            services, RecordServices(settle_elsewhere, store_reachable, self._settling), admission
         )
         self._last_engine: dict[str, BackendLife] = {}
 
+    @property
+    def settling(self) -> int:
+        """Turns that broke off and of which the present owner is still to be told."""
+        return len(self._settling)
+
     async def run(
         self, call: Call, terms: TurnTerms, owned: OwnedPartition, reply: Reply, *, until_ms: int
     ) -> None:
@@ -103,8 +109,9 @@
             engine=self._last_engine.get(turn.program_id),
         )
         try:
-            async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
-                await run.answer()
+            with owned.turn_under_way():
+                async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
+                    await run.answer()
         except TimeoutError:
             reply.refuse(run.timeout_refusal())
         except BrokenTurnError as error:
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -8,11 +8,14 @@
 from typing import cast
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.members.table import Members
 from quincespool.gateway.planned_stop import ANSWER_MARGIN_MS
 from quincespool.gateway.planned_stop import STOP_MARGIN_MS
 from quincespool.gateway.planned_stop import PlannedStop
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from quincespool.gateway.callers.http_port import HttpPort
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.live_settings import LiveSettings
@@ -55,20 +58,32 @@
 
 
 class _Ownership:
-    async def leave(self) -> None:
-        return
+    is_writing = False
+
+    def writes_since(self, since_ms: int) -> bool:
+        return since_ms < 0
 
+    async def leave(self, tell_claims: Callable[[], None]) -> None:
+        tell_claims()
 
-def _make_stop(port: _Port) -> PlannedStop:
+
+def _make_stop(port: _Port, relay: SimpleNamespace | None = None) -> PlannedStop:
     live = SimpleNamespace(current=SimpleNamespace(stop_grace_s=GRACE_S, addresses_valid_ms=10))
     quiet = SimpleNamespace(
-        draining=False, announce=lambda: None, write_always=lambda *_, **__: None, serving=0
+        tell_claims=lambda: None,
+        tell_left=lambda: None,
+        draining=False,
+        announce=lambda: None,
+        write_always=lambda *_, **__: None,
+        serving=0,
+        settling=0,
     )
     return PlannedStop(
         ownership=cast("Ownership", _Ownership()),
         presence=cast("Presence", quiet),
         front_port=cast("HttpPort", port),
-        relay=cast("Relay", quiet),
+        relay=cast("Relay", relay or quiet),
+        members=Members("a"),
         live=cast("LiveSettings", live),
         log=cast("DecisionLog", quiet),
     )
@@ -90,3 +105,17 @@
     last_ms = now_ms() + int(TIME_MS)
     assert stop.leaves_time_until(last_ms - 10)
     assert not stop.leaves_time_until(last_ms + 10)
+
+
+async def test_a_stop_waits_until_records_of_its_turns_are_settled() -> None:
+    port = _Port()
+    port.events.clear()
+    relay = SimpleNamespace(serving=0, settling=1)
+    stop = _make_stop(port, relay)
+    stop.begin()
+    draining = asyncio.create_task(stop.drain())
+    await asyncio.sleep(0.3)
+    assert "closed" not in port.events
+    relay.settling = 0
+    await draining
+    assert port.events[-1] == "ended"
