A daemon that stalls for a moment keeps the turns that others handed to it

Callers of sound daemons saw answers cut after their head, and 502 (owner_lost), when another daemon had no processor time for 0.6 s.

Cause: a daemon that was not heard for 0.7 s had its links broken off at once, with every turn on them, though its host lived and its process went on a moment later. Class: silence of a process taken for the end of its host.

Now a daemon that is not heard gets no new turns and loses its lease as before; a link on which turns wait is broken off when the kernel finds that the host acknowledges nothing (it sends the last probe again), or after 0.6 s more without a word. Callers leave a stream after 2 s without an event. A process that is frozen for longer costs its turns 0.6 s more than before.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -179,7 +179,7 @@
             crashes=self._crashes,
             backend_reports=self._backend_reports,
             log=self._log,
-            on_silent=lambda daemon: self._links.drop(daemon.peer_address),
+            on_silent=lambda daemon: self._links.doubt(daemon.peer_address),
         )
 
     # These parts need one another; what they report goes through here.
--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -17,6 +17,7 @@
 from quincespool.net.framing import FrameReader
 from quincespool.net.framing import frame
 from quincespool.net.listener import Listener
+from quincespool.net.socket_options import is_resending
 from quincespool.net.socket_options import limit_silence
 from quincespool.net.struct_codec import CodecError
 
@@ -31,6 +32,9 @@
 # A link on which nothing is waited for is left to the kernel's probes, which wake no process. In a
 # large group, messages on all idle links would wake each daemon more often than its callers do.
 IDLE_BEFORE_PROBES_S = 3
+# A process that is not heard and whose host lives, as one short of processor time, has the turns on
+# its link kept so long; callers leave a stream after two seconds without an event.
+STALL_LIMIT_S = 0.6
 MAX_UNSENT_BYTES = 8_000_000
 # A link that is lost sooner is made again only when it is needed: a peer that takes links and ends
 # them at once would be connected to without pause.
@@ -63,6 +67,25 @@
         self.detail = ""
         self.waiting = 0
         self.made_s = time.monotonic()
+        self._heard_s = self.made_s
+        self._doubted_s: float | None = None
+
+    def trust(self) -> None:
+        """Takes note that the other daemon is heard."""
+        self._doubted_s = None
+
+    def is_dead(self) -> bool:
+        """Whether a daemon that is not heard any more is to be given up, with what waits on it.
+
+        A host without power acknowledges nothing, and the kernel sends the last probe again and
+        again. One that acknowledges lives; its process may only stall, and goes on with its turns.
+        """
+        now_s = time.monotonic()
+        if self._doubted_s is None:
+            self._doubted_s = now_s
+        if not self.waiting or self._transport is None or is_resending(self._transport):
+            return True
+        return now_s - max(self._doubted_s, self._heard_s) >= STALL_LIMIT_S
 
     def send(self, message: Any) -> bool:
         """Sends a message; returns whether the link is there to take it."""
@@ -88,6 +111,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Hands whole messages on."""
+        self._heard_s = time.monotonic()
         self._frames.feed(data)
         try:
             while (message := self._frames.next_message()) is not None:
@@ -180,12 +204,19 @@
                 elif link.waiting:
                     link.send(LinkProbe(sent_ms=int(time.monotonic() * 1000)))
 
-    def drop(self, address: str) -> None:
-        """Breaks the link to a daemon that does not answer any more."""
-        link = self._outgoing.pop(address, None)
-        if link is not None:
+    def doubt(self, address: str) -> None:
+        """Breaks the link to a daemon that is not heard any more, unless it may only stall."""
+        link = self._outgoing.get(address)
+        if link is not None and link.is_dead():
+            del self._outgoing[address]
             link.close()
 
+    def trust(self, address: str) -> None:
+        """Takes note that a daemon is heard."""
+        link = self._outgoing.get(address)
+        if link is not None:
+            link.trust()
+
     async def _connect(self, address: str) -> Link | None:
         link = Link(
             self._member_id,
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -70,8 +70,10 @@
         self._beliefs.expire()
         self._presence.follow_isolation()
         for daemon in self._members.others:
-            if not self._members.is_alive(daemon.member_id, now_ms()):
-                self._links.drop(daemon.peer_address)
+            if self._members.is_alive(daemon.member_id, now_ms()):
+                self._links.trust(daemon.peer_address)
+            else:
+                self._links.doubt(daemon.peer_address)
 
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -12,6 +12,8 @@
 
 # Without a word for so long, the kernel asks the other side whether it is there.
 DEFAULT_IDLE_S = 5
+# Place in the kernel's `struct tcp_info`: how often the oldest bytes were sent again in vain.
+_RETRANSMITS = 2
 
 
 def limit_silence(
@@ -41,3 +43,16 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3)
         if unacknowledged_ms:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, unacknowledged_ms)
+
+
+def is_resending(transport: asyncio.Transport) -> bool:
+    """Whether the kernel sends again, since the other host has acknowledged nothing for a while."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return False
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _RETRANSMITS + 1)
+    except OSError:
+        # The connection is over, which its protocol is told.
+        return False
+    return info[_RETRANSMITS] > 0
--- a/tests/gateway/members/test_links.py
+++ b/tests/gateway/members/test_links.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import ctypes
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.members import links
@@ -12,11 +15,17 @@
 from quincespool.gateway.members.messages import LinkProbe
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from collections.abc import Callable
 
     import pytest
 
 INTERVALS = 30
+# The kernel sends again after 0.2 s, then after twice as long.
+RESENT_S = 0.5
+SO_ATTACH_FILTER = 26
+# One instruction of the kernel's filters: keep 0 bytes.
+_RETURN_ZERO = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
 
 
 async def test_links_are_probed_while_something_is_waited_for(
@@ -97,3 +106,78 @@
         on_lost=lambda link: None,
         on_refused=on_refused,
     )
+
+
+async def test_a_turn_at_a_process_that_stalls_keeps_its_link(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A peer that was short of processor time lost every turn that others had handed to it."""
+    monkeypatch.setattr(links, "STALL_LIMIT_S", 60.0)
+    async with _linked() as (here, address, link, _):
+        link.waiting += 1
+        here.doubt(address)
+        link.send(LinkProbe(sent_ms=1))
+        await asyncio.sleep(RESENT_S)
+        here.doubt(address)
+        assert await here.get(address) is link
+        monkeypatch.setattr(links, "STALL_LIMIT_S", 0.0)
+        here.doubt(address)
+        await asyncio.sleep(0)
+        assert link.lost
+
+
+async def test_a_turn_at_a_host_that_acknowledges_nothing_loses_its_link_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(links, "STALL_LIMIT_S", 60.0)
+    async with _linked() as (here, address, link, far):
+        assert far._transport is not None
+        sock = far._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, _drop_all())
+        link.waiting += 1
+        link.send(LinkProbe(sent_ms=1))
+        await asyncio.sleep(RESENT_S)
+        here.doubt(address)
+        await asyncio.sleep(0)
+        assert link.lost
+
+
+async def test_a_link_on_which_nothing_waits_is_broken_when_its_daemon_is_silent() -> None:
+    async with _linked() as (here, address, link, _):
+        here.doubt(address)
+        await asyncio.sleep(0)
+        assert link.lost
+
+
+async def test_a_daemon_that_was_heard_again_is_doubted_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(links, "STALL_LIMIT_S", 0.2)
+    async with _linked() as (here, address, link, _):
+        link.waiting += 1
+        here.doubt(address)
+        await asyncio.sleep(0.3)
+        here.trust(address)
+        here.doubt(address)
+        assert not link.lost
+
+
+@contextlib.asynccontextmanager
+async def _linked() -> AsyncIterator[tuple[Links, str, Link, Link]]:
+    """Yields links, the address of others, and both ends of the link between them."""
+    here, there = _make_links("here"), _make_links("there")
+    await there.start("127.0.0.1", 0)
+    address = f"127.0.0.1:{there._listener.port}"
+    link = await here.get(address)
+    assert link is not None
+    async with asyncio.timeout(2.0):
+        while not there._incoming:
+            await asyncio.sleep(0.01)
+    yield here, address, link, next(iter(there._incoming))
+    here.stop()
+    there.stop()
+
+
+def _drop_all() -> bytes:
+    """Returns a socket filter that drops all that comes, which the kernel then acknowledges not."""
+    return struct.pack("HP", 1, ctypes.addressof(_RETURN_ZERO))
