Records that nobody needs are trimmed, and a full store is told from one away

With the store full, appends are answered 507: turns are refused as `partition_stalled` or end as `record_not_kept`, while metrics and logs show a store that answers.

Class: a limit of the platform that nothing here looks at.

Trimming has no fence: the offset is taken first, then the store confirms the owner by an empty append, so one that was shut out deletes nothing. A record that this version can't read is kept. `store full` and `store has room` in the log, `gateway_store_full`, `gateway_log_trims_total`.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -32,6 +32,7 @@
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns.program_parts import ProgramParts
 from quincespool.gateway.turns.renewal import Renewals
+from quincespool.gateway.turns.trimming import Trimming
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
@@ -251,6 +252,11 @@
             renewals=Renewals(
                 store_retention_ms=int(1_000 * settings.store_retention_s), metrics=self._metrics
             ),
+            trimming=Trimming(
+                partition_count=self._parts.partition_count,
+                store_full=lambda: self._store_health.full,
+                metrics=self._metrics,
+            ),
         )
         self._stop = PlannedStop(
             ownership=self._ownership,
@@ -265,6 +271,7 @@
         self._metrics.watch("http_connections", lambda: self._front_port.connection_count)
         self._metrics.watch("processor_seconds", time.process_time)
         self._metrics.watch("ready", lambda: float(self._is_ready()))
+        self._metrics.watch("gateway_store_full", lambda: float(self._store_health.full))
         self._metrics.watch("gateway_partitions", lambda: len(self._ownership.owned))
 
     async def start(self) -> None:
@@ -340,7 +347,7 @@
 
     def _note_store_call(self, path: str, status: str) -> None:
         self._metrics.count("gateway_store_calls_total", path=path, status=status)
-        self._store_health.note(status)
+        self._store_health.note(path, status)
 
     def _note_partition(self, owned: OwnedPartition, detail: str) -> None:
         self._log.write("partition", **owned.dump(), lost=owned.lost, detail=detail)
--- a/src/quincespool/gateway/store/beliefs.py
+++ b/src/quincespool/gateway/store/beliefs.py
@@ -48,6 +48,7 @@
 
     Attributes:
       reachable: Whether it did lately.
+      full: Whether it had no room for the last append; it answers all the same.
       lapses_until_ms: Steady clock until which entries that lapsed meanwhile may be missing.
     """
 
@@ -55,6 +56,7 @@
         self, log: DecisionLog, now_ms: Callable[[], int], *, on_return: Callable[[], None]
     ) -> None:
         self.reachable = True
+        self.full = False
         self.lapses_until_ms = 0
         self._log = log
         self._now_ms = now_ms
@@ -68,8 +70,10 @@
         silent_ms = self._now_ms() - self._succeeded_ms
         return self._failures == 0 and silent_ms <= SILENCE_TO_LOSE_MS
 
-    def note(self, status: str) -> None:
+    def note(self, path: str, status: str) -> None:
         """Takes the outcome of a request in: a status or `unanswered`."""
+        if status == "507" or (self.full and status == "200" and path == "/log-append"):
+            self._note_room(is_full=status == "507")
         if status in ("unanswered", "503", "429"):
             self._failures += 1
             silent_ms = self._now_ms() - self._succeeded_ms
@@ -89,6 +93,11 @@
             self._log.write_always("store regained")
             self._on_return()
 
+    def _note_room(self, *, is_full: bool) -> None:
+        if is_full != self.full:
+            self.full = is_full
+            self._log.write_always("store full" if is_full else "store has room")
+
 
 class Beliefs:
     """Follows the store's topics and the heartbeats of other daemons."""
--- a/src/quincespool/gateway/store/interface.py
+++ b/src/quincespool/gateway/store/interface.py
@@ -57,6 +57,13 @@
         self.first_offset = first_offset
 
 
+class FullError(StoreError):
+    """The store has no room for an append; it answers everything else."""
+
+    def __init__(self) -> None:
+        super().__init__("the store is full", refused=True)
+
+
 class Page(NamedTuple):
     """Records from one read; the first one stands at the offset that was asked for."""
 
@@ -111,6 +118,9 @@
           ExpiredError: if they are no longer retained.
         """
 
+    async def trim(self, partition: Partition, before: int) -> None:
+        """Deletes the records before an offset."""
+
     async def read_keyed(self, topic: str, from_offset: int, *, wait_ms: int) -> KeyedPage:
         """Returns the records of a keyed topic from an offset on, waiting for the first one.
 
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -69,6 +69,9 @@
 
     It tells the state and no change, so reading it after the records that it replaces, or in their
     place, comes to the same.
+
+    Attributes:
+      part_count: Records of the program just before this one that belong to it.
     """
 
     program_id: str
@@ -76,6 +79,7 @@
     reserved: dict[str, int]
     retention_ms: int
     kept_until_ms: int
+    part_count: int
     at_ms: int
 
 
@@ -239,6 +243,7 @@
                 reserved=dict(program.reserved),
                 retention_ms=program.retention_ms,
                 kept_until_ms=program.kept_until_ms,
+                part_count=len(program.turns),
                 at_ms=at_ms,
             )
         )
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -19,9 +19,11 @@
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import decode_record
 from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.log_extent import LogExtent
 from quincespool.gateway.turns.uncertain import UncertainTokens
 
 if TYPE_CHECKING:
@@ -60,6 +62,8 @@
     program_id: str
     kept: asyncio.Future[None]
     urgent: bool
+    # See `LogExtent.note`.
+    replaces: int
 
 
 class LostPartitionError(Exception):
@@ -99,6 +103,7 @@
         self.stalled = False
         self.ready_event = asyncio.Event()
         self.uncertain = UncertainTokens()
+        self._extent = LogExtent()
         self._store = store
         self._hedged = hedged
         self._on_change = on_change
@@ -155,7 +160,8 @@
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        waiting = _Waiting(encode_record(record), record.program_id, future, urgent)
+        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+        waiting = _Waiting(encode_record(record), record.program_id, future, urgent, replaces)
         self._waiting.append(waiting)
         if urgent:
             self._wake.set()
@@ -195,6 +201,25 @@
         if self.ledger.expire(wall_ms, grace_ms=grace_ms):
             self.uncertain.forget_others(self.ledger.programs)
 
+    def needless_before(self, least_bytes: int) -> int | None:
+        """Returns the offset before which no record is needed, None if that frees too little."""
+        if not self.ready:
+            return None
+        return self._extent.needless_before(self.ledger.programs, least_bytes=least_bytes)
+
+    async def trim(self, before: int) -> None:
+        """Deletes the records before an offset that `needless_before` has returned.
+
+        Raises:
+          LostPartitionError: if another daemon has taken the partition over.
+          StoreError: if the store does not answer.
+        """
+        # Trimming is not fenced, and programs that an owner shut out long ago takes for over may go
+        # on at the next one. What was needless before the store confirms the owner stays so.
+        await self.confirm()
+        await self._store.trim(self.partition, before)
+        self._extent.trimmed(before)
+
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be appended."""
@@ -267,13 +292,18 @@
             await self._hedged.pause(FIRST_RETRY_S)
             return offset
         self.stalled = False
-        for data in page.records:
+        for position, data in enumerate(page.records, start=offset):
             try:
-                self.ledger.apply(decode_record(data))
+                record = decode_record(data)
+                self.ledger.apply(record)
+                replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+                self._extent.note(position, record.program_id, len(data), replaces=replaces)
             except msgspec.DecodeError as error:
+                self._extent.note_unknown(position)
                 # A record of a version that this one does not know; its turn can't be continued
                 # here, and the log line is the only sign.
                 self._on_change(self, f"undecodable record: {error}")
+        self._extent.mark(offset + len(page.records))
         return offset + len(page.records)
 
     async def _append_batch(self) -> None:
@@ -284,12 +314,15 @@
                 break
             batch.append(waiting)
             size_bytes += len(waiting.data)
-        await self._append([waiting.data for waiting in batch])
+        end_offset = await self._append([waiting.data for waiting in batch])
         del self._waiting[: len(batch)]
-        for waiting in batch:
+        for offset, waiting in enumerate(batch, start=end_offset - len(batch)):
+            size_bytes = len(waiting.data)
+            self._extent.note(offset, waiting.program_id, size_bytes, replaces=waiting.replaces)
             self.uncertain.kept(waiting.program_id)
             if not waiting.kept.done():
                 waiting.kept.set_result(None)
+        self._extent.mark(end_offset)
         on_their_way = {waiting.program_id for waiting in self._waiting}
         self.uncertain.settle({waiting.program_id for waiting in batch} - on_their_way)
 
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -20,6 +20,7 @@
     from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.turns.renewal import Renewals
     from quincespool.gateway.turns.runner import TurnRunner
+    from quincespool.gateway.turns.trimming import Trimming
 
 # Between two looks at a peer that is silent; a small part of the time for which it may be.
 SILENCE_CHECK_MS = 50
@@ -44,6 +45,7 @@
         turns: TurnRunner,
         quiet_backends: QuietBackends,
         renewals: Renewals,
+        trimming: Trimming,
     ) -> None:
         self._beliefs = beliefs
         self._presence = presence
@@ -53,6 +55,7 @@
         self._turns = turns
         self._quiet_backends = quiet_backends
         self._renewals = renewals
+        self._trimming = trimming
 
     def subscribe(self, ticker: Ticker) -> None:
         """Has the work done at its intervals."""
@@ -83,6 +86,7 @@
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
             owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+            self._trimming.trim(owned)
         self._turns.forget_programs()
 
     def _renew(self) -> None:
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -100,6 +100,10 @@
     "gateway_programs_renewed_total": MetricSpec(
         "counter", "Programs written again before the store drops their oldest records."
     ),
+    "gateway_log_trims_total": MetricSpec(
+        "counter", "Times that records which no program needs were deleted from the store."
+    ),
+    "gateway_store_full": MetricSpec("gauge", "1 while the store has no room for appends."),
     "gateway_store_hedges_total": MetricSpec("counter", "Requests to it sent once more."),
     "gateway_limits_total": MetricSpec("counter", "Calls of limited accounts by what was decided."),
     "gateway_limit_ms": MetricSpec("histogram", "From a call of a limited account to its permit."),
--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.store.interface import Assignment
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import FullError
 from quincespool.gateway.store.interface import KeyedPage
 from quincespool.gateway.store.interface import KeyedRecord
 from quincespool.gateway.store.interface import Page
@@ -124,6 +125,11 @@
         """See `Store.read`."""
         return await self._read(partition, from_offset, wait_ms=0)
 
+    async def trim(self, partition: Partition, before: int) -> None:
+        """See `Store.trim`."""
+        query = {"topic": partition.topic, "part": partition.number, "before": before}
+        await self._post("/log-trim", query, b"")
+
     async def read_keyed(self, topic: str, from_offset: int, *, wait_ms: int) -> KeyedPage:
         """See `Store.read_keyed`."""
         page = await self._read(Partition(topic, 0), from_offset, wait_ms=wait_ms)
@@ -221,6 +227,8 @@
             return SequenceError(conflict.expected or conflict.sequence)
     if answer.status == 410:
         return ExpiredError(msgspec.json.decode(answer.body, type=_Gone).first)
+    if answer.status == 507:
+        return FullError()
     detail = answer.body[:200].decode("utf-8", "replace")
     return StoreError(f"status {answer.status}: {detail}", refused=True)
 
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -3,15 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
+
+import pytest
 
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.log_extent import LogExtent
+from quincespool.gateway.turns.partition import LostPartitionError
 from tests.gateway.gateway_cluster import GatewayCluster
 
+if TYPE_CHECKING:
+    from quincespool.gateway.turns.partition import OwnedPartition
+
 RECORDS_A_TURN = 2
+# The oldest end of a program that is kept for a second is forgotten after its grace.
+LONG_AGO_MS = 3_600_000
 
 
 def _drop_oldest(cluster: GatewayCluster, program: str) -> None:
@@ -142,3 +152,65 @@
         assert reply.status == 402
         _, reply = await cluster.turn("h", "p1", previous=first, budget=130, most=30)
         assert reply.status == 200
+
+
+def _owned(cluster: GatewayCluster, program: str) -> OwnedPartition:
+    for node in cluster.nodes.values():
+        owned = node.daemon._ownership.owned.get(node.daemon._parts.relay._partition_for(program))
+        if owned is not None:
+            return owned
+    raise AssertionError(program)
+
+
+def _old_turn(number: int) -> TurnEnded:
+    ended_ms = wall_ms() - LONG_AGO_MS
+    return TurnEnded(f"old-{number}", "p1", "", bytes(100_000), b"", 0, 1_000, ended_ms)
+
+
+async def test_a_store_without_room_gets_some_by_trimming_and_loses_nothing_needed() -> None:
+    async with GatewayCluster() as cluster:
+        owned = _owned(cluster, "p1")
+        await asyncio.gather(*[owned.keep(_old_turn(number)) for number in range(5)])
+        first, _ = await cluster.turn("a", "p2", body=b"one|")
+        cluster.state.total_bytes = cluster.state.stored_bytes
+        _, reply = await cluster.turn("a", "p3", deadline_ms=1_000)
+        assert reply.status != 200
+        await cluster.until(lambda: cluster.state.calls_to["/log-trim"], limit_s=5)
+        await cluster.until(
+            lambda: not any(n.daemon._store_health.full for n in cluster.nodes.values())
+        )
+
+        await _replace_all(cluster)
+        for program in ("p2", "p3"):
+            _, reply = await cluster.turn("h", program, previous=first)
+            assert reply.status == 200
+
+
+async def test_an_owner_shut_out_trims_nothing() -> None:
+    async with GatewayCluster() as cluster:
+        owned = _owned(cluster, "p1")
+        await asyncio.gather(*[owned.keep(_old_turn(number)) for number in range(5)])
+        cluster.state.partition(*owned.partition).epoch += 1
+        owned.expire(wall_ms(), grace_ms=0)
+        before = owned.needless_before(1)
+        assert before is not None
+        with pytest.raises(LostPartitionError):
+            await owned.trim(before)
+        assert cluster.state.calls_to["/log-trim"] == 0
+
+
+def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
+    extent = LogExtent()
+    for offset, program in enumerate(("p", "q", "p", "p", "q")):
+        extent.note(offset, program, 60_000)
+        extent.mark(offset + 1)
+    assert extent.needless_before({"p", "q"}, least_bytes=1) is None
+    assert extent.needless_before({"q"}, least_bytes=1) == 1
+    extent.note(5, "q", 60_000, replaces=1)
+    extent.mark(6)
+    assert extent.needless_before({"q"}, least_bytes=1) == 4
+    assert extent.needless_before({"q"}, least_bytes=300_000) is None
+    extent.note_unknown(2)
+    assert extent.needless_before({"q"}, least_bytes=1) == 2
+    extent.trimmed(2)
+    assert extent.needless_before({"q"}, least_bytes=1) is None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -8,6 +8,7 @@
 
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import FencedError
+from quincespool.gateway.store.interface import FullError
 from quincespool.gateway.store.interface import KeyedRecord
 from quincespool.gateway.store.interface import Partition
 from quincespool.gateway.store.interface import SequenceError
@@ -99,6 +100,21 @@
         assert [one.value for one in (await client.read_newest("keyed.op")).records] == [b"1"]
 
 
+async def test_a_full_store_says_so_and_takes_records_again_after_trimming() -> None:
+    async with make_platform_store() as store:
+        client = _client(store)
+        store.state.total_bytes = 18
+        await client.append(PARTITION, [b"12345"] * 2, epoch=1, sequence=0)
+        with pytest.raises(FullError):
+            await client.append(PARTITION, [b"12345"], epoch=1, sequence=1)
+        await client.trim(PARTITION, 1)
+        assert await client.append(PARTITION, [b"67890"], epoch=1, sequence=1) == 3
+
+        with pytest.raises(ExpiredError):
+            await client.read(PARTITION, 0)
+        assert (await client.read(PARTITION, 1)).records == [b"12345", b"67890"]
+
+
 async def test_a_group_deals_partitions_and_tells_who_has_them() -> None:
     async with make_platform_store() as store:
         client = _client(store)
