An owner that has lost its partition denies no turn

Cause: a new program went on from a turn of another one; while its history was looked for, the owner gave the partition up. What it submitted to the lost partition was dropped, so the turn was not there, and the store, asked to confirm the owner, did, since nobody had taken over yet. Class: an answer that ends a program rests on the store's word about an epoch, and the partition itself was known to be gone. Now a partition that was lost here confirms nothing, before and after the store has said its word; the turn is refused as not run and comes to the next owner.

--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -189,12 +189,19 @@
           LostPartitionError: if somebody has.
           StoreError: if the store does not say.
         """
+        self._check_not_lost()
         # Whoever asks while one request is under way shares the next one.
         if self._next_check is None:
             check = self._check_after(self._check)
             self._next_check = asyncio.get_running_loop().create_task(check)
             self._next_check.add_done_callback(forget_error)
         await asyncio.shield(self._next_check)
+        # While nobody has taken it over, the store says so of a partition that was lost here too.
+        self._check_not_lost()
+
+    def _check_not_lost(self) -> None:
+        if self.lost:
+            raise LostPartitionError
 
     async def _check_after(self, running: asyncio.Task[None] | None) -> None:
         if running is not None:
--- /dev/null
+++ b/tests/gateway/turns/test_imported_histories.py
@@ -0,0 +1,47 @@
+"""Programs that go on from a turn of another program while partitions change hands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from tests.gateway.gateway_cluster import GatewayCluster
+
+if TYPE_CHECKING:
+    import pytest
+
+    from quincespool.gateway.store.interface import Partition
+    from quincespool.gateway.turns.finder import FoundTurn
+    from quincespool.gateway.turns.partition import OwnedPartition
+
+
+def _program_of(cluster: GatewayCluster, node: str) -> str:
+    """Returns the id of a program whose partition a daemon owns."""
+    daemon = cluster.nodes[node].daemon
+    ids = (f"p{number}" for number in range(100))
+    return next(
+        one for one in ids if daemon._parts.relay._partition_for(one) in _owned(cluster, node)
+    )
+
+
+def _owned(cluster: GatewayCluster, node: str) -> dict[Partition, OwnedPartition]:
+    return cluster.nodes[node].daemon._ownership.owned
+
+
+async def test_a_turn_is_not_denied_by_an_owner_that_loses_its_partition_meanwhile(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with GatewayCluster() as cluster:
+        there, here = _program_of(cluster, "b"), _program_of(cluster, "a")
+        first, _ = await cluster.turn("a", there, body=b"one|")
+        daemon = cluster.nodes["a"].daemon
+        finder = daemon._parts.finder
+        find = finder.find
+
+        async def find_and_lose(turn_id: str, account: str) -> FoundTurn | None:
+            found = await find(turn_id, account)
+            _owned(cluster, "a")[daemon._parts.relay._partition_for(here)].lose("leaving")
+            return found
+
+        monkeypatch.setattr(finder, "find", find_and_lose)
+        _, reply = await cluster.turn("a", here, previous=first)
+        assert reply.status == 503
--- a/tests/gateway/turns/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -99,3 +99,17 @@
         await asyncio.gather(*[owned.confirm() for _ in range(50)])
 
         assert store.state.calls - before <= 2
+
+
+async def test_a_partition_that_was_lost_here_confirms_nothing_though_nobody_has_it() -> None:
+    async with make_platform_store() as store:
+        owned = _own(store, 1)
+        await owned.ready_event.wait()
+        asked = asyncio.create_task(owned.confirm())
+        await asyncio.sleep(0)
+        owned.lose("leaving")
+
+        with pytest.raises(LostPartitionError):
+            await asked
+        with pytest.raises(LostPartitionError):
+            await owned.confirm()
