A clock that steps forward forgets no program

What callers saw: 404 for a turn answered seconds ago, and a fresh budget, after the owner's time of day was set forward by more than 30 s beyond the retention.

Cause: programs expired by the present owner's time of day against the one of whoever wrote the record. Class: two clocks compared, one of which may jump.

Why this works: a program is forgotten only when the steady clock says so as well, counted from when its present end was first seen here, read or written (`FirstSeen`, which the renewals use already). A clock set back keeps programs longer, as before.

Evidence: test_a_clock_that_steps_forward_forgets_no_program failed before with 404. tests/gateway, tests/platform, tests/test_settings.py: 347 passed.

--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import msgspec
 
 from quincespool.gateway.model import account_of
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Records of the store take 256 KiB; the rest is room for ids.
 MAX_PART_BYTES = 200_000
 
@@ -249,18 +253,30 @@
         )
         return records
 
-    def expire(self, now_ms: int, *, grace_ms: int) -> int:
+    def expire(
+        self,
+        now_ms: int,
+        *,
+        grace_ms: int,
+        known_ms: Callable[[str, int], int] | None = None,
+    ) -> int:
         """Forgets programs whose turns can no longer be continued; returns how many.
 
         Args:
           now_ms: Wall clock.
+          known_ms: Tells for how long a program's end is known here, by the steady clock. The time
+            of day may be set forward, and was another host's when the record was written.
           grace_ms: Longer than clocks of daemons differ and any turn takes; an open turn of a
             daemon that has died holds its program for no longer than this.
         """
         over = [
             program_id
             for program_id, program in self.programs.items()
-            if program.kept_until_ms + grace_ms < now_ms
+            if (
+                known_ms is None
+                or known_ms(program_id, program.kept_until_ms) >= program.retention_ms + grace_ms
+            )
+            and program.kept_until_ms + grace_ms < now_ms
         ]
         for program_id in over:
             for turn_id in self.programs.pop(program_id).turns:
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.first_seen import FirstSeen
 from quincespool.gateway.futures import forget_error
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import FencedError
@@ -104,6 +105,7 @@
         self.ready_event = asyncio.Event()
         self.uncertain = UncertainTokens()
         self._extent = LogExtent()
+        self._seen = FirstSeen()
         self._store = store
         self._hedged = hedged
         self._on_change = on_change
@@ -196,10 +198,15 @@
             self.lose("fenced")
             raise LostPartitionError from error
 
-    def expire(self, wall_ms: int, *, grace_ms: int) -> None:
+    def expire(self, wall_ms: int, *, steady_ms: int, grace_ms: int) -> None:
         """Forgets programs that can no longer be continued; see `Ledger.expire`."""
-        if self.ledger.expire(wall_ms, grace_ms=grace_ms):
+
+        def known_ms(program_id: str, kept_until_ms: int) -> int:
+            return self._seen.age_ms(program_id, kept_until_ms, steady_ms)
+
+        if self.ledger.expire(wall_ms, grace_ms=grace_ms, known_ms=known_ms):
             self.uncertain.forget_others(self.ledger.programs)
+            self._seen.forget_others(self.ledger.programs)
 
     def needless_before(self, least_bytes: int) -> int | None:
         """Returns the offset before which no record is needed, None if that frees too little."""
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -85,7 +85,7 @@
 
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
-            owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+            owned.expire(wall_ms(), steady_ms=now_ms(), grace_ms=LEDGER_GRACE_MS)
             self._trimming.trim(owned)
         self._turns.forget_programs()
 
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from quincespool.gateway import upkeep
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
@@ -167,7 +169,10 @@
     return TurnEnded(f"old-{number}", "p1", "", bytes(100_000), b"", 0, 1_000, ended_ms)
 
 
-async def test_a_store_without_room_gets_some_by_trimming_and_loses_nothing_needed() -> None:
+async def test_a_store_without_room_gets_some_by_trimming_and_loses_nothing_needed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(upkeep, "LEDGER_GRACE_MS", 0)
     async with GatewayCluster() as cluster:
         owned = _owned(cluster, "p1")
         await asyncio.gather(*[owned.keep(_old_turn(number)) for number in range(5)])
@@ -191,7 +196,8 @@
         owned = _owned(cluster, "p1")
         await asyncio.gather(*[owned.keep(_old_turn(number)) for number in range(5)])
         cluster.state.partition(*owned.partition).epoch += 1
-        owned.expire(wall_ms(), grace_ms=0)
+        for steady_ms in (now_ms(), now_ms() + 1_000):
+            owned.expire(wall_ms(), steady_ms=steady_ms, grace_ms=0)
         before = owned.needless_before(1)
         assert before is not None
         with pytest.raises(LostPartitionError):
@@ -199,6 +205,28 @@
         assert cluster.state.calls_to["/log-trim"] == 0
 
 
+async def test_a_clock_that_steps_forward_forgets_no_program(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        monkeypatch.setattr(upkeep, "wall_ms", lambda: wall_ms() + 100_000)
+        await asyncio.sleep(2.5)
+        _, reply = await cluster.turn("b", "p1", previous=first)
+        assert reply.status == 200
+
+
+async def test_programs_are_forgotten_when_both_clocks_say_so() -> None:
+    async with GatewayCluster() as cluster:
+        await cluster.turn("a", "p1")
+        owned = _owned(cluster, "p1")
+        began_ms = now_ms()
+        for passed_ms, is_kept in ((0, True), (60_999, True), (61_000, False)):
+            later_ms = wall_ms() + 70_000
+            owned.expire(later_ms, steady_ms=began_ms + passed_ms, grace_ms=1_000)
+            assert ("p1" in owned.ledger.programs) == is_kept
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
