What a turn's chain rests on is kept where its end is

Cause: a new program goes on from a turn of another one; the owner copies its history into its own partition, is shut out before the copy is appended, and the end of the turn is kept by the next owner, the copy by nobody. Class: of several records that belong together one follows the partition to its next owner, the others do not. The pieces of an input too long for one record were lost in the same way. Now the pieces of history that a partition was lost with are handed to the next owner before the end of a turn that rests on them, which is whole only then.

--- a/src/quincespool/gateway/turns/finder.py
+++ b/src/quincespool/gateway/turns/finder.py
@@ -16,7 +16,7 @@
 from quincespool.gateway.members.messages import TurnFound
 from quincespool.gateway.store.interface import Partition
 from quincespool.gateway.store.interface import StoreError
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 
 if TYPE_CHECKING:
     from quincespool.gateway.members.links import Link
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import time
-from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -20,13 +19,17 @@
 from quincespool.gateway.store.interface import FencedError
 from quincespool.gateway.store.interface import SequenceError
 from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.confirmation import SharedQuestion
 from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import decode_record
 from quincespool.gateway.turns.ledger import encode_record
 from quincespool.gateway.turns.log_extent import LogExtent
+from quincespool.gateway.turns.settlement import LostPartitionError
+from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.uncertain import UncertainTokens
 
 if TYPE_CHECKING:
@@ -49,20 +52,6 @@
 MAX_BATCH_BYTES = 1_000_000
 
 
-class Settlement(StrEnum):
-    """What became of a record of a turn that began at an earlier owner.
-
-    Attributes:
-      KEPT: It is durable.
-      OVER_BUDGET: It would start a turn for which the budget is not enough any more.
-      NOT_HERE: Another daemon owns the partition, or it is not read yet.
-    """
-
-    KEPT = "kept"
-    OVER_BUDGET = "over_budget"
-    NOT_HERE = "not_here"
-
-
 class _Waiting(NamedTuple):
     data: bytes
     program_id: str
@@ -72,10 +61,6 @@
     replaces: int
 
 
-class LostPartitionError(Exception):
-    """Another daemon owns the partition now; what was not yet kept is not."""
-
-
 class OwnedPartition:
     """Writes under one epoch, one batch at a time, in the order in which records were handed over.
 
@@ -120,9 +105,9 @@
         self._on_change = on_change
         self._sequence = 0
         self._turns = 0
-        self._check: asyncio.Task[None] | None = None
-        self._next_check: asyncio.Task[None] | None = None
+        self._confirmation = SharedQuestion(self._ask_store)
         self._waiting: list[_Waiting] = []
+        self._unkept: list[bytes] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -167,6 +152,7 @@
         future.add_done_callback(forget_error)
         if self.lost:
             future.set_exception(LostPartitionError())
+            self._unkept.append(encode_record(record))
             return future
         # Folded in at once: two turns that come at the same moment must not both find the budget
         # that is left for one. What follows stands behind this record in the log, so a daemon that
@@ -192,12 +178,7 @@
           StoreError: if the store does not say.
         """
         self._check_not_lost()
-        # Whoever asks while one request is under way shares the next one.
-        if self._next_check is None:
-            check = self._check_after(self._check)
-            self._next_check = asyncio.get_running_loop().create_task(check)
-            self._next_check.add_done_callback(forget_error)
-        await asyncio.shield(self._next_check)
+        await self._confirmation.ask()
         # While nobody has taken it over, the store says so of a partition that was lost here too.
         self._check_not_lost()
 
@@ -205,15 +186,20 @@
         if self.lost:
             raise LostPartitionError
 
-    async def _check_after(self, running: asyncio.Task[None] | None) -> None:
-        if running is not None:
-            await asyncio.wait({running})
-        self._check, self._next_check = self._next_check, None
+    async def _ask_store(self) -> None:
         try:
             await self._hedged.first(lambda: self._send([]))
-        except FencedError as error:
+        except FencedError:
             self.lose("fenced")
-            raise LostPartitionError from error
+
+    def unkept_history(self, program_id: str) -> list[HistoryPart]:
+        """Returns the pieces of a program's history that the partition was lost with.
+
+        A turn whose end is kept by the next owner rests on them.
+        """
+        records = [decode_record(data) for data in self._unkept]
+        parts = [one for one in records if isinstance(one, HistoryPart)]
+        return [one for one in parts if one.program_id == program_id]
 
     def expire(self, wall_ms: int, *, steady_ms: int, grace_ms: int) -> None:
         """Forgets programs that can no longer be continued; see `Ledger.expire`."""
@@ -289,6 +275,7 @@
             if not waiting.kept.done():
                 waiting.kept.set_exception(LostPartitionError())
         self._on_change(self, reason)
+        self._unkept = [waiting.data for waiting in self._waiting]
         self._waiting.clear()
 
     def dump(self) -> dict[str, object]:
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -28,11 +28,11 @@
 from quincespool.gateway.store.interface import Partition
 from quincespool.gateway.turns.ledger import decode_record
 from quincespool.gateway.turns.ledger import encode_record
-from quincespool.gateway.turns.partition import Settlement
 from quincespool.gateway.turns.relay_codec import read_headers
 from quincespool.gateway.turns.relay_codec import read_relay
 from quincespool.gateway.turns.relay_codec import write_headers
 from quincespool.gateway.turns.relay_codec import write_relay
+from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.turn_records import STORE_AWAY
 from quincespool.verdict import Verdict
 
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -11,7 +11,7 @@
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import split_history
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.turn_records import STORE_AWAY
 from quincespool.gateway.turns.turn_records import BrokenTurnError
 from quincespool.gateway.turns.turn_records import RecordServices
--- a/src/quincespool/gateway/turns/trimming.py
+++ b/src/quincespool/gateway/turns/trimming.py
@@ -6,7 +6,7 @@
 
 from quincespool.gateway.futures import start_kept
 from quincespool.gateway.store.interface import StoreError
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 
 if TYPE_CHECKING:
     import asyncio
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -16,7 +16,7 @@
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import split_history
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -248,8 +248,18 @@
         except TimeoutError:
             return False
         except LostPartitionError:
-            left_ms = until_ms - now_ms()
-            return await self._settle(record, left_ms)
+            return await self._settle_with_history(record, until_ms)
+
+    async def _settle_with_history(self, record: Record, until_ms: int) -> bool:
+        """Has the next owner keep a record, and before it what its chain rests on.
+
+        Without these the turn would be whole, and nothing could go on from it.
+        """
+        parts = self._owned.unkept_history(self._turn.program_id)
+        for one in [*parts, record]:
+            if not await self._settle(one, until_ms - now_ms()):
+                return False
+        return True
 
     async def _durable_start(self) -> None:
         assert self._start_kept is not None
--- a/tests/gateway/turns/partition_walk.py
+++ b/tests/gateway/turns/partition_walk.py
@@ -25,9 +25,9 @@
 from quincespool.gateway.turns.ledger import TurnBroken
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.partition import LostPartitionError
 from quincespool.gateway.turns.partition import OwnedPartition
-from quincespool.gateway.turns.partition import Settlement
+from quincespool.gateway.turns.settlement import LostPartitionError
+from quincespool.gateway.turns.settlement import Settlement
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/tests/gateway/turns/test_imported_histories.py
+++ b/tests/gateway/turns/test_imported_histories.py
@@ -45,3 +45,23 @@
         monkeypatch.setattr(finder, "find", find_and_lose)
         _, reply = await cluster.turn("a", here, previous=first)
         assert reply.status == 503
+
+
+async def test_an_imported_history_is_kept_where_the_turn_after_it_is() -> None:
+    async with GatewayCluster() as cluster:
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.gap_ms = 500
+        there, here = _program_of(cluster, "b"), _program_of(cluster, "a")
+        first, _ = await cluster.turn("b", there, body=b"one|")
+        # Nothing of what follows is appended here, and the lease runs out with the turn under way.
+        cluster.nodes["a"].store.knobs.silent = True
+        second, reply = await cluster.turn("a", here, previous=first, body=b"two|")
+        assert reply.status == 200
+        cluster.nodes["a"].store.knobs.silent = False
+        await cluster.until(cluster.is_settled)
+        before = cluster.runs(second)[0]
+
+        third, reply = await cluster.turn("b", here, previous=second, body=b"three|")
+        assert reply.status == 200
+        assert cluster.runs(third)[0].startswith(before)
+        assert cluster.runs(third)[0].endswith(b"three|")
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -15,7 +15,7 @@
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.log_extent import LogExtent
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 from tests.gateway.gateway_cluster import GatewayCluster
 
 if TYPE_CHECKING:
--- a/tests/gateway/turns/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -10,8 +10,8 @@
 from quincespool.gateway.store.hedged_calls import HedgedCalls
 from quincespool.gateway.store.interface import Partition
 from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.partition import LostPartitionError
 from quincespool.gateway.turns.partition import OwnedPartition
+from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.platform.store import PlatformStore
 from tests.support.standins.platform_store import make_platform_store
 
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -322,7 +322,7 @@
         await cluster.add_node("b")
         ownership = cluster.nodes["a"].daemon._ownership
         await cluster.until(lambda: len(ownership.owned) == 4)
-        await cluster.until(lambda: not ownership._retired, limit_s=3)
+        await cluster.until(lambda: not ownership._retired)
 
 
 async def _begin_long_turns(
