Claims are told whenever a partition that was taken over lately is given up

Cause: claims were told before an owner leaves, not before it loses a partition to a new assignment; between two announcements (20 ms) nobody heard who had shut the last owner out.

Now each giving up of what was taken within a second tells all claims first.

Tests of the last writer and of a stop that waits for others are added.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -160,6 +160,7 @@
             on_partition=self._note_partition,
             on_refused=self._note_refused,
             has_time_until=self._leaves_time_until,
+            tell_claims=self._tell_claims,
         )
         self._ownership = self._parts.ownership
         self._links = self._parts.links
@@ -202,6 +203,9 @@
     def _note_configuration(self) -> None:
         self._parts.copies.caught_up()
 
+    def _tell_claims(self) -> None:
+        self._presence.tell_claims()
+
     def _leaves_time_until(self, until_ms: int) -> bool:
         return self._stop.leaves_time_until(until_ms)
 
--- a/src/quincespool/gateway/planned_stop.py
+++ b/src/quincespool/gateway/planned_stop.py
@@ -77,7 +77,7 @@
     async def drain(self) -> None:
         """Returns when nothing is under way any more, or the time for the stop is over."""
         kept_ms = now_ms() + ADDRESS_KEPT_FACTOR * self._live.current.addresses_valid_ms
-        await self._ownership.leave(self._presence.tell_claims)
+        await self._ownership.leave()
         self._presence.tell_left()
         await self._until_idle(kept_ms)
         self._front_port.stop()
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -30,6 +30,8 @@
 UNCONFIRMED_RETRY_S = 0.1
 # How often a daemon that stepped aside looks whether anybody else is there.
 ASIDE_CHECK_S = 0.5
+# All others have heard of a partition that was taken over longer ago.
+CLAIM_KNOWN_MS = 1_000
 # After the assignment has changed, the next renewal lets the new owner have what it is to get.
 HAND_OVER_S = 0.01
 
@@ -66,6 +68,7 @@
         store_reachable: Callable[[], bool],
         on_change: Callable[[OwnedPartition, str], None],
         on_assignment: Callable[[int, int], None],
+        tell_claims: Callable[[], None],
     ) -> None:
         self.owned: dict[Partition, OwnedPartition] = {}
         # Given up, and still written for turns under way, by partition the newest last.
@@ -81,6 +84,7 @@
         self._store_reachable = store_reachable
         self._on_change = on_change
         self._on_assignment = on_assignment
+        self._tell_claims = tell_claims
         self._poke = asyncio.Event()
         self._wanted = True
         self._aside = False
@@ -159,12 +163,8 @@
                 pass
             self._poke.clear()
 
-    async def leave(self, tell_claims: Callable[[], None]) -> None:
-        """Gives all partitions up, what waits to be written first.
-
-        Others are told before what was owned: until somebody takes a partition over, what they
-        still have of its turns is kept here.
-        """
+    async def leave(self) -> None:
+        """Gives all partitions up, what waits to be written first."""
         self._wanted = False
         self._forget_dealt()
         self._poke.set()
@@ -174,7 +174,6 @@
             if all(one.stalled or (one.ready and one.idle) for one in self.owned.values()):
                 break
             await asyncio.sleep(0.01)
-        tell_claims()
         self._give_up(list(self.owned), "leaving")
         await self._release(self._member_id)
 
@@ -288,6 +287,13 @@
             self._poke.set()
 
     def _give_up(self, partitions: list[Partition], reason: str) -> None:
+        lately_ms = now_ms() - CLAIM_KNOWN_MS
+        if any(
+            self.owned[one].ready and self.owned[one].since_ms > lately_ms for one in partitions
+        ):
+            # Until somebody takes a partition over, what others still have of its turns is kept
+            # here; who has not heard the claim would not know where.
+            self._tell_claims()
         for partition in partitions:
             owned = self.owned.pop(partition)
             if owned.ready:
--- a/src/quincespool/gateway/turns/program_parts.py
+++ b/src/quincespool/gateway/turns/program_parts.py
@@ -65,6 +65,7 @@
         on_partition: Callable[[OwnedPartition, str], None],
         on_refused: Callable[[str], None],
         has_time_until: Callable[[int], bool],
+        tell_claims: Callable[[], None],
     ) -> None:
         topics = settings.owner_topic_names
         partitions = list_partitions(topics, settings.store_partitions)
@@ -79,6 +80,7 @@
             hedged=hedged,
             store_reachable=lambda: store_health.reachable,
             on_change=on_partition,
+            tell_claims=tell_claims,
             on_assignment=lambda generation, count: log.write(
                 "partitions assigned", generation=generation, partitions=count
             ),
--- a/tests/gateway/members/test_table.py
+++ b/tests/gateway/members/test_table.py
@@ -188,3 +188,25 @@
     assert members.owner(PARTITION, 0) == (_daemon("a"), 5)
     members.remove("a")
     assert members.owner(PARTITION, 0) is None
+
+
+def test_the_last_owner_writes_until_another_one_claims() -> None:
+    members = _members("a", "b")
+    members.hear("a", _beat(epoch=5), 0)
+    members.hear("b", _beat(epoch=6), 0)
+    members.hear("b", _beat(sequence=2, draining=True), 0)
+    assert members.owner(PARTITION, 0) == (_daemon("a"), 5)
+    assert members.writer(PARTITION, 0) == (_daemon("b"), 6)
+
+    members.hear("a", _beat(sequence=2, epoch=7), 0)
+    assert members.writer(PARTITION, 0) == (_daemon("a"), 7)
+
+
+def test_a_last_owner_that_is_gone_writes_no_more() -> None:
+    members = _members("a", "b")
+    members.hear("a", _beat(epoch=5), 0)
+    members.hear("b", _beat(epoch=6), 0)
+    members.suspect("b")
+    assert members.writer(PARTITION, 0) == (_daemon("a"), 5)
+    members.suspect("a")
+    assert members.writer(PARTITION, 0) is None
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -8,14 +8,14 @@
 from typing import cast
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.members.messages import Heartbeat
 from quincespool.gateway.members.table import Members
+from quincespool.gateway.model import Daemon
 from quincespool.gateway.planned_stop import ANSWER_MARGIN_MS
 from quincespool.gateway.planned_stop import STOP_MARGIN_MS
 from quincespool.gateway.planned_stop import PlannedStop
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from quincespool.gateway.callers.http_port import HttpPort
     from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.live_settings import LiveSettings
@@ -59,17 +59,25 @@
 class _Ownership:
     is_writing = False
 
+    def __init__(self, took_over_ms: int = 0) -> None:
+        self._took_over_ms = took_over_ms
+
     def writes_since(self, since_ms: int) -> bool:
-        return since_ms < 0
+        return self._took_over_ms > since_ms
 
-    async def leave(self, tell_claims: Callable[[], None]) -> None:
-        tell_claims()
+    async def leave(self) -> None:
+        return
 
 
-def _make_stop(port: _Port, relay: SimpleNamespace | None = None) -> PlannedStop:
+def _make_stop(
+    port: _Port,
+    relay: SimpleNamespace | None = None,
+    *,
+    took_over_ms: int = 0,
+    members: Members | None = None,
+) -> PlannedStop:
     live = SimpleNamespace(current=SimpleNamespace(stop_grace_ms=GRACE_MS, addresses_valid_ms=10))
     quiet = SimpleNamespace(
-        tell_claims=lambda: None,
         tell_left=lambda: None,
         draining=False,
         announce=lambda: None,
@@ -78,11 +86,11 @@
         settling=0,
     )
     return PlannedStop(
-        ownership=cast("Ownership", _Ownership()),
+        ownership=cast("Ownership", _Ownership(took_over_ms)),
         presence=cast("Presence", quiet),
         front_port=cast("HttpPort", port),
         relay=cast("Relay", relay or quiet),
-        members=Members("a"),
+        members=members or Members("a"),
         live=cast("LiveSettings", live),
         log=cast("DecisionLog", quiet),
     )
@@ -118,3 +126,23 @@
     relay.settling = 0
     await draining
     assert port.events[-1] == "ended"
+
+
+async def test_the_last_owner_of_a_partition_stays_while_another_daemon_stops() -> None:
+    port = _Port()
+    port.events.clear()
+    members = Members("a")
+    members.put(Daemon("b", 1, "z", "b:1", "b:2"), now_ms())
+    members.hear("b", _draining_beat(), now_ms())
+    stop = _make_stop(port, took_over_ms=now_ms(), members=members)
+    stop.begin()
+    draining = asyncio.create_task(stop.drain())
+    await asyncio.sleep(0.3)
+    assert "closed" not in port.events
+    members.suspect("b")
+    await draining
+    assert port.events[-1] == "ended"
+
+
+def _draining_beat() -> Heartbeat:
+    return Heartbeat(1, 1, True, 0, 0, (), store_reachable=True)
