The end of a backend server that leaves counts as no crash of its calls

A caller's long turn was refused by all daemons for two minutes (crashes_backends) while backend servers were half empty.

Cause: whatever was at a backend server when its connections ended and nothing listened there any more was held to have crashed it, also where it had told that it leaves, or its entry had gone, and simply ended. A turn that comes again after each of three planned ends was taken for a poison. Class: a planned end taken for a crash.

Now only calls at a backend server that was in use count. One that crashes keeps its entry for some seconds, so a poison is found as before; one that crashes a backend server while it leaves is counted at the next one.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -244,7 +244,8 @@
             after_ms=now_ms() - self._started_ms,
             ejected=ejected,
         )
-        if event.closed:
+        # One that leaves ends by itself with whatever is there, which is no crash.
+        if event.closed and services.backends.is_usable(entry.life):
             start_kept(self._check_crash(), _checks)
         return Lost(event.detail)
 
--- a/tests/gateway/backends/test_crashes.py
+++ b/tests/gateway/backends/test_crashes.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 
+import pytest
+
+from quincespool.gateway.backends.attempt import CRASH_CHECK_S
 from quincespool.gateway.backends.crashes import CRASHES_TO_REFUSE
 from quincespool.gateway.backends.crashes import REMEMBER_MS
 from quincespool.gateway.backends.crashes import CrashWatch
@@ -55,3 +59,34 @@
             assert reply.status == 503
             reply = await cluster.call(name, "non_idempotent", body=b"harmless")
             assert reply.status == 200
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+async def test_a_turn_that_outlasts_backends_that_leave_is_not_taken_for_their_end(
+    state: str | None,
+) -> None:
+    """A long turn was refused everywhere for two minutes after a roll of three restarts."""
+    async with GatewayCluster(2) as cluster:
+        for number in range(CRASHES_TO_REFUSE):
+            engine = cluster.engines["s1"]
+            engine.knobs.gap_ms = 5_000
+            calling = asyncio.create_task(cluster.call("a", "non_idempotent", body=b"long"))
+            await cluster.until(functools.partial(len, engine.runs))
+            if state is None:
+                cluster.state.put("keyed.servers", engine.backend_id, None)
+            else:
+                cluster.announce("s1", "plain", state=state)
+            await cluster.until(functools.partial(_is_left, cluster, engine.backend_id))
+            engine.cut_all()
+            assert (await calling).status == 502
+            await asyncio.sleep(2 * CRASH_CHECK_S)
+            await cluster.replace_engine("s1", f"s{number + 2}", "plain")
+
+        for name in cluster.nodes:
+            reply = await cluster.call(name, "non_idempotent", body=b"long")
+            assert reply.status == 200
+
+
+def _is_left(cluster: GatewayCluster, backend_id: str) -> bool:
+    entries = [node.daemon._backends.entries.get(backend_id) for node in cluster.nodes.values()]
+    return all(entry is None or entry.leaving for entry in entries)
