The stall of a daemon is tested on both sides of a relayed turn

A daemon that had stalled broke off its own links when it went on: its timer came before it had read the heartbeats that waited, and every turn of its callers at other owners was cut.

--- a/tests/soak/test_stalled_daemon.py
+++ b/tests/soak/test_stalled_daemon.py
@@ -1,4 +1,4 @@
-"""A real daemon that stalls while it runs turns of callers of other daemons."""
+"""A real daemon that stalls while turns pass between it and other daemons."""
 
 from __future__ import annotations
 
@@ -6,6 +6,8 @@
 import signal
 from typing import TYPE_CHECKING
 
+import pytest
+
 from tests.soak.deployment import ROUTE_LIMIT_MS
 from tests.soak.deployment import SoakDeployment
 from tests.support.client import ConnectionLostError
@@ -36,15 +38,18 @@
     return "whole" if reply.status == 200 else str(reply.json()["error"])
 
 
-async def test_no_turn_is_cut_whose_owner_stalls_for_a_moment(tmp_path: Path) -> None:
-    """Its links were broken off after 0.7 s, and each turn on them was cut or lost."""
+@pytest.mark.parametrize("entries", [(1, 2), (0,)], ids=["owner", "entry"])
+async def test_no_turn_is_cut_when_a_daemon_stalls_for_a_moment(
+    entries: tuple[int, ...], tmp_path: Path
+) -> None:
+    """The others broke off their links to it, and it broke off its own when it went on."""
     async with SoakDeployment(tmp_path, 3) as deployment:
         for engine in deployment.engines.values():
             engine.knobs.gap_ms = 100
             engine.knobs.events = 15
         calling = []
         for number in range(TURNS):
-            address = deployment.daemons[1 + number % 2].address
+            address = deployment.daemons[entries[number % len(entries)]].address
             calling.append(asyncio.create_task(_outcome(address, f"t{number}")))
             await asyncio.sleep(SEND_INTERVAL_S)
         deployment.daemons[0].signal(signal.SIGSTOP)
