A budget holds for as long as its program may come back after a turn that broke off

What callers saw: nothing; a program that was stopped in a turn and came back 30 s or more after that was given its whole budget once more.

Cause: only whole turns said for how long a program is kept; one whose last turn broke off was forgotten after the grace for clocks, 30 s, or with the end of its last whole turn. Class: a budget kept for less time than the program may use it.

Why this works: the start of a turn tells the retention of its route, and every record of a turn keeps the program that long. The field is last and has a default, so records of daemons before and after read alike.

Evidence: test_a_budget_holds_for_as_long_as_a_stopped_program_may_come_back failed before in both cases (admitted, then cut as the stand-in does; 402 now). tests/gateway, tests/platform, tests/test_settings.py: 349 passed.

--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -28,6 +28,8 @@
     program_id: str
     most_tokens: int
     at_ms: int
+    # Of the turn once it has ended; a program may come back for so long, with its budget.
+    retention_ms: int = 0
 
 
 class TurnEnded(msgspec.Struct, tag="e", array_like=True, frozen=True):
@@ -109,7 +111,8 @@
     Attributes:
       spent_tokens: Handed out by turns that are over.
       reserved: The most that each open turn can still hand out, by turn id.
-      kept_until_ms: When the last of its turns can no longer be continued.
+      kept_until_ms: When the last of its turns can no longer be continued, and the program, if its
+        last turn broke off, no longer comes back.
       oldest_ms: When the oldest record was written that a later owner needs.
     """
 
@@ -143,6 +146,11 @@
             turn_id = kept.previous_id
         return texts
 
+    def keep_from(self, at_ms: int, retention_ms: int) -> None:
+        """Keeps the program for as long after a record of it."""
+        self.retention_ms = retention_ms
+        self.kept_until_ms = max(self.kept_until_ms, at_ms + retention_ms)
+
     def has_whole(self, turn_id: str) -> bool:
         """Whether a turn and all before it are here."""
         return self.chain(turn_id) is not None
@@ -170,7 +178,7 @@
             return
         if isinstance(record, TurnStarted):
             program.reserved[record.turn_id] = record.most_tokens
-            program.kept_until_ms = max(program.kept_until_ms, record.at_ms)
+            program.keep_from(record.at_ms, record.retention_ms or program.retention_ms)
             return
         if isinstance(record, HistoryPart):
             self._keep(program, record, record.text)
@@ -182,6 +190,8 @@
             program.spent_tokens += record.tokens
         if isinstance(record, TurnEnded):
             self._keep(program, record, record.input + record.output)
+        else:
+            program.keep_from(record.at_ms, program.retention_ms)
 
     def find(self, turn_id: str, account: str) -> str:
         """Returns the id of an account's program with a turn and all before it, empty if none."""
@@ -295,9 +305,7 @@
         programs = self._programs_of.get(record.turn_id, ())
         if record.program_id not in programs:
             self._programs_of[record.turn_id] = (*programs, record.program_id)
-        program.retention_ms = record.retention_ms
-        until_ms = record.at_ms + record.retention_ms
-        program.kept_until_ms = max(program.kept_until_ms, until_ms)
+        program.keep_from(record.at_ms, record.retention_ms)
 
 
 def _within(program: Program | None, budget_tokens: int | None, most_tokens: int) -> Admission:
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -102,6 +102,7 @@
             program_id=turn.program_id,
             most_tokens=turn.most_tokens,
             at_ms=wall_ms(),
+            retention_ms=terms.retention_ms,
         )
         self._settled = False
         self._start_kept: asyncio.Future[None] | None = None
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -12,11 +12,13 @@
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnBroken
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.log_extent import LogExtent
 from quincespool.gateway.turns.partition import LostPartitionError
 from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
     from quincespool.gateway.turns.partition import OwnedPartition
@@ -227,6 +229,28 @@
             assert ("p1" in owned.ledger.programs) == is_kept
 
 
+@pytest.mark.parametrize("whole_turns", [0, 1])
+async def test_a_budget_holds_for_as_long_as_a_stopped_program_may_come_back(
+    whole_turns: int,
+) -> None:
+    async with GatewayCluster() as cluster:
+        for _ in range(whole_turns):
+            await cluster.turn("a", "p1", budget=70)
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.cut_after = 2
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p1", budget=70)
+        owned = _owned(cluster, "p1")
+        await owned.keep(TurnStarted("late", "p1", 50, wall_ms() + 50_000))
+        await owned.keep(TurnBroken("late", "p1", 50, wall_ms() + 50_000))
+        for passed_ms in (0, 105_000):
+            later_ms = wall_ms() + passed_ms
+            owned.expire(later_ms, steady_ms=now_ms() + passed_ms, grace_ms=1_000)
+
+        _, reply = await cluster.turn("a", "p1", budget=70)
+        assert reply.status == 402
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
