An owner that has lost a partition gives no final refusal for its programs

What callers saw: 404 `no_such_turn` for a turn that was answered whole, when a program goes on from a turn of another one while its partition changes hands.

Cause: what the finder brought was handed over to a partition that was lost meanwhile, which takes nothing into its ledger any more; the turn was then absent there, and the store confirmed the owner, since the next one had not written yet. Class: an answer from a state that no longer follows the records. A search takes up to 800 ms, and any change of owners fits into it.

Why this works: 402 and 404 are given by one function, which now asks first whether the partition is still held; the caller is told to come back as not run.

--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -196,6 +196,10 @@
     """
     if refusal.status == REFUSED_STATUS:
         return refusal
+    if owned.lost:
+        # Until its next owner writes, the store still takes this one for the owner; but what was
+        # handed over since it was lost is not in the ledger.
+        return not_run("owner_changed", retry_after_ms=OWNER_CHANGED_RETRY_MS)
     try:
         await owned.confirm()
     except LostPartitionError:
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -21,6 +21,7 @@
 from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
+    from quincespool.gateway.turns.finder import FoundTurn
     from quincespool.gateway.turns.partition import OwnedPartition
 
 RECORDS_A_TURN = 2
@@ -251,6 +252,23 @@
         assert reply.status == 402
 
 
+async def test_a_turn_found_while_its_owner_loses_the_partition_is_not_denied() -> None:
+    async with GatewayCluster(1) as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        finder = cluster.nodes["a"].daemon._parts.finder
+        owned = _owned(cluster, "p2")
+        find = finder.find
+
+        async def find_late(turn_id: str, account: str) -> FoundTurn | None:
+            found = await find(turn_id, account)
+            owned.lose("reassigned")
+            return found
+
+        finder.find = find_late  # type: ignore[method-assign]
+        _, reply = await cluster.turn("a", "p2", previous=first)
+        assert reply.status in (200, 503)
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
