The next owner is handed what a turn continues from, not only the turn's end

What callers saw: a turn was answered whole, and the next turn of its program ended without an answer (404 since histories with a missing link are refused).

Cause: a turn of another program, or an input that fills several records, is handed over as pieces of history that nobody waits for; the turn's end comes later. When the partition was lost in between (the store turned the owner away, or dealt anew), only the end was settled at the next owner: a chain whose first links are in no record at all. Class: a record that names others, kept without them.

Why this works: a lost partition remembers what it was handed and does not know to be kept; the pieces of that program's history are settled before the turn's end, and the turn is told whole only if all of them are. Read twice, a piece changes nothing. Those of a renewal are left out, as the older records hold.

--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -19,6 +19,7 @@
 from quincespool.gateway.store.interface import SequenceError
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import TurnStarted
@@ -113,6 +114,8 @@
         self._check: asyncio.Task[None] | None = None
         self._next_check: asyncio.Task[None] | None = None
         self._waiting: list[_Waiting] = []
+        # Handed over and not known to be kept when the partition was lost.
+        self._unkept: list[_Waiting] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -155,20 +158,35 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
         future.add_done_callback(forget_error)
+        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+        waiting = _Waiting(encode_record(record), record.program_id, future, urgent, replaces)
         if self.lost:
+            self._unkept.append(waiting)
             future.set_exception(LostPartitionError())
             return future
         # Folded in at once: two turns that come at the same moment must not both find the budget
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
-        waiting = _Waiting(encode_record(record), record.program_id, future, urgent, replaces)
         self._waiting.append(waiting)
         if urgent:
             self._wake.set()
         return future
 
+    def unkept_parts(self, program_id: str) -> list[HistoryPart]:
+        """Returns pieces of a program's history that the next owner perhaps has not."""
+        parts: list[HistoryPart] = []
+        for waiting in self._unkept:
+            if waiting.program_id != program_id:
+                continue
+            record = decode_record(waiting.data)
+            if isinstance(record, HistoryPart):
+                parts.append(record)
+            elif waiting.replaces:
+                # Of a renewal; the records that it was to replace are in force.
+                del parts[-waiting.replaces :]
+        return parts
+
     def flush(self) -> None:
         """Has everything appended that waits for a more urgent record."""
         self._waiting = [one._replace(urgent=True) for one in self._waiting]
@@ -245,6 +263,7 @@
             if not waiting.kept.done():
                 waiting.kept.set_exception(LostPartitionError())
         self._on_change(self, reason)
+        self._unkept += self._waiting
         self._waiting.clear()
 
     def dump(self) -> dict[str, object]:
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -249,8 +249,13 @@
         except TimeoutError:
             return False
         except LostPartitionError:
-            left_ms = until_ms - now_ms()
-            return await self._settle(record, left_ms)
+            # What was said before a turn may have been handed over with it, an input that fills
+            # several records or a turn of another program. Without it nobody can go on from here.
+            parts = self._owned.unkept_parts(self._turn.program_id)
+            for one in (*parts, record):
+                if not await self._settle(one, until_ms - now_ms()):
+                    return False
+            return True
 
     async def _durable_start(self) -> None:
         assert self._start_kept is not None
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -167,6 +167,10 @@
     raise AssertionError(program)
 
 
+def _of(cluster: GatewayCluster, name: str) -> list[OwnedPartition]:
+    return list(cluster.nodes[name].daemon._ownership.owned.values())
+
+
 def _old_turn(number: int) -> TurnEnded:
     ended_ms = wall_ms() - LONG_AGO_MS
     return TurnEnded(f"old-{number}", "p1", "", bytes(100_000), b"", 0, 1_000, ended_ms)
@@ -269,6 +273,29 @@
         assert reply.status in (200, 503)
 
 
+@pytest.mark.parametrize("input_bytes", [10, 450_000])
+async def test_a_turn_kept_by_the_next_owner_has_what_was_said_before_it(input_bytes: int) -> None:
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        program = next(f"q{n}" for n in range(100) if _owned(cluster, f"q{n}") in _of(cluster, "a"))
+        finder = cluster.nodes["a"].daemon._parts.finder
+        find = finder.find
+
+        async def find_last(turn_id: str, account: str) -> FoundTurn | None:
+            found = await find(turn_id, account)
+            cluster.set_store("a", down=True)
+            return found
+
+        finder.find = find_last  # type: ignore[method-assign]
+        second, reply = await cluster.turn("b", program, previous=first, body=bytes(input_bytes))
+        assert reply.status == 200
+        whole = cluster.runs(second)[0]
+
+        third, reply = await cluster.turn("b", program, previous=second, body=b"three|")
+        assert reply.status == 200
+        assert cluster.runs(third)[0].startswith(whole)
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
