An answer longer than a record no longer stops its partition for ever

What callers saw: a turn with a long answer broke off at its end, and from then on no turn of any program in that partition ended or began.

Cause: a long input was divided among records, a long answer was not; a record above the store's 256 KiB is refused each time, and everything after it waits. Class: a limit of the platform that was met for one of two sources of the same record.

Why this works: whatever does not fit into the turn's last record, input or answer, goes into pieces before it, by the same function as before.

Evidence: test_an_answer_longer_than_a_record_does_not_stop_its_partition failed before (the answer broke off). The stand-in of the store refuses records above its limit now, as the platform says of its own. tests/gateway, tests/platform, tests/test_settings.py: 353 passed.

--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -157,7 +157,9 @@
         """
         previous_id, text = self._turn.previous_id, self._call.body
         if len(text) + len(output) > MAX_PART_BYTES:
-            previous_id, text = self._submit_long_input(), b""
+            whole = text + output
+            previous_id = self._submit_head(whole[:-MAX_PART_BYTES])
+            text, output = b"", whole[-MAX_PART_BYTES:]
         record = TurnEnded(
             turn_id=self._call.call_id,
             program_id=self._turn.program_id,
@@ -222,23 +224,23 @@
             if await self._settle(self._start, SETTLE_LIMIT_MS):
                 await self._settle(record, SETTLE_LIMIT_MS)
 
-    def _submit_long_input(self) -> str:
-        """Hands over an input that does not fit into one record; returns the id of its last part.
+    def _submit_head(self, text: bytes) -> str:
+        """Hands over what does not fit into the turn's last record; returns the id of its end.
 
         The store would refuse such a record for ever, and every later one of the partition with it.
         """
-        input_id = f"{self._call.call_id}#input"
+        head_id = f"{self._call.call_id}#head"
         parts = split_history(
-            input_id,
+            head_id,
             self._turn.program_id,
-            self._call.body,
+            text,
             previous_id=self._turn.previous_id,
             retention_ms=self._terms.retention_ms,
             at_ms=wall_ms(),
         )
         for part in parts:
             self._owned.submit(part)
-        return input_id
+        return head_id
 
     async def _keep(self, record: Record, kept: asyncio.Future[None], until_ms: int) -> bool:
         """Returns whether the record is durable, here or at the partition's present owner."""
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -296,6 +296,19 @@
         assert cluster.runs(third)[0].startswith(whole)
 
 
+async def test_an_answer_longer_than_a_record_does_not_stop_its_partition() -> None:
+    async with GatewayCluster() as cluster:
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.event_bytes = 150_000
+        first, reply = await cluster.turn("a", "p1", body=b"one|")
+        assert reply.status == 200
+        outputs = [f"{first}.{number}".encode() + b"x" * 150_000 + b"\n" for number in (1, 2, 3)]
+
+        second, reply = await cluster.turn("a", "p1", previous=first, body=b"two|")
+        assert reply.status == 200
+        assert cluster.runs(second) == [b"one|" + b"".join(outputs) + b"two|"]
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -22,6 +22,7 @@
 
     Attributes:
       events: Events of each stream.
+      event_bytes: Added to the data of each event.
       gap_ms: Before each event, or before a whole answer.
       full: Every request is refused as not run.
       cut_after: So many events, then the connection is reset; -1 never.
@@ -32,6 +33,7 @@
     """
 
     events: int = 3
+    event_bytes: int = 0
     gap_ms: float = 5
     full: bool = False
     cut_after: int = -1
@@ -94,7 +96,8 @@
         exchange._write(h11.Response(status_code=200, headers=fields))
         after = int(exchange.request.headers.get("last-event-id", "0"))
         for number in range(after + 1, self.knobs.events + 1):
-            event = f"id: {number}\ndata: {call_id}.{number}\n\n".encode()
+            more = "x" * self.knobs.event_bytes
+            event = f"id: {number}\ndata: {call_id}.{number}{more}\n\n".encode()
             if number - 1 >= self.knobs.cut_after >= 0 and self.knobs.cuts:
                 self.knobs.cuts -= 1
                 if self.knobs.cut_inside:
--- a/tests/support/standins/platform_store.py
+++ b/tests/support/standins/platform_store.py
@@ -25,6 +25,7 @@
     from tests.support.standins.http import Request
 
 _PARTITIONS = 8
+_RECORD_BYTES = 262_144
 
 
 class StoreKnobs(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -226,6 +227,8 @@
         query = request.query
         partition = self.state.partition(query["topic"], int(query["part"]))
         records = _unframed(request.body)
+        if any(len(record) > _RECORD_BYTES for record in records):
+            raise RefusedError(413, "record too long")
         if "epoch" in query:
             known = _check_writer(partition, int(query["epoch"]), int(query["sequence"]), records)
             if known is not None:
