--- a/src/quincespool/explain/story.py
+++ b/src/quincespool/explain/story.py
@@ -24,6 +24,8 @@
         "started",
         "stopped",
         "stopping",
+        "store full",
+        "store has room",
         "store lost",
         "store regained",
     }
