--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -7,7 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NamedTuple
 
 import msgspec
 
@@ -31,6 +30,8 @@
 from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.uncertain import UncertainTokens
+from quincespool.gateway.turns.waiting_records import WaitingRecord
+from quincespool.gateway.turns.waiting_records import history_parts
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,15 +53,6 @@
 MAX_BATCH_BYTES = 1_000_000
 
 
-class _Waiting(NamedTuple):
-    data: bytes
-    program_id: str
-    kept: asyncio.Future[None]
-    urgent: bool
-    # See `LogExtent.note`.
-    replaces: int
-
-
 class OwnedPartition:
     """Writes under one epoch, one batch at a time, in the order in which records were handed over.
 
@@ -106,8 +98,9 @@
         self._sequence = 0
         self._turns = 0
         self._confirmation = SharedQuestion(self._ask_store)
-        self._waiting: list[_Waiting] = []
-        self._unkept: list[bytes] = []
+        self._waiting: list[WaitingRecord] = []
+        # Handed over and not known to be kept when the partition was lost.
+        self._unkept: list[WaitingRecord] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -150,21 +143,25 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
         future.add_done_callback(forget_error)
+        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+        waiting = WaitingRecord(encode_record(record), record.program_id, future, urgent, replaces)
         if self.lost:
+            self._unkept.append(waiting)
             future.set_exception(LostPartitionError())
-            self._unkept.append(encode_record(record))
             return future
         # Folded in at once: two turns that come at the same moment must not both find the budget
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
-        waiting = _Waiting(encode_record(record), record.program_id, future, urgent, replaces)
         self._waiting.append(waiting)
         if urgent:
             self._wake.set()
         return future
 
+    def unkept_parts(self, program_id: str) -> list[HistoryPart]:
+        """Returns pieces of a program's history that the next owner perhaps has not."""
+        return history_parts(self._unkept, program_id)
+
     def flush(self) -> None:
         """Has everything appended that waits for a more urgent record."""
         self._waiting = [one._replace(urgent=True) for one in self._waiting]
@@ -192,15 +189,6 @@
         except FencedError:
             self.lose("fenced")
 
-    def unkept_history(self, program_id: str) -> list[HistoryPart]:
-        """Returns the pieces of a program's history that the partition was lost with.
-
-        A turn whose end is kept by the next owner rests on them.
-        """
-        records = [decode_record(data) for data in self._unkept]
-        parts = [one for one in records if isinstance(one, HistoryPart)]
-        return [one for one in parts if one.program_id == program_id]
-
     def expire(self, wall_ms: int, *, steady_ms: int, grace_ms: int) -> None:
         """Forgets programs that can no longer be continued; see `Ledger.expire`."""
 
@@ -275,7 +263,7 @@
             if not waiting.kept.done():
                 waiting.kept.set_exception(LostPartitionError())
         self._on_change(self, reason)
-        self._unkept = [waiting.data for waiting in self._waiting]
+        self._unkept += self._waiting
         self._waiting.clear()
 
     def dump(self) -> dict[str, object]:
@@ -353,7 +341,7 @@
         return offset + len(page.records)
 
     async def _append_batch(self) -> None:
-        batch: list[_Waiting] = []
+        batch: list[WaitingRecord] = []
         size_bytes = 0
         for waiting in self._waiting:
             if batch and size_bytes + len(waiting.data) > MAX_BATCH_BYTES:
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -12,13 +12,16 @@
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import TurnBroken
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.log_extent import LogExtent
 from quincespool.gateway.turns.settlement import LostPartitionError
 from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
+    from quincespool.gateway.turns.finder import FoundTurn
     from quincespool.gateway.turns.partition import OwnedPartition
 
 RECORDS_A_TURN = 2
@@ -164,6 +167,10 @@
     raise AssertionError(program)
 
 
+def _of(cluster: GatewayCluster, name: str) -> list[OwnedPartition]:
+    return list(cluster.nodes[name].daemon._ownership.owned.values())
+
+
 def _old_turn(number: int) -> TurnEnded:
     ended_ms = wall_ms() - LONG_AGO_MS
     return TurnEnded(f"old-{number}", "p1", "", bytes(100_000), b"", 0, 1_000, ended_ms)
@@ -227,6 +234,81 @@
             assert ("p1" in owned.ledger.programs) == is_kept
 
 
+@pytest.mark.parametrize("whole_turns", [0, 1])
+async def test_a_budget_holds_for_as_long_as_a_stopped_program_may_come_back(
+    whole_turns: int,
+) -> None:
+    async with GatewayCluster() as cluster:
+        for _ in range(whole_turns):
+            await cluster.turn("a", "p1", budget=70)
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.cut_after = 2
+        with pytest.raises(ConnectionLostError):
+            await cluster.turn("a", "p1", budget=70)
+        owned = _owned(cluster, "p1")
+        await owned.keep(TurnStarted("late", "p1", 50, wall_ms() + 50_000))
+        await owned.keep(TurnBroken("late", "p1", 50, wall_ms() + 50_000))
+        for passed_ms in (0, 105_000):
+            later_ms = wall_ms() + passed_ms
+            owned.expire(later_ms, steady_ms=now_ms() + passed_ms, grace_ms=1_000)
+
+        _, reply = await cluster.turn("a", "p1", budget=70)
+        assert reply.status == 402
+
+
+async def test_a_turn_found_while_its_owner_loses_the_partition_is_not_denied() -> None:
+    async with GatewayCluster(1) as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        finder = cluster.nodes["a"].daemon._parts.finder
+        owned = _owned(cluster, "p2")
+        find = finder.find
+
+        async def find_late(turn_id: str, account: str) -> FoundTurn | None:
+            found = await find(turn_id, account)
+            owned.lose("reassigned")
+            return found
+
+        finder.find = find_late  # type: ignore[method-assign]
+        _, reply = await cluster.turn("a", "p2", previous=first)
+        assert reply.status in (200, 503)
+
+
+@pytest.mark.parametrize("input_bytes", [10, 450_000])
+async def test_a_turn_kept_by_the_next_owner_has_what_was_said_before_it(input_bytes: int) -> None:
+    async with GatewayCluster() as cluster:
+        first, _ = await cluster.turn("a", "p1", body=b"one|")
+        program = next(f"q{n}" for n in range(100) if _owned(cluster, f"q{n}") in _of(cluster, "a"))
+        finder = cluster.nodes["a"].daemon._parts.finder
+        find = finder.find
+
+        async def find_last(turn_id: str, account: str) -> FoundTurn | None:
+            found = await find(turn_id, account)
+            cluster.set_store("a", down=True)
+            return found
+
+        finder.find = find_last  # type: ignore[method-assign]
+        second, reply = await cluster.turn("b", program, previous=first, body=bytes(input_bytes))
+        assert reply.status == 200
+        whole = cluster.runs(second)[0]
+
+        third, reply = await cluster.turn("b", program, previous=second, body=b"three|")
+        assert reply.status == 200
+        assert cluster.runs(third)[0].startswith(whole)
+
+
+async def test_an_answer_longer_than_a_record_does_not_stop_its_partition() -> None:
+    async with GatewayCluster() as cluster:
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.event_bytes = 150_000
+        first, reply = await cluster.turn("a", "p1", body=b"one|")
+        assert reply.status == 200
+        outputs = [f"{first}.{number}".encode() + b"x" * 150_000 + b"\n" for number in (1, 2, 3)]
+
+        second, reply = await cluster.turn("a", "p1", previous=first, body=b"two|")
+        assert reply.status == 200
+        assert cluster.runs(second) == [b"one|" + b"".join(outputs) + b"two|"]
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
