--- a/tests/gateway/turns/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -131,3 +131,25 @@
         assert owned.in_use
         await kept
         assert not owned.in_use
+
+
+async def test_an_owner_that_is_given_up_while_it_reads_keeps_what_the_last_one_cannot() -> None:
+    async with make_platform_store() as store:
+        old = _own(store, 1)
+        await old.keep(_record(1))
+        store.knobs.delay_ms = 50
+        new = _own(store, 2)
+        partition = store.state.partition(*PARTITION)
+        while partition.epoch < new.epoch:
+            await asyncio.sleep(0.005)
+        new.retire("reassigned")
+        with pytest.raises(LostPartitionError):
+            await old.keep(_record(2))
+
+        settled = Settlement.NOT_HERE
+        for _ in range(100):
+            settled = await new.settle(_record(2), budget_tokens=100)
+            if settled is Settlement.KEPT:
+                break
+            await asyncio.sleep(0.01)
+        assert settled is Settlement.KEPT
