--- a/tests/gateway/turns/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -12,6 +12,7 @@
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.partition import OwnedPartition
 from quincespool.gateway.turns.settlement import LostPartitionError
+from quincespool.gateway.turns.settlement import Settlement
 from quincespool.platform.store import PlatformStore
 from tests.support.standins.platform_store import make_platform_store
 
@@ -113,3 +114,56 @@
             await asked
         with pytest.raises(LostPartitionError):
             await owned.confirm()
+
+
+async def test_an_owner_that_was_given_up_writes_until_another_one_has_taken_over() -> None:
+    async with make_platform_store() as store:
+        old = _own(store, 1)
+        await old.ready_event.wait()
+        old.retire("leaving")
+        await old.keep(_record(1))
+        assert await old.settle(_record(2), budget_tokens=100) is Settlement.KEPT
+
+        new = _own(store, 2)
+        await new.ready_event.wait()
+        assert list(new.ledger.programs["p"].reserved) == ["t1", "t2"]
+        with pytest.raises(LostPartitionError):
+            await old.keep(_record(3))
+        assert await old.settle(_record(4), budget_tokens=100) is Settlement.NOT_HERE
+        assert not old.in_use
+
+
+async def test_an_owner_that_was_given_up_is_needed_while_a_turn_is_under_way() -> None:
+    async with make_platform_store() as store:
+        owned = _own(store, 1)
+        await owned.ready_event.wait()
+        with owned.turn_under_way():
+            owned.retire("leaving")
+            assert owned.in_use
+        assert not owned.in_use
+        kept = owned.submit(_record(1))
+        assert owned.in_use
+        await kept
+        assert not owned.in_use
+
+
+async def test_an_owner_that_is_given_up_while_it_reads_keeps_what_the_last_one_cannot() -> None:
+    async with make_platform_store() as store:
+        old = _own(store, 1)
+        await old.keep(_record(1))
+        store.knobs.delay_ms = 50
+        new = _own(store, 2)
+        partition = store.state.partition(*PARTITION)
+        while partition.epoch < new.epoch:
+            await asyncio.sleep(0.005)
+        new.retire("reassigned")
+        with pytest.raises(LostPartitionError):
+            await old.keep(_record(2))
+
+        settled = Settlement.NOT_HERE
+        for _ in range(100):
+            settled = await new.settle(_record(2), budget_tokens=100)
+            if settled is Settlement.KEPT:
+                break
+            await asyncio.sleep(0.01)
+        assert settled is Settlement.KEPT
