A sound engine whose queue of connections is full loses its answers (red)

Reproduced, not mended: an engine that is quiet for longer than usual and whose kernel drops opening packets, since its queue of connections is full, is taken for a host without power after two attempts of 0.1 s, and what it owes is broken off (502 answer_lost).

A sound mend needs other evidence than a new connection: whether the kernel acknowledges a keep-alive probe on the connections that owe answers (at the earliest 1 s after the last byte, TCP_KEEPIDLE), which changes what the tests of an engine without power have to stand in for.

--- a/tests/gateway/backends/test_quiet.py
+++ b/tests/gateway/backends/test_quiet.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.backends.exchange import BackendConnection
@@ -11,12 +12,16 @@
 from quincespool.gateway.backends.quiet import ATTEMPT_LIMIT_S
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
+from tests.support.platform_entries import make_backend_entry
 
 if TYPE_CHECKING:
     import pytest
 
 # Long enough that only what is tested can end a turn.
 SILENT_GAP_MS = 20_000
+LONG_PROMPT_S = 1.2
+# More than the queue of the listener takes.
+QUEUED = 8
 
 
 async def test_a_turn_at_an_engine_that_has_gone_dark_ends_soon(
@@ -100,3 +105,36 @@
         monkeypatch.setattr(BackendConnection, "connect", note)
         await asyncio.wait({turn})
         assert tried == []
+
+
+async def test_a_quiet_engine_whose_queue_of_connections_is_full_is_waited_for() -> None:
+    """Its kernel drops new connections as one without power would, but acknowledges the others."""
+    loop = asyncio.get_running_loop()
+    async with GatewayCluster(1) as cluster:
+        with contextlib.ExitStack() as stack:
+            listener = stack.enter_context(socket.create_server(("127.0.0.1", 0), backlog=1))
+            listener.setblocking(False)
+            address = f"127.0.0.1:{listener.getsockname()[1]}"
+            for engine_id in ("e1", "e2"):
+                cluster.state.put("keyed.servers", engine_id, None)
+            entry = make_backend_entry("model", address, zone="z")
+            cluster.state.put("keyed.servers", "e3", entry)
+            backends = cluster.nodes["a"].daemon._backends
+            await cluster.until(lambda: set(backends.entries) == {"e3", "s1"})
+
+            turn = asyncio.create_task(cluster.turn("a", "p1", call_id="t1"))
+            served, _ = await loop.sock_accept(listener)
+            stack.enter_context(served)
+            await loop.sock_recv(served, 65_536)
+            for _ in range(QUEUED):
+                queued = stack.enter_context(socket.socket())
+                queued.setblocking(False)
+                queued.connect_ex(listener.getsockname())
+            await asyncio.sleep(LONG_PROMPT_S)
+            head = (
+                "HTTP/1.1 200 OK\r\nrequest-id: t1\r\nserver-stamp: x\r\ncontent-length: 9\r\n\r\n"
+            )
+            with contextlib.suppress(OSError):
+                await loop.sock_sendall(served, head.encode() + b"data: a\n\n")
+            _, reply = await turn
+            assert reply.status == 200
