The soak sees lost answers: callers that keep connections, planned work in series, every form of the rule

Cause: its callers opened a connection for each request, a missing answer was counted and never judged, and no change of configuration, series of SIGHUP, overlapping stops or leaving engine was drawn.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -8,12 +8,16 @@
 import signal
 import socket
 import sys
+import time
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Self
 
 import msgspec
 
+from tests.soak.diary import GRACE_S
+from tests.soak.diary import Diary
+from tests.soak.diary import Limits
 from tests.soak.proxy import Proxy
 from tests.support.client import ConnectionLostError
 from tests.support.client import fetch
@@ -33,7 +37,10 @@
 
 ROUTE_LIMIT_MS = 3_000
 START_LIMIT_S = 30.0
-STOP_LIMIT_S = 8.0
+MODEL_COUNT = 3
+# Of an engine on its own, between two events.
+GAP_MS = 10.0
+ADDRESSES_VALID_MS = 500
 # Entries of backend servers are written again this often, as their own heartbeats would.
 ANNOUNCE_S = 0.5
 
@@ -59,7 +66,7 @@
         self._folder = folder
         self._process: Process | None = None
         self._settings = folder / f"{name}.json"
-        self._settings.write_bytes(msgspec.json.encode(self._make_settings()))
+        self._write_settings(ADDRESSES_VALID_MS)
 
     @property
     def address(self) -> str:
@@ -86,17 +93,24 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    async def reload(self, addresses_valid_ms: int) -> None:
+        """Changes the settings and sends SIGHUP, which would end a process that has just begun."""
+        self._write_settings(addresses_valid_ms)
+        if await self.is_ready():
+            self.signal(signal.SIGHUP)
+
     async def end(self, number: int) -> None:
-        """Ends the process by a signal and waits until it is gone."""
+        """Ends the process by a signal and waits until it is gone, killed after the grace."""
         self.signal(number)
-        if self._process is None:
+        process = self._process
+        if process is None:
             return
         try:
-            async with asyncio.timeout(STOP_LIMIT_S):
-                await self._process.wait()
+            async with asyncio.timeout(GRACE_S):
+                await process.wait()
         except TimeoutError:
-            self.signal(signal.SIGKILL)
-            await self._process.wait()
+            process.kill()
+            await process.wait()
 
     async def is_ready(self) -> bool:
         """Whether the daemon says that it serves."""
@@ -106,7 +120,11 @@
         except (ConnectionLostError, TimeoutError):
             return False
 
-    def _make_settings(self) -> dict[str, object]:
+    def _write_settings(self, addresses_valid_ms: int) -> None:
+        settings = self._make_settings(addresses_valid_ms)
+        self._settings.write_bytes(msgspec.json.encode(settings))
+
+    def _make_settings(self, addresses_valid_ms: int) -> dict[str, object]:
         return {
             "member_id": self.name,
             "zone": f"z{ord(self.name[-1]) % 2}",
@@ -121,38 +139,48 @@
             "owner_topics": 1,
             "owner_lease_ms": 1_000,
             "backends_interval_ms": 100,
-            "stop_grace_ms": 4_000,
-            "addresses_valid_ms": 500,
+            "stop_grace_ms": int(GRACE_S * 1000),
+            "addresses_valid_ms": addresses_valid_ms,
         }
 
 
 class SoakDeployment:
-    """Some daemons, three engines and two plain services."""
+    """Some daemons, engines of two models and two plain servers.
+
+    Attributes:
+      diary: What was done to it.
+      away: Engines that have said that they leave, and whether their entry is removed.
+    """
 
     def __init__(self, folder: Path, daemon_count: int) -> None:
         self.state = StoreState()
         self.daemons: list[SoakDaemon] = []
         self.engines: dict[str, PlatformEngine] = {}
         self.ways: dict[str, Proxy] = {}
+        self.diary = Diary()
+        self.away: dict[str, bool] = {}
+        self.gaps_ms: dict[str, float] = {}
+        self.version = 1
         self._folder = folder
         self._count = daemon_count
         self._stack = contextlib.AsyncExitStack()
         self._announcing: asyncio.Task[None] | None = None
 
     async def __aenter__(self) -> Self:
-        for backend_id in ("model1", "model2", "model3", "plain1", "plain2"):
-            engine = make_platform_engine(backend_id, gap_ms=10)
+        models = [f"model{number}" for number in range(max(MODEL_COUNT, self._count // 2))]
+        for backend_id in (*models, "spare1", "plain1", "plain2"):
+            engine = make_platform_engine(backend_id, gap_ms=GAP_MS)
             self.engines[backend_id] = await self._stack.enter_async_context(engine)
             way = Proxy(engine.address)
             self.ways[backend_id] = await self._stack.enter_async_context(way)
-        self._configure()
+        self.configure(make_configuration(1, plain_limit_ms=ROUTE_LIMIT_MS, has_resumable=True))
         self._announcing = asyncio.create_task(self._announce())
         for number in range(self._count):
             store = await self._stack.enter_async_context(make_platform_store(self.state))
             way = await self._stack.enter_async_context(Proxy(store.address))
             self.daemons.append(SoakDaemon(f"d{number}", self._folder, store, way))
         await asyncio.gather(*[one.start() for one in self.daemons])
-        await self.until_ready(START_LIMIT_S)
+        await self.until_ready(START_LIMIT_S + self._count)
         return self
 
     async def __aexit__(self, *_: object) -> None:
@@ -165,8 +193,7 @@
 
     async def heal(self) -> None:
         """Ends all faults and has all daemons run."""
-        for engine in self.engines.values():
-            engine.knobs.full, engine.knobs.cut_after, engine.knobs.gap_ms = False, -1, 10
+        self.slow_down(dict.fromkeys(self.engines, GAP_MS))
         for way in [*self.ways.values(), *(one.way_to_store for one in self.daemons)]:
             way.heal()
         for daemon in self.daemons:
@@ -175,6 +202,19 @@
             daemon.signal(signal.SIGCONT)
             await daemon.start()
 
+    def slow_down(self, gaps_ms: dict[str, float]) -> None:
+        """Sets how slow backend servers are by themselves, between two events."""
+        self.gaps_ms = gaps_ms
+        for backend_id in gaps_ms:
+            self.heal_backend(backend_id)
+
+    def heal_backend(self, backend_id: str) -> None:
+        """Ends all faults of a backend server; it stays as slow as it is by itself."""
+        knobs = self.engines[backend_id].knobs
+        knobs.full, knobs.cut_after = False, -1
+        knobs.gap_ms = self.gaps_ms.get(backend_id, GAP_MS)
+        self.ways[backend_id].heal()
+
     async def until_ready(self, limit_s: float) -> None:
         """Waits until all daemons serve.
 
@@ -186,6 +226,26 @@
                 while not await daemon.is_ready():
                     await asyncio.sleep(0.05)
 
+    def pick_daemon(self, number: int) -> SoakDaemon:
+        """Returns the daemon that a number takes."""
+        return self.daemons[number % len(self.daemons)]
+
+    def configure(self, body: bytes) -> None:
+        """Writes a configuration."""
+        routes = msgspec.json.decode(body)["routes"]
+        limits_ms = {route["path_prefix"]: route["timeout_ms"] for route in routes}
+        self.diary.limits.append(Limits(time.monotonic(), limits_ms))
+        self.state.put("keyed.op", "config", body)
+
+    def announce(self, backend_id: str) -> None:
+        """Writes the entry of a backend server, or removes it."""
+        zone = f"z{ord(backend_id[-1]) % 2}"
+        state = "draining" if backend_id in self.away else "ready"
+        address = self.ways[backend_id].address
+        entry = make_backend_entry(backend_id[:5], address, zone=zone, state=state)
+        is_removed = self.away.get(backend_id, False)
+        self.state.put("keyed.servers", backend_id, None if is_removed else entry)
+
     def runs(self) -> Iterable[tuple[str, bytes]]:
         """Yields the id and the body of each call that a backend server ran."""
         for engine in self.engines.values():
@@ -194,21 +254,16 @@
 
     async def _announce(self) -> None:
         while True:
-            for backend_id, way in self.ways.items():
-                zone = f"z{ord(backend_id[-1]) % 2}"
-                entry = make_backend_entry(backend_id[:5], way.address, zone=zone)
-                self.state.put("keyed.servers", backend_id, entry)
+            for backend_id in self.ways:
+                if not self.away.get(backend_id):
+                    self.announce(backend_id)
             await asyncio.sleep(ANNOUNCE_S)
 
-    def _configure(self) -> None:
-        body = make_configuration(1, plain_limit_ms=ROUTE_LIMIT_MS, has_resumable=True)
-        self.state.put("keyed.op", "config", body)
-
 
 def _free_ports(count: int) -> list[int]:
     # Below the range from which the kernel takes ports for outgoing connections, apart for each
     # process that runs a soak, so that a daemon finds its ports free when it starts again.
-    base = 10_000 + (os.getpid() % 200) * 100
+    base = 10_000 + (os.getpid() % 100) * 200
     ports: list[int] = []
     for port in range(base, base + 20_000):
         if len(ports) == count:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-if TYPE_CHECKING:
-    import random
+from tests.soak.planned import PLANNED
+from tests.soak.planned import Planned
 
+if TYPE_CHECKING:
     from tests.soak.deployment import SoakDeployment
 
-KINDS = (
+UNPLANNED = (
     "kill",
     "kill_all",
-    "stop",
     "pause",
-    "reload",
     "store_down",
     "store_refuses_one",
     "store_silent",
@@ -31,29 +31,37 @@
     "backend_full",
     "backend_cuts",
 )
+KINDS = {"planned": PLANNED, "all": UNPLANNED + PLANNED}
+# What hurts one daemon only is written down for it.
+FOR_ALL = frozenset({"kill_all", "store_down", *(kind for kind in UNPLANNED if "backend" in kind)})
 # Nothing lasts longer: callers would only see more of the same.
 LONGEST_S = 3.0
 
 
 class Fault(NamedTuple):
-    """One fault; `daemon` and `backend` are numbers of which it takes one."""
+    """One fault; `daemon` and `backend` are numbers of which it takes one.
+
+    `seed` draws what a series consists of.
+    """
 
     kind: str
     at_s: float
     for_s: float
     daemon: int
     backend: int
+    seed: int
 
 
-def draw_plan(chance: random.Random, *, for_s: float, count: int) -> list[Fault]:
-    """Returns faults within a time, the earliest first."""
+def draw_plan(chance: random.Random, *, kinds: str, for_s: float, count: int) -> list[Fault]:
+    """Returns faults within a time, the earliest first; `kinds` is a key of `KINDS`."""
     faults = [
         Fault(
-            kind=chance.choice(KINDS),
+            kind=chance.choice(KINDS[kinds]),
             at_s=chance.uniform(0, for_s),
             for_s=chance.uniform(0.2, LONGEST_S),
             daemon=chance.randrange(1_000),
             backend=chance.randrange(1_000),
+            seed=chance.randrange(1_000_000),
         )
         for _ in range(count)
     ]
@@ -68,32 +76,35 @@
 
 async def _carry_out_one(fault: Fault, deployment: SoakDeployment) -> None:
     await asyncio.sleep(fault.at_s)
-    if fault.kind in ("kill", "kill_all", "stop", "pause", "reload"):
-        await _hurt_process(fault, deployment)
-    elif fault.kind.startswith("store"):
-        await _hurt_store(fault, deployment)
-    else:
-        await _hurt_backend(fault, deployment)
+    if fault.kind in PLANNED:
+        work = Planned(deployment, random.Random(fault.seed), fault.for_s)
+        await work.carry_out(fault.kind, fault.daemon)
+        return
+    hurt = "" if fault.kind in FOR_ALL else deployment.pick_daemon(fault.daemon).name
+    with deployment.diary.during(fault.kind, hurt):
+        if fault.kind in ("kill", "kill_all", "pause"):
+            await _hurt_process(fault, deployment)
+        elif fault.kind.startswith("store"):
+            await _hurt_store(fault, deployment)
+        else:
+            await _hurt_backend(fault, deployment)
 
 
 async def _hurt_process(fault: Fault, deployment: SoakDeployment) -> None:
-    daemon = deployment.daemons[fault.daemon % len(deployment.daemons)]
-    if fault.kind == "reload":
-        daemon.signal(signal.SIGHUP)
-    elif fault.kind == "pause":
+    daemon = deployment.pick_daemon(fault.daemon)
+    if fault.kind == "pause":
         daemon.signal(signal.SIGSTOP)
         await asyncio.sleep(fault.for_s)
         daemon.signal(signal.SIGCONT)
-    else:
-        number = signal.SIGTERM if fault.kind == "stop" else signal.SIGKILL
-        ended = deployment.daemons if fault.kind == "kill_all" else [daemon]
-        await asyncio.gather(*[one.end(number) for one in ended])
-        await asyncio.sleep(fault.for_s / 3)
-        await asyncio.gather(*[one.start() for one in ended])
+        return
+    ended = deployment.daemons if fault.kind == "kill_all" else [daemon]
+    await asyncio.gather(*[one.end(signal.SIGKILL) for one in ended])
+    await asyncio.sleep(fault.for_s / 3)
+    await asyncio.gather(*[one.start() for one in ended])
 
 
 async def _hurt_store(fault: Fault, deployment: SoakDeployment) -> None:
-    daemon = deployment.daemons[fault.daemon % len(deployment.daemons)]
+    daemon = deployment.pick_daemon(fault.daemon)
     hurt = deployment.daemons if fault.kind == "store_down" else [daemon]
     if fault.kind == "store_way_reset":
         daemon.way_to_store.reset()
@@ -123,8 +134,8 @@
         return
     engine.knobs.full = fault.kind == "backend_full"
     engine.knobs.cut_after = 1 if fault.kind == "backend_cuts" else -1
-    engine.knobs.gap_ms = 200 if fault.kind == "backend_slow" else 10
+    if fault.kind == "backend_slow":
+        engine.knobs.gap_ms = 200
     way.cut_back |= fault.kind == "backend_silent"
     await asyncio.sleep(fault.for_s)
-    engine.knobs.full, engine.knobs.cut_after, engine.knobs.gap_ms = False, -1, 10
-    way.heal()
+    deployment.heal_backend(name)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.deployment import SoakDeployment
+from tests.soak.faults import KINDS
 from tests.soak.faults import carry_out
 from tests.soak.faults import draw_plan
 
@@ -23,7 +24,10 @@
 # Within this time after the last fault every daemon serves again: leases of a second, a start of a
 # second on a busy machine, and the silence limits of dead connections.
 RECOVERY_S = 15.0
-FAULTS_PER_S = 1.0
+# Planned work comes in series.
+FAULTS_PER_S = {"planned": 0.6, "all": 1.0}
+# How slow engines are; three events of the slowest take longer than most routes allow.
+GAPS_MS = (10.0, 10.0, 100.0, 300.0, 600.0, 900.0)
 
 
 class Outcome(NamedTuple):
@@ -40,11 +44,15 @@
     plan: list[str]
 
 
-async def soak(seed: int, folder: Path, *, for_s: float, daemons: int) -> Outcome:
+async def soak(
+    seed: int, folder: Path, *, for_s: float, daemons: int, faults: str = "all"
+) -> Outcome:
     """Runs one soak; the logs of the daemons stay in the folder."""
     chance = random.Random(seed)
-    plan = draw_plan(chance, for_s=for_s, count=max(3, int(for_s * FAULTS_PER_S)))
+    count = max(3, int(for_s * FAULTS_PER_S[faults]))
+    plan = draw_plan(chance, kinds=faults, for_s=for_s, count=count)
     async with SoakDeployment(folder, daemons) as deployment:
+        deployment.slow_down({name: chance.choice(GAPS_MS) for name in deployment.engines})
         callers = Callers(deployment, chance, f"s{seed}")
         calling = asyncio.create_task(callers.run(programs=2 * daemons, plain=daemons))
         await carry_out(plan, deployment)
@@ -71,6 +79,7 @@
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--faults", choices=sorted(KINDS), default="all")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
     broken = 0
@@ -78,7 +87,13 @@
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         began_s = time.monotonic()
         outcome = asyncio.run(
-            soak(seed, folder, for_s=arguments.seconds, daemons=arguments.daemons)
+            soak(
+                seed,
+                folder,
+                for_s=arguments.seconds,
+                daemons=arguments.daemons,
+                faults=arguments.faults,
+            )
         )
         took_s = time.monotonic() - began_s
         broken += bool(outcome.faults)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -12,10 +12,14 @@
     from pathlib import Path
 
 SEEDS = (1, 2)
+PLANNED_SEEDS = (11, 12)
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-async def test_no_promise_is_broken(seed: int, tmp_path: Path) -> None:
-    outcome = await soak(seed, tmp_path, for_s=8.0, daemons=3)
+@pytest.mark.parametrize(
+    ("seed", "faults"),
+    [*((seed, "all") for seed in SEEDS), *((seed, "planned") for seed in PLANNED_SEEDS)],
+)
+async def test_no_promise_is_broken(seed: int, faults: str, tmp_path: Path) -> None:
+    outcome = await soak(seed, tmp_path, for_s=8.0, daemons=3, faults=faults)
     assert outcome.faults == [], outcome.plan
     assert outcome.counts["200"] > 50
--- a/tests/support/client.py
+++ b/tests/support/client.py
@@ -1,4 +1,4 @@
-"""A small HTTP client on h11 for tests: one request after the other on one connection."""
+"""A small HTTP client on h11 for tests, with connections that are kept."""
 
 from __future__ import annotations
 
@@ -12,7 +12,6 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Callable
     from collections.abc import Mapping
 
@@ -25,12 +24,14 @@
     Attributes:
       sent: Whether the request was; false if the connection was never made.
       waited_ms: From the last byte of the request to the end of the connection.
+      status: Of the answer that broke off, 0 if none had begun.
     """
 
-    def __init__(self, detail: str, *, sent: bool, waited_ms: float = 0.0) -> None:
+    def __init__(self, detail: str, *, sent: bool, waited_ms: float = 0.0, status: int = 0) -> None:
         super().__init__(detail)
         self.sent = sent
         self.waited_ms = waited_ms
+        self.status = status
 
 
 class Reply(NamedTuple):
@@ -46,7 +47,13 @@
 
 
 class KeptConnection:
-    """A connection that is used until the server closes it or says that it will."""
+    """A connection that is used until the server closes it or says that it will.
+
+    A request that is sent while another one waits stands behind it (pipelined).
+
+    Attributes:
+      is_closed_here: Whether the caller has closed it.
+    """
 
     def __init__(
         self, address: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -54,13 +61,16 @@
         self._address = address
         self._reader = reader
         self._writer = writer
-        self._http = h11.Connection(h11.CLIENT)
+        # Answers come in the order of their requests.
+        self._turn = asyncio.Lock()
+        self._left = b""
+        self._is_over = False
+        self.is_closed_here = False
 
     @property
     def usable(self) -> bool:
         """Whether a request may be sent, as far as the server has said."""
-        is_idle = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
-        return is_idle and not self._reader.at_eof() and not self._writer.is_closing()
+        return not (self._is_over or self._reader.at_eof() or self._writer.is_closing())
 
     async def fetch(
         self,
@@ -77,25 +87,65 @@
           ConnectionLostError: if it did not arrive whole.
         """
         fields = {"host": self._address, "content-length": str(len(body)), **(headers or {})}
+        request = h11.Request(method=method, target=path, headers=list(fields.items()))
+        http = h11.Connection(h11.CLIENT)
+        pieces = [http.send(event) for event in (request, h11.Data(data=body), h11.EndOfMessage())]
+        self._writer.write(b"".join(piece or b"" for piece in pieces))
         sent_s = time.monotonic()
+        answer = _Answer(on_data)
+        is_whole = False
         try:
-            request = h11.Request(method=method, target=path, headers=list(fields.items()))
-            for event in (request, h11.Data(data=body), h11.EndOfMessage()):
-                self._writer.write(self._http.send(event) or b"")
-            await self._writer.drain()
-            sent_s = time.monotonic()
-            reply = await _read_reply(self._http, self._reader, on_data)
+            async with self._turn:
+                await self._writer.drain()
+                await self._read_answer(http, answer)
+            is_whole = True
         except (OSError, h11.ProtocolError) as error:
             waited_ms = (time.monotonic() - sent_s) * 1000
-            raise ConnectionLostError(str(error), sent=True, waited_ms=waited_ms) from error
-        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._http.start_next_cycle()
-        return reply
+            raise ConnectionLostError(
+                str(error), sent=True, waited_ms=waited_ms, status=answer.status
+            ) from error
+        finally:
+            stays = is_whole and http.our_state is h11.DONE and http.their_state is h11.DONE
+            self._is_over |= not stays
+        return Reply(answer.status, answer.headers, bytes(answer.body))
 
     def close(self) -> None:
         """Closes it."""
+        self.is_closed_here = True
         self._writer.close()
 
+    async def _read_answer(self, http: h11.Connection, answer: _Answer) -> None:
+        if self._left:
+            http.receive_data(self._left)
+        while True:
+            event = http.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._left, _ = http.trailing_data
+                return
+            if event is h11.NEED_DATA:
+                http.receive_data(await self._reader.read(_READ_BYTES))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the response")
+            else:
+                answer.take(event)
+
+
+class _Answer:
+    def __init__(self, on_data: Callable[[bytes], None] | None) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = bytearray()
+        self._on_data = on_data
+
+    def take(self, event: object) -> None:
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+            self.headers = {name.decode(): value.decode() for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+            if self._on_data:
+                self._on_data(bytes(event.data))
+
 
 async def connect(address: str) -> KeptConnection:
     """Opens a connection.
@@ -130,37 +180,3 @@
         return await connection.fetch(method, path, headers=headers, body=body, on_data=on_data)
     finally:
         connection.close()
-
-
-async def _read_reply(
-    connection: h11.Connection,
-    reader: asyncio.StreamReader,
-    on_data: Callable[[bytes], None] | None,
-) -> Reply:
-    status = 0
-    headers: dict[str, str] = {}
-    body = bytearray()
-    async for event in _events(connection, reader):
-        if isinstance(event, h11.Response):
-            status = event.status_code
-            headers = {name.decode(): value.decode() for name, value in event.headers}
-        elif isinstance(event, h11.Data):
-            body += event.data
-            if on_data:
-                on_data(bytes(event.data))
-    return Reply(status, headers, bytes(body))
-
-
-async def _events(
-    connection: h11.Connection, reader: asyncio.StreamReader
-) -> AsyncIterator[h11.Event]:
-    while True:
-        event = connection.next_event()
-        if isinstance(event, h11.EndOfMessage):
-            return
-        if event is h11.NEED_DATA:
-            connection.receive_data(await reader.read(_READ_BYTES))
-        elif isinstance(event, h11.ConnectionClosed):
-            raise ConnectionResetError("closed before the response")
-        elif isinstance(event, h11.Event):
-            yield event
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -50,6 +51,15 @@
     headers: dict[str, str]
 
 
+class Span(NamedTuple):
+    """When a request was worked on, by the steady clock; `broke_off` if the engine cut it."""
+
+    call_id: str
+    began_s: float
+    ended_s: float
+    broke_off: bool
+
+
 class PlatformEngine(StandIn[EngineKnobs]):
     """Streams events on POST to paths with `/stream/`, answers whole elsewhere."""
 
@@ -59,6 +69,7 @@
         super().__init__(knobs)
         self.backend_id = backend_id
         self.runs: list[Run] = []
+        self.spans: list[Span] = []
         self.under_way = 0
 
     def counts(self) -> dict[str, object]:
@@ -76,19 +87,23 @@
             self.cut_all()
             return
         self.under_way += 1
+        began_s = time.monotonic()
+        is_cut = False
         try:
-            await self._run(exchange, call_id, streams="/stream/" in request.path)
+            is_cut = await self._run(exchange, call_id, streams="/stream/" in request.path)
         finally:
             self.under_way -= 1
+            self.spans.append(Span(call_id, began_s, time.monotonic(), is_cut))
 
-    async def _run(self, exchange: Exchange, call_id: str, *, streams: bool) -> None:
+    async def _run(self, exchange: Exchange, call_id: str, *, streams: bool) -> bool:
+        """Returns whether the answer was cut off."""
         headers: dict[str, Any] = {"request_id": call_id}
         if not self.knobs.without_receipt:
             headers["server_stamp"] = self.backend_id
         if not streams:
             await asyncio.sleep(self.knobs.gap_ms / 1000)
             await exchange.reply(200, {"ran": call_id}, **headers)
-            return
+            return False
         fields = [(name.replace("_", "-"), value) for name, value in headers.items()]
         fields += [("content-type", "text/event-stream"), ("transfer-encoding", "chunked")]
         exchange._write(h11.Response(status_code=200, headers=fields))
@@ -100,10 +115,11 @@
                 if self.knobs.cut_inside:
                     await exchange.send(event[:-4])
                 exchange.cut()
-                return
+                return True
             await asyncio.sleep(self.knobs.gap_ms / 1000)
             await exchange.send(event)
         await exchange.finish()
+        return False
 
 
 def make_platform_engine(backend_id: str, **knobs: object) -> PlatformEngine:
