--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -139,7 +139,7 @@
             "owner_topics": 1,
             "owner_lease_ms": 1_000,
             "backends_interval_ms": 100,
-            "stop_grace_ms": int(GRACE_S * 1000),
+            "stop_grace_s": GRACE_S,
             "addresses_valid_ms": addresses_valid_ms,
         }
 
