The soak's callers heed connection: close at the head of an answer

Cause: a caller went on to send behind a stream whose head had said that the connection ends with it. Change: a kept connection is not usable from that head on; findings name how the connection ended. Result: test_callers and tests/support pass.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -255,7 +255,7 @@
             return None
         began_s = time.monotonic()
         reply: Reply | None = None
-        status, gave_up, was_behind = 0, False, False
+        status, gave_up, was_behind, detail = 0, False, False, ""
         work = connection.fetch(
             "POST", sent.path, headers=sent.headers, body=sent.body, on_data=received.extend
         )
@@ -264,7 +264,7 @@
                 reply = await work
         except ConnectionLostError as error:
             self.counts["no answer"] += 1
-            status, was_behind = error.status, error.was_behind
+            status, was_behind, detail = error.status, error.was_behind, str(error)
             gave_up = connection.is_closed_here
         except TimeoutError:
             self.counts["impatient"] += 1
@@ -289,6 +289,7 @@
                 status=status,
                 is_whole=reply is not None,
                 is_void=gave_up or was_behind,
+                detail=detail,
             )
         )
         return reply
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -52,6 +52,7 @@
     status: int
     is_whole: bool
     is_void: bool
+    detail: str = ""
 
 
 class Finding(NamedTuple):
@@ -164,5 +165,6 @@
     ]
     ran = f"ran {(span.began_s - one.sent_s) * 1000:.0f} ms after" if span else "not run"
     took_ms = (one.ended_s - one.sent_s) * 1000
+    ended = f"{one.status} {one.detail} after {took_ms:.0f} ms"
     where = f"{one.daemon}{', behind' if one.is_behind else ''}"
-    return f"{one.call_id} at {where}, {one.status} after {took_ms:.0f} ms, {ran}; {beside}"
+    return f"{one.call_id} at {where}, {ended}, {ran}; {beside}"
--- a/tests/support/client.py
+++ b/tests/support/client.py
@@ -76,12 +76,15 @@
         self._left = b""
         self._is_over = False
         self._broke_off = False
+        self._head: dict[str, str] = {}
         self.is_closed_here = False
 
     @property
     def usable(self) -> bool:
         """Whether a request may be sent, as far as the server has said."""
-        return not (self._is_over or self._reader.at_eof() or self._writer.is_closing())
+        is_over = self._is_over or self._reader.at_eof() or self._writer.is_closing()
+        # An answer says at its head that it is the last one.
+        return not is_over and self._head.get("connection", "") != "close"
 
     async def fetch(
         self,
@@ -144,6 +147,7 @@
                 raise ConnectionResetError("closed before the response")
             else:
                 answer.take(event)
+                self._head = answer.headers
 
 
 class _Answer:
