--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -63,6 +63,8 @@
         self.store = store
         self.way_to_store = way
         self.ports = Ports(*_free_ports(len(Ports._fields)))
+        # Stops that took longer than their grace.
+        self.killed = 0
         self._folder = folder
         self._process: Process | None = None
         self._settings = folder / f"{name}.json"
@@ -109,6 +111,7 @@
             async with asyncio.timeout(GRACE_S):
                 await process.wait()
         except TimeoutError:
+            self.killed += 1
             process.kill()
             await process.wait()
 
@@ -230,6 +233,10 @@
         """Returns the daemon that a number takes."""
         return self.daemons[number % len(self.daemons)]
 
+    def pick_backend(self, number: int) -> str:
+        """Returns the name of the backend server that a number takes."""
+        return sorted(self.engines)[number % len(self.engines)]
+
     def configure(self, body: bytes) -> None:
         """Writes a configuration."""
         routes = msgspec.json.decode(body)["routes"]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,6 +65,7 @@
         await _settle()
         await callers.prove_service()
         callers.audit()
+        callers.counts["killed in a stop"] = sum(daemon.killed for daemon in deployment.daemons)
     return Outcome(callers.counts, callers.faults, [str(fault) for fault in plan])
 
 
