--- a/tests/soak/diary.py
+++ b/tests/soak/diary.py
@@ -17,8 +17,8 @@
 GRACE_S = 4.0
 
 PLANNED = frozenset({"stop", "reload", "configure"})
-# Engines come and go without harm to what is under way.
-HARMLESS = frozenset({"engine_leaves"})
+# The platform's own doings, without harm to what is under way.
+HARMLESS = frozenset({"engine_leaves", "redeals"})
 
 
 class Work(NamedTuple):
--- a/tests/soak/planned.py
+++ b/tests/soak/planned.py
@@ -18,7 +18,16 @@
     from tests.soak.deployment import SoakDaemon
     from tests.soak.deployment import SoakDeployment
 
-PLANNED = ("stop", "stops", "roll", "reloads", "configurations", "engine_leaves", "changed_stops")
+PLANNED = (
+    "stop",
+    "stops",
+    "roll",
+    "reloads",
+    "configurations",
+    "engine_leaves",
+    "changed_stops",
+    "redeals",
+)
 TIMEOUTS_MS = (2_400, 2_700, ROUTE_LIMIT_MS)
 ADDED_PATH = "/added/"
 # An engine that leaves says so, is removed later and serves what it has.
@@ -44,6 +53,8 @@
             await self._reload(daemon)
         elif kind == "engine_leaves":
             await self._leave(number)
+        elif kind == "redeals":
+            await self._redeal()
         elif kind == "configurations":
             await self._configure()
         else:
@@ -74,6 +85,12 @@
                 await daemon.reload(self._chance.choice((300, 500, 800)))
             await asyncio.sleep(self._chance.uniform(0, self._for_s / 3))
 
+    async def _redeal(self) -> None:
+        for _ in range(self._chance.randint(1, 3)):
+            with self._deployment.diary.during("redeals"):
+                self._deployment.state.redeal()
+            await asyncio.sleep(self._chance.uniform(0.5, 0.5 + self._for_s))
+
     async def _configure(self) -> None:
         for _ in range(self._chance.randint(1, 4)):
             with self._deployment.diary.during("configure"):
--- a/tests/support/standins/platform_store.py
+++ b/tests/support/standins/platform_store.py
@@ -69,6 +69,13 @@
         self.left: list[str] = []
         self.topics: list[str] = []
         self.holders: dict[tuple[str, int], str] = {}
+        self.deals = 0
+
+    def redeal(self) -> None:
+        """Gives every partition to another member at once, as the platform does at times."""
+        self.deals += 1
+        self.generation += 1
+        self.holders = {}
 
     def expire(self) -> None:
         now_s = time.monotonic()
@@ -84,7 +91,7 @@
     def wanted(self) -> dict[tuple[str, int], str]:
         names = sorted(self.members)
         parts = [(topic, number) for topic in self.topics for number in range(_PARTITIONS)]
-        return {part: names[index % len(names)] for index, part in enumerate(parts)}
+        return {part: names[(index + self.deals) % len(names)] for index, part in enumerate(parts)}
 
     def parts_of(self, member: str) -> list[tuple[str, int]]:
         mine = []
@@ -132,6 +139,11 @@
     def all_keyed(self, topic: str) -> list[bytes]:
         return [*self._kept.get(topic, []), *self.partition(topic, 0).records]
 
+    def redeal(self) -> None:
+        """Deals the partitions of all groups anew."""
+        for group in self.groups.values():
+            group.redeal()
+
     def wake(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
