The soak's callers go on from turns of other programs

Cause: a new program may go on from any whole turn, also after a fault; no caller of the soak did. Change: one turn in ten goes on under a new program id, and half of the programs proved at the end.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -48,6 +48,8 @@
 REMEMBERED = 40
 USUAL_DAEMONS = 4
 PROOF_TRIES = 5
+# So many programs go on from a turn of another one.
+ONWARD = 0.1
 
 
 class Turn(NamedTuple):
@@ -123,6 +125,8 @@
 
     async def _prove_kept(self, program_id: str, last: Turn) -> None:
         line = Line(self._deployment.daemons, self._chance, ONCE)
+        if self._chance.random() < 0.5:
+            program_id = self._next_id("onward")
         for _ in range(PROOF_TRIES):
             result, _ = await self._turn(line, program_id, last)
             if isinstance(result, Turn) or result in NO_SUCH_TURN:
@@ -161,6 +165,8 @@
         for _ in range(MAX_TURNS):
             if self._stopping.is_set():
                 return
+            if last is not None and self._chance.random() < ONWARD:
+                program_id = self._next_id("onward")
             count = 2 if last is not None and self._chance.random() < 0.3 else 1
             tries = [self._patient_turn(line, program_id, last) for _ in range(count)]
             results = await asyncio.gather(*tries)
