--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -66,6 +66,7 @@
         # Stops that took longer than their grace.
         self.killed = 0
         self._folder = folder
+        self._starting = asyncio.Lock()
         self._process: Process | None = None
         self._settings = folder / f"{name}.json"
         self._write_settings(ADDRESSES_VALID_MS)
@@ -77,18 +78,20 @@
 
     async def start(self) -> None:
         """Starts a process if there is none."""
-        if self._process is not None and self._process.returncode is None:
-            return
-        with (self._folder / f"{self.name}.log").open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "quincespool",
-                "gateway",
-                str(self._settings),
-                stdout=log,
-                stderr=log,
-            )
+        # Two that start it at once would leave a process that nobody ends.
+        async with self._starting:
+            if self._process is not None and self._process.returncode is None:
+                return
+            with (self._folder / f"{self.name}.log").open("ab") as log:
+                self._process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "quincespool",
+                    "gateway",
+                    str(self._settings),
+                    stdout=log,
+                    stderr=log,
+                )
 
     def signal(self, number: int) -> None:
         """Sends a signal to the process, if there is one."""
