--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -64,7 +64,22 @@
     at_ms: int
 
 
-Record = TurnStarted | TurnEnded | TurnBroken | HistoryPart
+class ProgramRenewed(msgspec.Struct, tag="p", array_like=True, frozen=True):
+    """What a program has come to, after its turns as history: older records need not last.
+
+    It tells the state and no change, so reading it after the records that it replaces, or in their
+    place, comes to the same.
+    """
+
+    program_id: str
+    spent_tokens: int
+    reserved: dict[str, int]
+    retention_ms: int
+    kept_until_ms: int
+    at_ms: int
+
+
+Record = TurnStarted | TurnEnded | TurnBroken | HistoryPart | ProgramRenewed
 
 
 class Admission(StrEnum):
@@ -87,29 +102,64 @@
       spent_tokens: Handed out by turns that are over.
       reserved: The most that each open turn can still hand out, by turn id.
       kept_until_ms: When the last of its turns can no longer be continued.
+      oldest_ms: When the oldest record was written that a later owner needs.
     """
 
-    __slots__ = ("kept_until_ms", "reserved", "retention_ms", "spent_tokens", "turns")
-
-    def __init__(self) -> None:
+    __slots__ = (
+        "kept_until_ms",
+        "oldest_ms",
+        "reserved",
+        "retention_ms",
+        "spent_tokens",
+        "turns",
+    )
+
+    def __init__(self, oldest_ms: int) -> None:
+        self.oldest_ms = oldest_ms
         self.spent_tokens = 0
         self.reserved: dict[str, int] = {}
         self.turns: dict[str, _Kept] = {}
         self.kept_until_ms = 0
         self.retention_ms = 0
 
+    def chain(self, turn_id: str) -> list[bytes] | None:
+        """Returns the texts up to a turn, newest first; None if one of them is not here."""
+        texts: list[bytes] = []
+        while turn_id:
+            kept = self.turns.get(turn_id)
+            # The store drops the oldest records first, so a later owner may have read a turn and
+            # not the one before it. A caller that uses an id twice can make a chain endless.
+            if kept is None or len(texts) == len(self.turns):
+                return None
+            texts.append(kept.text)
+            turn_id = kept.previous_id
+        return texts
+
+    def has_whole(self, turn_id: str) -> bool:
+        """Whether a turn and all before it are here."""
+        return self.chain(turn_id) is not None
+
 
 class Ledger:
     """The programs of one partition, folded from its records."""
 
     def __init__(self) -> None:
         self.programs: dict[str, Program] = {}
-        # One program for each account: ids are the callers', and two of them may choose the same.
+        # Of all accounts: ids are the callers', and two of them may choose the same.
         self._programs_of: dict[str, tuple[str, ...]] = {}
 
     def apply(self, record: Record) -> None:
         """Folds one record in. A record that was applied already changes nothing."""
-        program = self.programs.setdefault(record.program_id, Program())
+        program = self.programs.get(record.program_id)
+        if program is None:
+            program = self.programs[record.program_id] = Program(record.at_ms)
+        if isinstance(record, ProgramRenewed):
+            program.spent_tokens = record.spent_tokens
+            program.reserved = dict(record.reserved)
+            program.retention_ms = record.retention_ms
+            program.kept_until_ms = max(program.kept_until_ms, record.kept_until_ms)
+            program.oldest_ms = record.at_ms
+            return
         if isinstance(record, TurnStarted):
             program.reserved[record.turn_id] = record.most_tokens
             program.kept_until_ms = max(program.kept_until_ms, record.at_ms)
@@ -126,20 +176,23 @@
             self._keep(program, record, record.input + record.output)
 
     def find(self, turn_id: str, account: str) -> str:
-        """Returns the id of an account's program with a turn, empty if there is none."""
-        programs = self._programs_of.get(turn_id, ())
-        return next((one for one in programs if account_of(one) == account), "")
+        """Returns the id of an account's program with a turn and all before it, empty if none."""
+        for program_id in self._programs_of.get(turn_id, ()):
+            if account_of(program_id) == account and self.programs[program_id].has_whole(turn_id):
+                return program_id
+        return ""
 
     def is_foreign(self, turn_id: str, account: str) -> bool:
         """Whether only other accounts have such a turn."""
-        return turn_id in self._programs_of and not self.find(turn_id, account)
+        programs = self._programs_of.get(turn_id, ())
+        return bool(programs) and all(account_of(one) != account for one in programs)
 
     def admit(
         self, *, program_id: str, previous_id: str, budget_tokens: int | None, most_tokens: int
     ) -> Admission:
         """Says whether a turn may start, every open turn counted at its most."""
         program = self.programs.get(program_id)
-        if previous_id and (program is None or previous_id not in program.turns):
+        if previous_id and (program is None or not program.has_whole(previous_id)):
             return Admission.NO_SUCH_TURN
         return _within(program, budget_tokens, most_tokens)
 
@@ -151,22 +204,46 @@
             return Admission.FINE
         return _within(program, budget_tokens, start.most_tokens)
 
-    def history(self, program_id: str, previous_id: str) -> bytes:
-        """Returns what a turn that continues `previous_id` is to read first, oldest turn first."""
-        texts: list[bytes] = []
+    def history(self, program_id: str, previous_id: str) -> bytes | None:
+        """Returns what a turn that continues `previous_id` is to read first, oldest turn first.
+
+        None if a part of it is not here: a history that lacks one must not reach an engine.
+        """
         program = self.programs.get(program_id)
-        turn_id = previous_id
-        while turn_id and program is not None:
-            kept = program.turns[turn_id]
-            texts.append(kept.text)
-            turn_id = kept.previous_id
-        return b"".join(reversed(texts))
+        if program is None:
+            return None if previous_id else b""
+        texts = program.chain(previous_id)
+        return None if texts is None else b"".join(reversed(texts))
 
     def retention_ms(self, program_id: str) -> int:
         """Returns how long the turns of a program are kept after each one's end."""
         program = self.programs.get(program_id)
         return program.retention_ms if program is not None else 0
 
+    def renewed(self, program_id: str, at_ms: int) -> list[Record]:
+        """Returns records that make all earlier ones of a program needless, in their order.
+
+        The one that says so is the last: an owner may be lost between any two of them.
+        """
+        program = self.programs[program_id]
+        # None of them may keep the program longer than it is kept.
+        left_ms = program.kept_until_ms - at_ms
+        records: list[Record] = [
+            HistoryPart(turn_id, program_id, kept.previous_id, kept.text, left_ms, at_ms)
+            for turn_id, kept in program.turns.items()
+        ]
+        records.append(
+            ProgramRenewed(
+                program_id=program_id,
+                spent_tokens=program.spent_tokens,
+                reserved=dict(program.reserved),
+                retention_ms=program.retention_ms,
+                kept_until_ms=program.kept_until_ms,
+                at_ms=at_ms,
+            )
+        )
+        return records
+
     def expire(self, now_ms: int, *, grace_ms: int) -> int:
         """Forgets programs whose turns can no longer be continued; returns how many.
 
@@ -182,21 +259,21 @@
         ]
         for program_id in over:
             for turn_id in self.programs.pop(program_id).turns:
-                self._forget_turn(account_of(program_id), turn_id)
+                self._forget_turn(program_id, turn_id)
         return len(over)
 
-    def _forget_turn(self, account: str, turn_id: str) -> None:
+    def _forget_turn(self, program_id: str, turn_id: str) -> None:
         programs = self._programs_of.pop(turn_id, ())
-        left = tuple(one for one in programs if account_of(one) != account)
+        left = tuple(one for one in programs if one != program_id)
         if left:
             self._programs_of[turn_id] = left
 
     def _keep(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
         program.turns[record.turn_id] = _Kept(record.previous_id, text)
-        # The first program with a turn is the one that made it; others only continue from it.
-        if not self.find(record.turn_id, account_of(record.program_id)):
-            others = self._programs_of.get(record.turn_id, ())
-            self._programs_of[record.turn_id] = (*others, record.program_id)
+        # Others than the one that made it have its history whole when its own has lost a part.
+        programs = self._programs_of.get(record.turn_id, ())
+        if record.program_id not in programs:
+            self._programs_of[record.turn_id] = (*programs, record.program_id)
         program.retention_ms = record.retention_ms
         until_ms = record.at_ms + record.retention_ms
         program.kept_until_ms = max(program.kept_until_ms, until_ms)
