--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -41,6 +41,8 @@
 # Of an engine on its own, between two events.
 GAP_MS = 10.0
 ADDRESSES_VALID_MS = 500
+# Of the store's records; longer than a soak.
+RETENTION_S = 300.0
 # Entries of backend servers are written again this often, as their own heartbeats would.
 ANNOUNCE_S = 0.5
 
@@ -142,6 +144,7 @@
             "peer_port": self.ports.peer,
             "store_address": self.way_to_store.address,
             "store_partitions": 8,
+            "store_retention_s": self.store.state.retention_s,
             "owner_topics": 1,
             "owner_lease_ms": 1_000,
             "backends_interval_ms": 100,
@@ -158,8 +161,11 @@
       away: Engines that have said that they leave, and whether their entry is removed.
     """
 
-    def __init__(self, folder: Path, daemon_count: int) -> None:
+    def __init__(
+        self, folder: Path, daemon_count: int, *, retention_s: float = RETENTION_S
+    ) -> None:
         self.state = StoreState()
+        self.state.retention_s = retention_s
         self.daemons: list[SoakDaemon] = []
         self.engines: dict[str, PlatformEngine] = {}
         self.ways: dict[str, Proxy] = {}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple
 
 from tests.soak.callers import Callers
+from tests.soak.deployment import RETENTION_S
 from tests.soak.deployment import SoakDeployment
 from tests.soak.faults import KINDS
 from tests.soak.faults import carry_out
@@ -45,13 +46,19 @@
 
 
 async def soak(
-    seed: int, folder: Path, *, for_s: float, daemons: int, faults: str = "all"
+    seed: int,
+    folder: Path,
+    *,
+    for_s: float,
+    daemons: int,
+    faults: str = "all",
+    retention_s: float = RETENTION_S,
 ) -> Outcome:
     """Runs one soak; the logs of the daemons stay in the folder."""
     chance = random.Random(seed)
     count = max(3, int(for_s * FAULTS_PER_S[faults]))
     plan = draw_plan(chance, kinds=faults, for_s=for_s, count=count)
-    async with SoakDeployment(folder, daemons) as deployment:
+    async with SoakDeployment(folder, daemons, retention_s=retention_s) as deployment:
         deployment.slow_down({name: chance.choice(GAPS_MS) for name in deployment.engines})
         callers = Callers(deployment, chance, f"s{seed}")
         calling = asyncio.create_task(callers.run(programs=2 * daemons, plain=daemons))
@@ -87,6 +94,7 @@
     parser.add_argument("--seeds", default="1-3")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument("--retention", type=float, default=RETENTION_S)
     parser.add_argument("--faults", choices=sorted(KINDS), default="all")
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
@@ -101,6 +109,7 @@
                 for_s=arguments.seconds,
                 daemons=arguments.daemons,
                 faults=arguments.faults,
+                retention_s=arguments.retention,
             )
         )
         took_s = time.monotonic() - began_s
