--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -7,6 +7,7 @@
 
 from tests.soak.diary import CONTACT_S
 from tests.soak.diary import GRACE_S
+from tests.support.client import CROSSING_S
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -16,8 +17,6 @@
     from tests.soak.diary import Work
     from tests.support.standins.platform_engine import Span
 
-# A request that crosses the closing of its connection ends sooner after it was sent.
-CROSSING_S = 0.2
 # A daemon that stops leaves an engine its last sixth; what was sent this early could have ended.
 LAST_PART_S = GRACE_S * 5 / 6
 EARLY_S = 3.0
