--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -33,6 +33,7 @@
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns.program_parts import ProgramParts
 from quincespool.gateway.turns.renewal import Renewals
+from quincespool.gateway.turns.trimming import Trimming
 from quincespool.gateway.upkeep import Upkeep
 from quincespool.net.addresses import split_address
 from quincespool.net.http_connection import default_limits
@@ -161,6 +162,8 @@
             beliefs=self._beliefs,
             on_partition=self._note_partition,
             on_refused=self._note_refused,
+            has_time_until=self._leaves_time_until,
+            tell_claims=self._tell_claims,
         )
         self._ownership = self._parts.ownership
         self._links = self._parts.links
@@ -180,7 +183,7 @@
             crashes=self._crashes,
             backend_reports=self._backend_reports,
             log=self._log,
-            on_silent=lambda daemon: self._links.drop(daemon.peer_address),
+            on_silent=lambda daemon: self._links.doubt(daemon.peer_address),
         )
 
     # These parts need one another; what they report goes through here.
@@ -203,6 +206,9 @@
     def _note_configuration(self) -> None:
         self._parts.copies.caught_up()
 
+    def _tell_claims(self) -> None:
+        self._presence.tell_claims()
+
     def _leaves_time_until(self, until_ms: int) -> bool:
         return self._stop.leaves_time_until(until_ms)
 
@@ -252,12 +258,18 @@
             renewals=Renewals(
                 store_retention_ms=int(1_000 * settings.store_retention_s), metrics=self._metrics
             ),
+            trimming=Trimming(
+                partition_count=self._parts.partition_count,
+                store_full=lambda: self._store_health.full,
+                metrics=self._metrics,
+            ),
         )
         self._stop = PlannedStop(
             ownership=self._ownership,
             presence=self._presence,
             front_port=self._front_port,
             relay=self._parts.relay,
+            members=self._members,
             live=self._live,
             log=self._log,
         )
@@ -266,6 +278,7 @@
         self._metrics.watch("http_connections", lambda: self._front_port.connection_count)
         self._metrics.watch("processor_seconds", time.process_time)
         self._metrics.watch("ready", lambda: float(self._is_ready()))
+        self._metrics.watch("gateway_store_full", lambda: float(self._store_health.full))
         self._metrics.watch("gateway_partitions", lambda: len(self._ownership.owned))
 
     async def start(self) -> None:
@@ -341,7 +354,7 @@
 
     def _note_store_call(self, path: str, status: str) -> None:
         self._metrics.count("gateway_store_calls_total", path=path, status=status)
-        self._store_health.note(status)
+        self._store_health.note(path, status)
 
     def _note_partition(self, owned: OwnedPartition, detail: str) -> None:
         self._log.write("partition", **owned.dump(), lost=owned.lost, detail=detail)
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -7,12 +7,16 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import msgspec
 
 from quincespool.gateway.model import account_of
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Records of the store take 256 KiB; the rest is room for ids.
 MAX_PART_BYTES = 200_000
 
@@ -69,6 +73,9 @@
 
     It tells the state and no change, so reading it after the records that it replaces, or in their
     place, comes to the same.
+
+    Attributes:
+      part_count: Records of the program just before this one that belong to it.
     """
 
     program_id: str
@@ -76,6 +83,7 @@
     reserved: dict[str, int]
     retention_ms: int
     kept_until_ms: int
+    part_count: int
     at_ms: int
 
 
@@ -239,23 +247,36 @@
                 reserved=dict(program.reserved),
                 retention_ms=program.retention_ms,
                 kept_until_ms=program.kept_until_ms,
+                part_count=len(program.turns),
                 at_ms=at_ms,
             )
         )
         return records
 
-    def expire(self, now_ms: int, *, grace_ms: int) -> int:
+    def expire(
+        self,
+        now_ms: int,
+        *,
+        grace_ms: int,
+        known_ms: Callable[[str, int], int] | None = None,
+    ) -> int:
         """Forgets programs whose turns can no longer be continued; returns how many.
 
         Args:
           now_ms: Wall clock.
+          known_ms: Tells for how long a program's end is known here, by the steady clock. The time
+            of day may be set forward, and was another host's when the record was written.
           grace_ms: Longer than clocks of daemons differ and any turn takes; an open turn of a
             daemon that has died holds its program for no longer than this.
         """
         over = [
             program_id
             for program_id, program in self.programs.items()
-            if program.kept_until_ms + grace_ms < now_ms
+            if (
+                known_ms is None
+                or known_ms(program_id, program.kept_until_ms) >= program.retention_ms + grace_ms
+            )
+            and program.kept_until_ms + grace_ms < now_ms
         ]
         for program_id in over:
             for turn_id in self.programs.pop(program_id).turns:
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -30,6 +30,8 @@
 UNCONFIRMED_RETRY_S = 0.1
 # How often a daemon that stepped aside looks whether anybody else is there.
 ASIDE_CHECK_S = 0.5
+# All others have heard of a partition that was taken over longer ago.
+CLAIM_KNOWN_MS = 1_000
 # After the assignment has changed, the next renewal lets the new owner have what it is to get.
 HAND_OVER_S = 0.01
 
@@ -66,8 +68,11 @@
         store_reachable: Callable[[], bool],
         on_change: Callable[[OwnedPartition, str], None],
         on_assignment: Callable[[int, int], None],
+        tell_claims: Callable[[], None],
     ) -> None:
         self.owned: dict[Partition, OwnedPartition] = {}
+        # Given up, and still written for turns under way, by partition the newest last.
+        self._retired: list[OwnedPartition] = []
         self.generation = 0
         self.confirmed_until_ms = 0
         self._member_id = _owner_id(member_id, incarnation)
@@ -79,6 +84,7 @@
         self._store_reachable = store_reachable
         self._on_change = on_change
         self._on_assignment = on_assignment
+        self._tell_claims = tell_claims
         self._poke = asyncio.Event()
         self._wanted = True
         self._aside = False
@@ -104,9 +110,39 @@
 
     def yield_to(self, partition: Partition, epoch: int) -> None:
         """Gives a partition up that another daemon has taken over under a higher epoch."""
-        owned = self.owned.get(partition)
-        if owned is not None and epoch > owned.epoch:
-            owned.lose("taken over")
+        writers = [one for one in self._retired if one.partition == partition]
+        if partition in self.owned:
+            writers.append(self.owned[partition])
+        for writer in writers:
+            if epoch > writer.epoch:
+                writer.lose("taken over")
+
+    def writer(self, partition: Partition) -> OwnedPartition | None:
+        """Returns who writes a partition here, perhaps only for turns under way."""
+        retired = [one for one in self._retired if one.partition == partition]
+        return self.owned.get(partition) or (retired[-1] if retired else None)
+
+    @property
+    def is_writing(self) -> bool:
+        """Whether records wait to be appended, and the store takes them."""
+        writers = [*self._retired, *self.owned.values()]
+        return any(not one.idle and not one.stalled for one in writers)
+
+    def writes_since(self, since_ms: int) -> bool:
+        """Whether a partition that was given up has no new owner, and had another one that lately.
+
+        Turns of the owner before this one may still be under way, and end here.
+        """
+        return any(one.inherits and one.since_ms > since_ms for one in self._retired)
+
+    def end_retired(self) -> None:
+        """Lets go of partitions that were given up and that no turn needs any more."""
+        if not self._wanted:
+            # For the turns of others this one may be the last who can write.
+            return
+        for one in list(self._retired):
+            if not one.in_use:
+                one.lose("turns ended")
 
     def renew_soon(self) -> None:
         """Renews now rather than at the next interval: somebody has seen a newer generation."""
@@ -135,7 +171,7 @@
         for owned in self.owned.values():
             owned.flush()
         for _ in range(20):
-            if all(one.idle or one.stalled for one in self.owned.values()):
+            if all(one.stalled or (one.ready and one.idle) for one in self.owned.values()):
                 break
             await asyncio.sleep(0.01)
         self._give_up(list(self.owned), "leaving")
@@ -244,13 +280,25 @@
 
     def forget(self, lost: OwnedPartition) -> None:
         """Takes note that a partition was lost; the next renewal tells whether it comes back."""
+        if lost in self._retired:
+            self._retired.remove(lost)
         if self.owned.get(lost.partition) is lost:
             del self.owned[lost.partition]
             self._poke.set()
 
     def _give_up(self, partitions: list[Partition], reason: str) -> None:
+        lately_ms = now_ms() - CLAIM_KNOWN_MS
+        if any(
+            self.owned[one].ready and self.owned[one].since_ms > lately_ms for one in partitions
+        ):
+            # Until somebody takes a partition over, what others still have of its turns is kept
+            # here; who has not heard the claim would not know where.
+            self._tell_claims()
         for partition in partitions:
-            self.owned.pop(partition).lose(reason)
+            owned = self.owned.pop(partition)
+            if owned.ready:
+                self._retired.append(owned)
+            owned.retire(reason)
 
 
 def _owner_id(member_id: str, incarnation: int) -> str:
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
-from enum import StrEnum
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -12,22 +12,30 @@
 import msgspec
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.first_seen import FirstSeen
 from quincespool.gateway.futures import forget_error
 from quincespool.gateway.futures import report_fault
 from quincespool.gateway.store.interface import ExpiredError
 from quincespool.gateway.store.interface import FencedError
 from quincespool.gateway.store.interface import SequenceError
 from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.turns.confirmation import SharedQuestion
 from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
+from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import decode_record
 from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.log_extent import LogExtent
+from quincespool.gateway.turns.settlement import LostPartitionError
+from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.uncertain import UncertainTokens
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterator
 
     from quincespool.gateway.store.hedged_calls import HedgedCalls
     from quincespool.gateway.store.interface import Partition
@@ -44,29 +52,13 @@
 MAX_BATCH_BYTES = 1_000_000
 
 
-class Settlement(StrEnum):
-    """What became of a record of a turn that began at an earlier owner.
-
-    Attributes:
-      KEPT: It is durable.
-      OVER_BUDGET: It would start a turn for which the budget is not enough any more.
-      NOT_HERE: Another daemon owns the partition, or it is not read yet.
-    """
-
-    KEPT = "kept"
-    OVER_BUDGET = "over_budget"
-    NOT_HERE = "not_here"
-
-
 class _Waiting(NamedTuple):
     data: bytes
     program_id: str
     kept: asyncio.Future[None]
     urgent: bool
-
-
-class LostPartitionError(Exception):
-    """Another daemon owns the partition now; what was not yet kept is not."""
+    # See `LogExtent.note`.
+    replaces: int
 
 
 class OwnedPartition:
@@ -78,8 +70,10 @@
       epoch: Under which it writes; a daemon that takes the partition over uses a higher one, after
         which nothing of this one is appended any more, however late it arrives.
       ledger: The state after all records, those on their way included.
+      inherits: Whether there were records when it took over.
       ready: Whether it has read all records and may serve.
       lost: Whether another daemon has taken over.
+      retired: Whether it takes no more turns, and only writes for those under way.
       stalled: Whether the last append was not acknowledged.
       uncertain: What was handed out meanwhile.
     """
@@ -97,18 +91,23 @@
         self.since_ms = now_ms()
         self.epoch = epoch
         self.ledger = Ledger()
+        self.inherits = False
         self.ready = False
         self.lost = False
+        self.retired = False
         self.stalled = False
         self.ready_event = asyncio.Event()
         self.uncertain = UncertainTokens()
+        self._extent = LogExtent()
+        self._seen = FirstSeen()
         self._store = store
         self._hedged = hedged
         self._on_change = on_change
         self._sequence = 0
-        self._check: asyncio.Task[None] | None = None
-        self._next_check: asyncio.Task[None] | None = None
+        self._turns = 0
+        self._confirmation = SharedQuestion(self._ask_store)
         self._waiting: list[_Waiting] = []
+        self._unkept: list[bytes] = []
         self._wake = asyncio.Event()
         self._task = asyncio.get_running_loop().create_task(self._run())
 
@@ -153,12 +152,14 @@
         future.add_done_callback(forget_error)
         if self.lost:
             future.set_exception(LostPartitionError())
+            self._unkept.append(encode_record(record))
             return future
         # Folded in at once: two turns that come at the same moment must not both find the budget
         # that is left for one. What follows stands behind this record in the log, so a daemon that
         # reads it later decides alike; if this one is never kept, neither is what follows.
         self.ledger.apply(record)
-        waiting = _Waiting(encode_record(record), record.program_id, future, urgent)
+        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+        waiting = _Waiting(encode_record(record), record.program_id, future, urgent, replaces)
         self._waiting.append(waiting)
         if urgent:
             self._wake.set()
@@ -176,33 +177,91 @@
           LostPartitionError: if somebody has.
           StoreError: if the store does not say.
         """
-        # Whoever asks while one request is under way shares the next one.
-        if self._next_check is None:
-            check = self._check_after(self._check)
-            self._next_check = asyncio.get_running_loop().create_task(check)
-            self._next_check.add_done_callback(forget_error)
-        await asyncio.shield(self._next_check)
-
-    async def _check_after(self, running: asyncio.Task[None] | None) -> None:
-        if running is not None:
-            await asyncio.wait({running})
-        self._check, self._next_check = self._next_check, None
+        self._check_not_lost()
+        await self._confirmation.ask()
+        # While nobody has taken it over, the store says so of a partition that was lost here too.
+        self._check_not_lost()
+
+    def _check_not_lost(self) -> None:
+        if self.lost:
+            raise LostPartitionError
+
+    async def _ask_store(self) -> None:
         try:
             await self._hedged.first(lambda: self._send([]))
-        except FencedError as error:
+        except FencedError:
             self.lose("fenced")
-            raise LostPartitionError from error
 
-    def expire(self, wall_ms: int, *, grace_ms: int) -> None:
+    def unkept_history(self, program_id: str) -> list[HistoryPart]:
+        """Returns the pieces of a program's history that the partition was lost with.
+
+        A turn whose end is kept by the next owner rests on them.
+        """
+        records = [decode_record(data) for data in self._unkept]
+        parts = [one for one in records if isinstance(one, HistoryPart)]
+        return [one for one in parts if one.program_id == program_id]
+
+    def expire(self, wall_ms: int, *, steady_ms: int, grace_ms: int) -> None:
         """Forgets programs that can no longer be continued; see `Ledger.expire`."""
-        if self.ledger.expire(wall_ms, grace_ms=grace_ms):
+
+        def known_ms(program_id: str, kept_until_ms: int) -> int:
+            return self._seen.age_ms(program_id, kept_until_ms, steady_ms)
+
+        if self.ledger.expire(wall_ms, grace_ms=grace_ms, known_ms=known_ms):
             self.uncertain.forget_others(self.ledger.programs)
+            self._seen.forget_others(self.ledger.programs)
+
+    def needless_before(self, least_bytes: int) -> int | None:
+        """Returns the offset before which no record is needed, None if that frees too little."""
+        if not self.ready:
+            return None
+        return self._extent.needless_before(self.ledger.programs, least_bytes=least_bytes)
+
+    async def trim(self, before: int) -> None:
+        """Deletes the records before an offset that `needless_before` has returned.
+
+        Raises:
+          LostPartitionError: if another daemon has taken the partition over.
+          StoreError: if the store does not answer.
+        """
+        # Trimming is not fenced, and programs that an owner shut out long ago takes for over may go
+        # on at the next one. What was needless before the store confirms the owner stays so.
+        await self.confirm()
+        await self._store.trim(self.partition, before)
+        self._extent.trimmed(before)
 
     @property
     def idle(self) -> bool:
         """Whether nothing waits to be appended."""
         return not self._waiting
 
+    @property
+    def in_use(self) -> bool:
+        """Whether turns under way, or what they have handed over, need it."""
+        return not self.lost and (self._turns > 0 or not self.idle)
+
+    @contextlib.contextmanager
+    def turn_under_way(self) -> Iterator[None]:
+        """Counts a turn while it runs."""
+        self._turns += 1
+        try:
+            yield
+        finally:
+            self._turns -= 1
+
+    def retire(self, reason: str) -> None:
+        """Has it write on, for turns under way, until another daemon has taken over.
+
+        The epoch is the fence, not membership in the group: nobody may be there to take over, and
+        what is appended before somebody does is read by whoever it is.
+        """
+        if not self.ready:
+            self.lose(reason)
+            return
+        self.retired = True
+        self.flush()
+        self._on_change(self, reason)
+
     def lose(self, reason: str) -> None:
         """Stops writing; whatever waits fails."""
         if self.lost:
@@ -216,6 +275,7 @@
             if not waiting.kept.done():
                 waiting.kept.set_exception(LostPartitionError())
         self._on_change(self, reason)
+        self._unkept = [waiting.data for waiting in self._waiting]
         self._waiting.clear()
 
     def dump(self) -> dict[str, object]:
@@ -225,6 +285,7 @@
             "number": self.partition.number,
             "epoch": self.epoch,
             "ready": self.ready,
+            "retired": self.retired,
             "stalled": self.stalled,
             "waiting_records": len(self._waiting),
             "programs": len(self.ledger.programs),
@@ -255,6 +316,7 @@
         """Shuts the last owner out, then reads everything that it has written."""
         started_s = time.monotonic()
         end_offset = await self._append([])
+        self.inherits = end_offset > 0
         offset = 0
         while offset < end_offset:
             offset = await self._read_from(offset)
@@ -276,13 +338,18 @@
             await self._hedged.pause(FIRST_RETRY_S)
             return offset
         self.stalled = False
-        for data in page.records:
+        for position, data in enumerate(page.records, start=offset):
             try:
-                self.ledger.apply(decode_record(data))
+                record = decode_record(data)
+                self.ledger.apply(record)
+                replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+                self._extent.note(position, record.program_id, len(data), replaces=replaces)
             except msgspec.DecodeError as error:
+                self._extent.note_unknown(position)
                 # A record of a version that this one does not know; its turn can't be continued
                 # here, and the log line is the only sign.
                 self._on_change(self, f"undecodable record: {error}")
+        self._extent.mark(offset + len(page.records))
         return offset + len(page.records)
 
     async def _append_batch(self) -> None:
@@ -293,12 +360,15 @@
                 break
             batch.append(waiting)
             size_bytes += len(waiting.data)
-        await self._append([waiting.data for waiting in batch])
+        end_offset = await self._append([waiting.data for waiting in batch])
         del self._waiting[: len(batch)]
-        for waiting in batch:
+        for offset, waiting in enumerate(batch, start=end_offset - len(batch)):
+            size_bytes = len(waiting.data)
+            self._extent.note(offset, waiting.program_id, size_bytes, replaces=waiting.replaces)
             self.uncertain.kept(waiting.program_id)
             if not waiting.kept.done():
                 waiting.kept.set_result(None)
+        self._extent.mark(end_offset)
         on_their_way = {waiting.program_id for waiting in self._waiting}
         self.uncertain.settle({waiting.program_id for waiting in batch} - on_their_way)
 
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -16,7 +16,7 @@
 from quincespool.gateway.turns.ledger import TurnEnded
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import split_history
-from quincespool.gateway.turns.partition import LostPartitionError
+from quincespool.gateway.turns.settlement import LostPartitionError
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -42,8 +42,6 @@
 LEAST_PATIENCE_MS = 2_000
 STORE_AWAY = "store_away"
 
-_settling: set[asyncio.Task[None]] = set()
-
 
 class BrokenTurnError(Exception):
     """Ends a turn with the gateway's own final answer."""
@@ -71,10 +69,12 @@
     Attributes:
       settle_elsewhere: Has a record kept by the partition's next owner.
       store_reachable: Whether the store answers this daemon.
+      settling: Work on turns that broke off before their start was durable.
     """
 
     settle_elsewhere: SettleElsewhere
     store_reachable: Callable[[], bool]
+    settling: set[asyncio.Task[None]]
 
 
 class TurnRecords:
@@ -189,7 +189,7 @@
             )
             kept = self._owned.submit(record)
             if not self._start_is_kept:
-                start_kept(self._settle_broken(kept, record), _settling)
+                start_kept(self._settle_broken(kept, record), self._services.settling)
 
     @property
     def _start_is_kept(self) -> bool:
@@ -248,8 +248,18 @@
         except TimeoutError:
             return False
         except LostPartitionError:
-            left_ms = until_ms - now_ms()
-            return await self._settle(record, left_ms)
+            return await self._settle_with_history(record, until_ms)
+
+    async def _settle_with_history(self, record: Record, until_ms: int) -> bool:
+        """Has the next owner keep a record, and before it what its chain rests on.
+
+        Without these the turn would be whole, and nothing could go on from it.
+        """
+        parts = self._owned.unkept_history(self._turn.program_id)
+        for one in [*parts, record]:
+            if not await self._settle(one, until_ms - now_ms()):
+                return False
+        return True
 
     async def _durable_start(self) -> None:
         assert self._start_kept is not None
--- a/src/quincespool/gateway/upkeep.py
+++ b/src/quincespool/gateway/upkeep.py
@@ -20,6 +20,7 @@
     from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.turns.renewal import Renewals
     from quincespool.gateway.turns.runner import TurnRunner
+    from quincespool.gateway.turns.trimming import Trimming
 
 # Between two looks at a peer that is silent; a small part of the time for which it may be.
 SILENCE_CHECK_MS = 50
@@ -44,6 +45,7 @@
         turns: TurnRunner,
         quiet_backends: QuietBackends,
         renewals: Renewals,
+        trimming: Trimming,
     ) -> None:
         self._beliefs = beliefs
         self._presence = presence
@@ -53,6 +55,7 @@
         self._turns = turns
         self._quiet_backends = quiet_backends
         self._renewals = renewals
+        self._trimming = trimming
 
     def subscribe(self, ticker: Ticker) -> None:
         """Has the work done at its intervals."""
@@ -77,12 +80,16 @@
         self._beliefs.expire()
         self._presence.follow_isolation()
         for daemon in self._members.others:
-            if not self._members.is_alive(daemon.member_id, now_ms()):
-                self._links.drop(daemon.peer_address)
+            if self._members.is_alive(daemon.member_id, now_ms()):
+                self._links.trust(daemon.peer_address)
+            else:
+                self._links.doubt(daemon.peer_address)
 
     def _expire(self) -> None:
         for owned in self._ownership.owned.values():
-            owned.expire(wall_ms(), grace_ms=LEDGER_GRACE_MS)
+            owned.expire(wall_ms(), steady_ms=now_ms(), grace_ms=LEDGER_GRACE_MS)
+            self._trimming.trim(owned)
+        self._ownership.end_retired()
         self._turns.forget_programs()
 
     def _renew(self) -> None:
--- a/tests/gateway/turns/test_programs.py
+++ b/tests/gateway/turns/test_programs.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.turns.turn_records import STORE_AWAY
 from tests.gateway.gateway_cluster import GatewayCluster
@@ -15,7 +16,9 @@
 from tests.support.platform_entries import TOKENS_PER_EVENT
 
 if TYPE_CHECKING:
+    from quincespool.gateway.daemon import GatewayDaemon
     from quincespool.gateway.model import Refusal
+    from tests.support.client import Reply
 
 
 async def test_a_turn_is_continued_at_another_daemon() -> None:
@@ -279,6 +282,66 @@
             assert reply.status == 200
 
 
+async def test_turns_end_whole_while_every_owner_stops_at_once() -> None:
+    async with GatewayCluster(2) as cluster:
+        turns = await _begin_long_turns(cluster, 16)
+        for node in cluster.nodes.values():
+            node.daemon.begin_stop()
+        answers = await asyncio.gather(*turns)
+        assert [reply.status for _, reply in answers] == [200] * 16
+
+
+async def test_turns_end_whole_if_the_next_owner_stops_before_they_end() -> None:
+    async with GatewayCluster(2) as cluster:
+        turns = await _begin_long_turns(cluster, 16)
+        cluster.nodes["a"].daemon.begin_stop()
+        await cluster.until(lambda: _ready_count(cluster, "b") == 8, limit_s=0.5)
+        cluster.nodes["b"].daemon.begin_stop()
+        ended = asyncio.create_task(_close_when_stopped(cluster.nodes["b"].daemon))
+        answers = await asyncio.gather(*turns)
+        assert [reply.status for _, reply in answers] == [200] * 16
+        await cluster.nodes["a"].daemon.stopped.wait()
+        await cluster.nodes["a"].daemon.close()
+        await asyncio.wait_for(ended, 2)
+
+
+async def test_an_owner_that_stops_takes_no_turn_that_it_could_not_end() -> None:
+    async with GatewayCluster(2) as cluster:
+        program = next(one for one in map(str, itertools.count()) if _owns(cluster, "b", one))
+        stop = cluster.nodes["b"].daemon._stop
+        stop.begin()
+        stop._last_ms = now_ms() + 1_000
+        call_id, reply = await cluster.turn("a", program)
+        assert reply.status == 503
+        assert not cluster.runs(call_id)
+
+
+async def test_a_partition_that_was_dealt_anew_is_let_go_when_its_turns_have_ended() -> None:
+    async with GatewayCluster(1) as cluster:
+        await _begin_long_turns(cluster, 0)
+        await cluster.add_node("b")
+        ownership = cluster.nodes["a"].daemon._ownership
+        await cluster.until(lambda: len(ownership.owned) == 4)
+        await cluster.until(lambda: not ownership._retired)
+
+
+async def _begin_long_turns(
+    cluster: GatewayCluster, count: int
+) -> list[asyncio.Task[tuple[str, Reply]]]:
+    """Begins turns at daemon `a` whose streams take most of a second."""
+    for engine in ("e1", "e2"):
+        cluster.engines[engine].knobs.gap_ms = 300
+    work = [cluster.turn("a", f"p{number}") for number in range(count)]
+    turns = [asyncio.create_task(one) for one in work]
+    await cluster.until(lambda: len(cluster.all_runs()) == count)
+    return turns
+
+
+async def _close_when_stopped(daemon: GatewayDaemon) -> None:
+    await daemon.stopped.wait()
+    await daemon.close()
+
+
 async def test_a_daemon_that_starts_again_frees_what_it_owned_before() -> None:
     """Symptom: programs stand still for a second after a daemon was killed and is back at once.
 
