--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -73,11 +73,11 @@
         await callers.prove_service()
         callers.audit()
         callers.counts["killed in a stop"] = sum(daemon.killed for daemon in deployment.daemons)
-    callers.faults += [f"error: {line[:200]}" for line in _errors(folder)]
+    callers.faults += [f"error: {line[:200]}" for line in find_errors(folder)]
     return Outcome(callers.counts, callers.faults, [str(fault) for fault in plan])
 
 
-def _errors(folder: Path) -> list[str]:
+def find_errors(folder: Path) -> list[str]:
     """Returns what daemons logged of exceptions that nothing has handled."""
     lines = [line for path in folder.glob("*.log") for line in path.read_text().splitlines()]
     return [line for line in lines if '"level": "error"' in line]
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -19,10 +19,13 @@
 from tests.soak.judge import judge
 from tests.soak.lines import ONCE
 from tests.soak.lines import Line
+from tests.soak.soak import find_errors
 from tests.support.client import Reply
 from tests.support.standins.platform_engine import Span
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from tests.soak.deployment import SoakDeployment
 
 
@@ -85,6 +88,12 @@
     assert callers.counts["lost"] == is_lost
 
 
+def test_an_exception_that_a_daemon_logs_is_noticed(tmp_path: Path) -> None:
+    lines = ['{"at_ms": 1, "level": "info"}', '{"at_ms": 2, "level": "error"}']
+    (tmp_path / "d0.log").write_text("\n".join(lines))
+    assert find_errors(tmp_path) == lines[1:]
+
+
 # A daemon was told to stop at 100 s and had 4 s for it.
 STOPPED = Work("stop", "d0", 100.0, 104.0)
 ENDED = Attempt("c", "/stream/", "d0", True, False, 3_000, 101.0, 102.0, 0, False, False)
