--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import os
 import signal
 import socket
@@ -93,6 +94,7 @@
                     str(self._settings),
                     stdout=log,
                     stderr=log,
+                    preexec_fn=_end_with_parent,
                 )
 
     def signal(self, number: int) -> None:
@@ -276,6 +278,14 @@
             await asyncio.sleep(ANNOUNCE_S)
 
 
+def _end_with_parent() -> None:
+    # A daemon that outlives its soak would join the store of a later one that has its ports.
+    ctypes.CDLL(None).prctl(_PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
+_PR_SET_PDEATHSIG = 1
+
+
 def _free_ports(count: int) -> list[int]:
     # Below the range from which the kernel takes ports for outgoing connections, apart for each
     # process that runs a soak, so that a daemon finds its ports free when it starts again.
