--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -71,6 +71,13 @@
     assert given.limit_overage_share == 0.1
 
 
+def test_how_long_the_store_keeps_records_is_what_the_platform_says() -> None:
+    without = msgspec.json.decode(_render(), type=GatewaySettings)
+    given = msgspec.json.decode(_render(**{"platform.retention_s": 20}), type=GatewaySettings)
+
+    assert (without.store_retention_s, given.store_retention_s) == (300, 20)
+
+
 @pytest.mark.parametrize(
     ("key", "value"),
     [
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -11,6 +11,7 @@
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
+from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
 from quincespool.gateway.turns.ledger import TurnBroken
 from quincespool.gateway.turns.ledger import TurnEnded
@@ -309,6 +310,21 @@
         assert cluster.runs(second) == [b"one|" + b"".join(outputs) + b"two|"]
 
 
+async def test_a_renewal_that_was_not_kept_is_not_handed_to_the_next_owner() -> None:
+    async with GatewayCluster() as cluster:
+        await cluster.turn("a", "p1")
+        owned = _owned(cluster, "p1")
+        imported = HistoryPart("elsewhere", "p1", "", b"text", 60_000, wall_ms())
+        owned.submit(imported)
+        for record in owned.ledger.renewed("p1", wall_ms()):
+            owned.submit(record)
+        owned.lose("fenced")
+        later = HistoryPart("t#head", "p1", "", b"text", 60_000, wall_ms())
+        owned.submit(later)
+        assert owned.unkept_parts("p1") == [imported, later]
+        assert owned.unkept_parts("p2") == []
+
+
 def test_the_log_is_needed_from_the_oldest_program_or_unreadable_record_on() -> None:
     extent = LogExtent()
     for offset, program in enumerate(("p", "q", "p", "p", "q")):
