--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -201,6 +201,8 @@
         for daemon in self.daemons:
             daemon.signal(signal.SIGCONT)
         await asyncio.gather(*[one.end(signal.SIGKILL) for one in self.daemons])
+        for daemon in self.daemons:
+            _taken.difference_update(daemon.ports)
         if self._announcing is not None:
             self._announcing.cancel()
         await self._stack.aclose()
