A call that waits for its permit into a stop is refused

Found by the review, with an admission slowed down: the check against the end of a stop came before the wait for a permit of the call's account, so that a stop that began meanwhile was not seen; the call ran and was cut. The check is made again behind the wait; the permit is given back. The test failed before.

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -119,6 +119,10 @@
             return ""
         decision = decision._replace(is_pressed=permit.is_pressed)
         try:
+            if not self._has_time_until(until_ms):
+                # The stop has begun while the call waited for its permit.
+                reply.refuse(not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS))
+                return ""
             if decision.route.kind is CallKind.STREAMING:
                 return await self._relay.run(call, make_terms(decision), reply, until_ms=until_ms)
             reply.whole(await self._plain.run(call, decision, until_ms=until_ms))
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.clock import now_ms
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import HOST_NAME
@@ -13,6 +14,10 @@
 if TYPE_CHECKING:
     import pytest
 
+    from quincespool.gateway.accounts.limits import Permit
+    from quincespool.gateway.model import Call
+    from quincespool.gateway.model import Decision
+
 
 def _lines(caplog: pytest.LogCaptureFixture, message: str) -> list[dict[str, object]]:
     lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
@@ -68,6 +73,36 @@
     assert answers.startswith(b"HTTP/1.1 200 ")
 
 
+async def test_a_call_that_waited_for_its_permit_into_a_stop_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with GatewayCluster(1) as cluster:
+        daemon = cluster.nodes["a"].daemon
+        admit = daemon._parts.limits.admit
+
+        async def admit_late(call: Call, decision: Decision, *, until_ms: int) -> Permit:
+            daemon.begin_stop()
+            daemon._stop._last_ms = now_ms()
+            return await admit(call, decision, until_ms=until_ms)
+
+        monkeypatch.setattr(daemon._parts.limits, "admit", admit_late)
+        reply = await cluster.call("a", "non_idempotent")
+        assert reply.status == 503
+        assert cluster.all_runs() == []
+
+
+async def test_a_stop_that_meets_a_fault_still_ends(monkeypatch: pytest.MonkeyPatch) -> None:
+    async with GatewayCluster(1) as cluster:
+        daemon = cluster.nodes["a"].daemon
+
+        async def fail() -> None:
+            raise RuntimeError
+
+        monkeypatch.setattr(daemon._ownership, "leave", fail)
+        daemon.begin_stop()
+        await asyncio.wait_for(daemon.stopped.wait(), 5)
+
+
 async def test_a_fault_of_the_daemon_is_logged_with_the_id_of_its_call(
     caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
