A stop that meets a fault still ends

Found by the review, with a fault put in; no natural cause was seen: an exception while a daemon leaves would leave its process running until it is killed, with all that it has.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -320,8 +320,11 @@
             self._spawn(self._drain())
 
     async def _drain(self) -> None:
-        await self._stop.drain()
-        self.stopped.set()
+        try:
+            await self._stop.drain()
+        finally:
+            # A fault in the stop must not leave its end to a kill.
+            self.stopped.set()
 
     async def close(self) -> None:
         """Closes everything."""
