Left red: a turn is denied for another account's turn of the same id

Found by the review: the first round of a search, which asks nobody to be certain, takes another account's turn of that id for the answer, while the owner of the account's own turn is away.

--- a/tests/gateway/accounts/test_accounts.py
+++ b/tests/gateway/accounts/test_accounts.py
@@ -161,3 +161,25 @@
     texts = [node.daemon._metrics.render()[0].decode() for node in cluster.nodes.values()]
     counts = [re.findall(r'store_calls_total{path="/log-append".*} (\d+)', text) for text in texts]
     return sum(int(count) for one in counts for count in one)
+
+
+async def test_an_id_that_another_account_used_too_is_not_denied_while_its_owner_is_away() -> None:
+    async with GatewayCluster() as cluster:
+        cluster.configure(2, accounts=_accounts())
+        await _wait_for(cluster, 2)
+        north, south = _program(cluster, "b", "north"), _program(cluster, "a", "south")
+        for key, program in (("key-north", north), ("key-south", south)):
+            _, reply = await cluster.turn("a", program, key=key, call_id="t")
+            assert reply.status == 200
+        await cluster.lose_node("b")
+        onward = _program(cluster, "a", "north")
+        _, reply = await cluster.turn("a", onward, previous="t", key="key-north")
+        assert reply.status != 404
+
+
+def _program(cluster: GatewayCluster, node: str, account: str) -> str:
+    """Returns the id of a program of an account whose partition a daemon owns."""
+    daemon = cluster.nodes[node].daemon
+    partition_for, owned = daemon._parts.relay._partition_for, daemon._ownership.owned
+    ids = (f"p{number}" for number in range(200))
+    return next(one for one in ids if partition_for(scoped_program(account, one)) in owned)
