An answer that is whole is not broken off by the end of the process

Found by the review, with a cancellation put in: a handler that is cancelled in the turn of the loop in which its answer has ended answered once more, broke the connection off under what came behind, and was logged as cut_off. It says nothing more where an answer has ended. The test failed before.

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -85,7 +85,7 @@
         try:
             served_by = await self._serve(call, decision, reply, started_ms)
         except asyncio.CancelledError:
-            if not connection.lost:
+            if not reply.outcome and not connection.lost:
                 reply.refuse(may_have_run(CUT_OFF))
             raise
         except Exception as error:
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -15,8 +15,10 @@
     import pytest
 
     from quincespool.gateway.accounts.limits import Permit
+    from quincespool.gateway.callers.reply import Reply
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
+    from quincespool.gateway.model import TurnTerms
 
 
 def _lines(caplog: pytest.LogCaptureFixture, message: str) -> list[dict[str, object]]:
@@ -91,6 +93,24 @@
         assert cluster.all_runs() == []
 
 
+async def test_an_answer_that_is_whole_is_not_broken_off_by_the_end_of_the_process(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    caplog.set_level("INFO")
+    async with GatewayCluster(1) as cluster:
+        daemon = cluster.nodes["a"].daemon
+        run = daemon._parts.relay.run
+
+        async def run_and_end(call: Call, terms: TurnTerms, reply: Reply, *, until_ms: int) -> str:
+            await run(call, terms, reply, until_ms=until_ms)
+            raise asyncio.CancelledError
+
+        monkeypatch.setattr(daemon._parts.relay, "run", run_and_end)
+        _, answer = await cluster.turn("a", "p")
+        assert answer.status == 200
+    assert [line["outcome"] for line in _lines(caplog, "call answered")] == ["whole"]
+
+
 async def test_a_stop_that_meets_a_fault_still_ends(monkeypatch: pytest.MonkeyPatch) -> None:
     async with GatewayCluster(1) as cluster:
         daemon = cluster.nodes["a"].daemon
