What a broken turn has reserved is given back at the next owner

Found by the review: 402 for a program with budget left. Its turn had not run (503, engines full), its start was durable, and the partition was lost before the end of the reservation was kept: only turns whose start was not durable were settled at the next owner. Class: of records that belong together one follows the partition. Now the end of every broken turn is. Read twice it changes nothing. The test, with the loss put in, failed before (402).

--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -213,7 +213,8 @@
           StoreError: if the store does not answer.
         """
         # Trimming is not fenced, and programs that an owner shut out long ago takes for over may go
-        # on at the next one. What was needless before the store confirms the owner stays so.
+        # on at the next one. What was needless before the store confirms the owner stays so, except
+        # for a program that comes back after its retention.
         await self.confirm()
         await self._store.trim(self.partition, before)
         self._extent.trimmed(before)
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -191,8 +191,7 @@
                 at_ms=wall_ms(),
             )
             kept = self._owned.submit(record)
-            if not self._start_is_kept:
-                start_kept(self._settle_broken(kept, record), self._services.settling)
+            start_kept(self._settle_broken(kept, record), self._services.settling)
 
     @property
     def _start_is_kept(self) -> bool:
@@ -217,11 +216,15 @@
         return uncertain.allows(program_id) and uncertain.is_clear(program_id)
 
     async def _settle_broken(self, kept: asyncio.Future[None], record: TurnBroken) -> None:
-        """Tells the partition's next owner what was handed out while the store was away."""
+        """Tells the partition's next owner what was handed out, if this one has lost it.
+
+        A reservation that lasts would be spent for good; one that does not, and what was handed out
+        with it, would be spent again.
+        """
         try:
             await asyncio.shield(kept)
         except LostPartitionError:
-            if await self._settle(self._start, SETTLE_LIMIT_MS):
+            if self._start_is_kept or await self._settle(self._start, SETTLE_LIMIT_MS):
                 await self._settle(record, SETTLE_LIMIT_MS)
 
     def _submit_head(self, text: bytes) -> str:
--- a/tests/gateway/turns/test_imported_histories.py
+++ b/tests/gateway/turns/test_imported_histories.py
@@ -1,16 +1,20 @@
-"""Programs that go on from a turn of another program while partitions change hands."""
+"""What follows a partition to its next owner: copied histories, and what turns have reserved."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.turns.ledger import TurnBroken
 from tests.gateway.gateway_cluster import GatewayCluster
 
 if TYPE_CHECKING:
+    import asyncio
+
     import pytest
 
     from quincespool.gateway.store.interface import Partition
     from quincespool.gateway.turns.finder import FoundTurn
+    from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.partition import OwnedPartition
 
 
@@ -65,3 +69,29 @@
         assert reply.status == 200
         assert cluster.runs(third)[0].startswith(before)
         assert cluster.runs(third)[0].endswith(b"three|")
+
+
+async def test_a_turn_that_never_ran_reserves_nothing_at_the_next_owner() -> None:
+    async with GatewayCluster() as cluster:
+        program = _program_of(cluster, "a")
+        daemon = cluster.nodes["a"].daemon
+        owned = _owned(cluster, "a")[daemon._parts.relay._partition_for(program)]
+        submit = owned.submit
+
+        def submit_and_lose(record: Record, *, urgent: bool = True) -> asyncio.Future[None]:
+            del urgent
+            if isinstance(record, TurnBroken):
+                owned.lose("fenced")
+            return submit(record)
+
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.full = True
+        owned.submit = submit_and_lose  # type: ignore[method-assign]
+        _, reply = await cluster.turn("a", program, budget=100, most=60)
+        assert reply.status == 503
+        for engine in ("e1", "e2"):
+            cluster.engines[engine].knobs.full = False
+        await cluster.until(cluster.is_settled)
+        await cluster.until(lambda: not daemon._parts.turns.settling)
+        _, reply = await cluster.turn("b", program, budget=100, most=60)
+        assert reply.status == 200
