--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -72,7 +72,10 @@
         await _settle()
         await callers.prove_service()
         callers.audit()
-        callers.counts["killed in a stop"] = sum(daemon.killed for daemon in deployment.daemons)
+        killed = sum(daemon.killed for daemon in deployment.daemons)
+        callers.counts["killed in a stop"] = killed
+        if killed and faults == "planned":
+            callers.faults.append(f"killed in a stop: {killed} processes outlived their grace")
     callers.faults += [f"error: {line[:200]}" for line in find_errors(folder)]
     return Outcome(callers.counts, callers.faults, [str(fault) for fault in plan])
 
