A full store is not said to have room for what it answers besides

Found by the review: 'store full' and 'store has room' by turns, nine times in 1.2 s, and trimming at once only by chance: an append without records, which confirms an owner, cleared what an append with records had met. Now the store counts as full for 3 s after an append found no room; appends that wait are sent again sooner.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -357,7 +357,7 @@
 
     def _note_store_call(self, path: str, status: str) -> None:
         self._metrics.count("gateway_store_calls_total", path=path, status=status)
-        self._store_health.note(path, status)
+        self._store_health.note(status)
 
     def _note_partition(self, owned: OwnedPartition, detail: str) -> None:
         self._log.write("partition", **owned.dump(), lost=owned.lost, detail=detail)
--- a/src/quincespool/gateway/store/beliefs.py
+++ b/src/quincespool/gateway/store/beliefs.py
@@ -37,6 +37,8 @@
 DAEMONS_WAIT_MS = 5_000
 # An entry that lapses while the store is away is back within two seconds of its return.
 LAPSE_GRACE_MS = 2_200
+# Appends that find no room are sent again sooner, and a daemon looks for what it can delete.
+FULL_MEMORY_MS = 3_000
 # Requests to the store that fail in a row, and time without any success, before it counts as lost:
 # a burst beyond its rate is refused in part while it serves the rest.
 FAILURES_TO_LOSE = 3
@@ -48,7 +50,6 @@
 
     Attributes:
       reachable: Whether it did lately.
-      full: Whether it had no room for the last append; it answers all the same.
       lapses_until_ms: Steady clock until which entries that lapsed meanwhile may be missing.
     """
 
@@ -56,13 +57,18 @@
         self, log: DecisionLog, now_ms: Callable[[], int], *, on_return: Callable[[], None]
     ) -> None:
         self.reachable = True
-        self.full = False
         self.lapses_until_ms = 0
         self._log = log
         self._now_ms = now_ms
         self._on_return = on_return
         self._failures = 0
         self._succeeded_ms = now_ms()
+        self._full_ms: int | None = None
+
+    @property
+    def full(self) -> bool:
+        """Whether it had no room for an append lately; it answers all the same."""
+        return self._full_ms is not None and self._now_ms() - self._full_ms < FULL_MEMORY_MS
 
     @property
     def is_prompt(self) -> bool:
@@ -70,10 +76,9 @@
         silent_ms = self._now_ms() - self._succeeded_ms
         return self._failures == 0 and silent_ms <= SILENCE_TO_LOSE_MS
 
-    def note(self, path: str, status: str) -> None:
+    def note(self, status: str) -> None:
         """Takes the outcome of a request in: a status or `unanswered`."""
-        if status == "507" or (self.full and status == "200" and path == "/log-append"):
-            self._note_room(is_full=status == "507")
+        self._note_room(status)
         if status in ("unanswered", "503", "429"):
             self._failures += 1
             silent_ms = self._now_ms() - self._succeeded_ms
@@ -93,10 +98,14 @@
             self._log.write_always("store regained")
             self._on_return()
 
-    def _note_room(self, *, is_full: bool) -> None:
-        if is_full != self.full:
-            self.full = is_full
-            self._log.write_always("store full" if is_full else "store has room")
+    def _note_room(self, status: str) -> None:
+        if status == "507":
+            if self._full_ms is None:
+                self._log.write_always("store full")
+            self._full_ms = self._now_ms()
+        elif self._full_ms is not None and not self.full:
+            self._full_ms = None
+            self._log.write_always("store has room")
 
 
 class Beliefs:
