Two expressions that stood twice have one place each

Found on reading the change again: how many records a renewal replaces was worked out where a record is handed over and where it is read, and the refusal of a daemon that ends first was made at both checks.

--- a/src/quincespool/gateway/callers/front.py
+++ b/src/quincespool/gateway/callers/front.py
@@ -43,6 +43,7 @@
 STOPPING = "stopping"
 # Another daemon takes the call at once.
 STOPPING_RETRY_MS = 50
+_ENDS_FIRST = not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS)
 
 
 class Front:
@@ -111,7 +112,7 @@
             return ""
         until_ms = started_ms + min(call.left_ms, decision.route.timeout_ms)
         if not self._has_time_until(until_ms):
-            reply.refuse(not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS))
+            reply.refuse(_ENDS_FIRST)
             return ""
         permit = await self._limits.admit(call, decision, until_ms=until_ms)
         if permit.refusal is not None:
@@ -121,7 +122,7 @@
         try:
             if not self._has_time_until(until_ms):
                 # The stop has begun while the call waited for its permit.
-                reply.refuse(not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS))
+                reply.refuse(_ENDS_FIRST)
                 return ""
             if decision.route.kind is CallKind.STREAMING:
                 return await self._relay.run(call, make_terms(decision), reply, until_ms=until_ms)
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -22,7 +22,6 @@
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.ledger import decode_record
 from quincespool.gateway.turns.ledger import encode_record
@@ -32,6 +31,7 @@
 from quincespool.gateway.turns.uncertain import UncertainTokens
 from quincespool.gateway.turns.waiting_records import WaitingRecord
 from quincespool.gateway.turns.waiting_records import history_parts
+from quincespool.gateway.turns.waiting_records import replaced_count
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,7 +143,7 @@
         future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         # Nobody may wait for the outcome any more; that is no forgotten error.
         future.add_done_callback(forget_error)
-        replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+        replaces = replaced_count(record)
         waiting = WaitingRecord(encode_record(record), record.program_id, future, urgent, replaces)
         if self.lost:
             self._unkept.append(waiting)
@@ -331,7 +331,7 @@
             try:
                 record = decode_record(data)
                 self.ledger.apply(record)
-                replaces = record.part_count if isinstance(record, ProgramRenewed) else 0
+                replaces = replaced_count(record)
                 self._extent.note(position, record.program_id, len(data), replaces=replaces)
             except msgspec.DecodeError as error:
                 self._extent.note_unknown(position)
--- a/src/quincespool/gateway/turns/waiting_records.py
+++ b/src/quincespool/gateway/turns/waiting_records.py
@@ -6,12 +6,15 @@
 from typing import NamedTuple
 
 from quincespool.gateway.turns.ledger import HistoryPart
+from quincespool.gateway.turns.ledger import ProgramRenewed
 from quincespool.gateway.turns.ledger import decode_record
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterable
 
+    from quincespool.gateway.turns.ledger import Record
+
 
 class WaitingRecord(NamedTuple):
     """A record on its way.
@@ -30,6 +33,11 @@
     replaces: int
 
 
+def replaced_count(record: Record) -> int:
+    """Returns with how many records before it a record replaces all others of its program."""
+    return record.part_count if isinstance(record, ProgramRenewed) else 0
+
+
 def history_parts(waiting: Iterable[WaitingRecord], program_id: str) -> list[HistoryPart]:
     """Returns the pieces of a program's history among some records, but for those of a renewal."""
     parts: list[HistoryPart] = []
