A quiet engine is given up only if its kernel acknowledges nothing

What callers saw: 502 answer_lost, or a stream that ends, for all turns that a daemon has under way at a sound engine that reads a long prompt while its queue of new connections is full. Cause: an engine without data for a while was judged by new connections alone. A running kernel drops those while its listener's queue is full, as a host without power does. Class: a verdict "gone" that rests on the absence of something new, while what exists is sound. Evidence: test_a_quiet_engine_whose_queue_of_connections_is_full_is_waited_for, unchanged, failed on each run of (502 == 200): the engine's kernel acknowledges the request and every probe on the open connection all the while.

Change: when two new connections get no answer, the kernel probes the connections that owe answers (keepalive after 1 s without a sign, its least), and TCP_INFO tells how long ago anything was received. Answers are broken off only if nothing was received for a second and a tenth. The new log line "backend acknowledges" tells the two cases apart. Why it works: a host that is there acknowledges a keepalive probe whatever its processes and queues do. Turns at an engine that has lost its power end about 0.6 s later than before, still before their callers give up.

The test of an engine without power patched new connections only, and its route's limit of 3 s ended the turn within its bound of 5 s whether the engine was given up or not (it passed with a probe that always says alive). It now says what the kernel heard, or that the kernel does not tell, and has no shorter limit: its check stays, and is stricter.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -10,7 +10,9 @@
 import h11
 
 from quincespool.net.addresses import split_address
+from quincespool.net.socket_options import last_received_ms_ago
 from quincespool.net.socket_options import limit_silence
+from quincespool.net.socket_options import probe_after
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -166,6 +168,15 @@
         """Waits for the next event; `AnswerEnd` or `AnswerBroken` is the last one of an answer."""
         return await self._events.get()
 
+    def probe_after(self, idle_s: int) -> None:
+        """Has the kernel probe the host once nothing has been received from it for `idle_s`."""
+        if self._transport is not None:
+            probe_after(self._transport, idle_s)
+
+    def heard_ms_ago(self) -> int | None:
+        """Returns how long ago the host sent data or an acknowledgement; None if not known."""
+        return None if self._transport is None else last_received_ms_ago(self._transport)
+
     def set_idle_timeout(self, idle_s: float | None) -> None:
         """Sets how long the connection may stay idle.
 
--- a/src/quincespool/gateway/backends/pool.py
+++ b/src/quincespool/gateway/backends/pool.py
@@ -62,6 +62,23 @@
         }
         return {backend_id: now_s - max(times) for backend_id, times in received_s.items() if times}
 
+    def probe_after(self, backend_id: str, idle_s: int) -> None:
+        """Has the kernel probe a host on each connection with an answer due; see `probe_after`."""
+        for connection in self._awaiting(backend_id):
+            connection.probe_after(idle_s)
+
+    def heard_ms_ago(self, backend_id: str) -> int | None:
+        """Returns how long ago a host acknowledged anything on a connection with an answer due.
+
+        Returns:
+          Milliseconds; None if no such connection tells.
+        """
+        times_ms = [one.heard_ms_ago() for one in self._awaiting(backend_id)]
+        return min((one for one in times_ms if one is not None), default=None)
+
+    def _awaiting(self, backend_id: str) -> list[BackendConnection]:
+        return [one for one in self._busy.get(backend_id, ()) if one.is_awaiting_answer]
+
     def idle_backend_ids(self) -> frozenset[str]:
         """Returns the backend servers to which there is an idle connection that may be used."""
         now_s = asyncio.get_running_loop().time()
--- a/src/quincespool/gateway/backends/quiet.py
+++ b/src/quincespool/gateway/backends/quiet.py
@@ -27,6 +27,10 @@
 # Least time between two probes of a backend server. One that is reachable may be quiet because it
 # reads a long prompt, and each probe costs a connection.
 PROBE_INTERVAL_S = 1.0
+# Idle time before the kernel probes a connection; the least that it accepts.
+KEEPALIVE_IDLE_S = 1
+# The host's kernel acknowledges such a probe within some milliseconds, whatever its processes do.
+KEEPALIVE_ANSWER_S = 0.1
 
 
 class QuietBackendProbe:
@@ -78,6 +82,8 @@
         for _ in range(PROBE_ATTEMPTS):
             if not await self._is_silent(entry):
                 return
+        if await self._is_acknowledging(entry):
+            return
         now_silent_s = self._context.pool.silent_for_s().get(entry.backend_id, 0.0)
         if now_silent_s < silent_s:
             # Data was received during the probe.
@@ -90,6 +96,27 @@
             entry.backend_id, "no data received, and new connections time out"
         )
 
+    async def _is_acknowledging(self, entry: BackendEntry) -> bool:
+        """Returns whether the host acknowledges keepalive probes on connections with answers due.
+
+        A running host drops new connections while the queue of its listener is full, as one
+        without power does. On the connections that it has accepted, its kernel still answers.
+        """
+        pool = self._context.pool
+        pool.probe_after(entry.backend_id, KEEPALIVE_IDLE_S)
+        heard_ms = pool.heard_ms_ago(entry.backend_id)
+        if heard_ms is None:
+            return False
+        answer_due_s = KEEPALIVE_IDLE_S + KEEPALIVE_ANSWER_S
+        await asyncio.sleep(max(KEEPALIVE_ANSWER_S, answer_due_s - heard_ms / 1000))
+        heard_ms = pool.heard_ms_ago(entry.backend_id)
+        if heard_ms is None or heard_ms >= 1000 * KEEPALIVE_IDLE_S:
+            return False
+        self._context.log.write(
+            "backend acknowledges", backend_id=entry.backend_id, heard_ms_ago=heard_ms
+        )
+        return True
+
     async def _is_silent(self, entry: BackendEntry) -> bool:
         """Returns whether the host does not answer.
 
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -14,6 +15,9 @@
 DEFAULT_IDLE_S = 5
 # Place in the kernel's `struct tcp_info`: how often the oldest bytes were sent again in vain.
 _RETRANSMITS = 2
+# The same for how long ago, in milliseconds, data was last sent, an acknowledgement sent, data
+# received and an acknowledgement received.
+_LAST_TIMES = struct.Struct("=44x4I")
 
 
 def limit_silence(
@@ -56,3 +60,38 @@
         # The connection is over, which its protocol is told.
         return False
     return info[_RETRANSMITS] > 0
+
+
+def probe_after(transport: asyncio.Transport, idle_s: int) -> None:
+    """Has the kernel probe the other host once nothing has been received from it for `idle_s`.
+
+    If nothing has been received for longer than that already, the kernel sends a probe at once.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
+
+
+def last_received_ms_ago(transport: asyncio.Transport) -> int | None:
+    """Returns how long ago the kernel received anything, which may be only an acknowledgement.
+
+    Returns:
+      Milliseconds; None if the kernel does not say.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return None
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _LAST_TIMES.size)
+    except OSError:
+        return None
+    if len(info) < _LAST_TIMES.size:
+        return None
+    times_ms = _LAST_TIMES.unpack(info)
+    if not any(times_ms):
+        # A kernel that does not measure these times reports zeros.
+        return None
+    _, _, data_ms, acknowledgement_ms = times_ms
+    return int(min(data_ms, acknowledgement_ms))
--- a/tests/gateway/backends/test_quiet.py
+++ b/tests/gateway/backends/test_quiet.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import socket
-from typing import TYPE_CHECKING
+
+import pytest
 
 from quincespool.gateway.backends.exchange import BackendConnection
 from quincespool.gateway.backends.exchange import ConnectError
@@ -14,25 +15,26 @@
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import make_backend_entry
 
-if TYPE_CHECKING:
-    import pytest
-
 # Long enough that nothing but the tested behaviour can end a turn.
 SILENT_GAP_MS = 20_000
 LONG_PROMPT_S = 1.2
+LONG_UNHEARD_MS = 5_000
 # Number of connections; more than fit into the queue of the listener.
 QUEUED = 8
 
 
+@pytest.mark.parametrize("heard_ms_ago", [LONG_UNHEARD_MS, None])
 async def test_a_turn_at_an_engine_that_lost_power_ends_soon(
-    monkeypatch: pytest.MonkeyPatch,
+    heard_ms_ago: int | None, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Programs at an engine that lost power must not all be late by more than two seconds.
 
     An engine loses power with turns in progress, and its connections stay open. The fault occurs if
-    these turns end only when their callers time out.
+    these turns end only when their callers time out. A kernel may not tell what it has heard.
     """
     async with GatewayCluster(1) as cluster:
+        cluster.configure(2, timeout_ms=SILENT_GAP_MS)
+        await cluster.until(lambda: cluster.nodes["a"].daemon._routes.version == 2)
         for engine in cluster.engines.values():
             engine.knobs.gap_ms = SILENT_GAP_MS
         turn = asyncio.create_task(cluster.turn("a", "p1", call_id="t1", deadline_ms=30_000))
@@ -42,6 +44,7 @@
             raise ConnectError("no answer", silent=True)
 
         monkeypatch.setattr(BackendConnection, "connect", no_answer)
+        monkeypatch.setattr(BackendConnection, "heard_ms_ago", lambda _: heard_ms_ago)
         async with asyncio.timeout(5.0):
             with contextlib.suppress(ConnectionLostError):
                 _, reply = await turn
