A turn is denied only when all owners say that its account has none

What callers saw: 404 for a turn that was answered whole, which ends the program, while the owner of the account's turn is away and another account has a turn with the same id. Cause: the search ended with 404 as soon as one daemon reported another account's turn of that id, and that daemon did not answer for the account's own turns. Class: a "no" that ends something and rests on one witness, or on an answer of another scope.

Change: the report of another account's turn ends nothing. It makes the next round ask for the partitions that owners have by their leases, which costs no request to the store; a lease counts only if no other daemon is known to have claimed the partition under a higher epoch. If that does not cover all partitions, the rounds that the store confirms follow, and daemons answer them for their partitions also where they have another account's turn. Why it works: every partition that may hold the account's turn is answered for by an owner that looked in it.

--- a/src/quincespool/gateway/members/member_table.py
+++ b/src/quincespool/gateway/members/member_table.py
@@ -251,6 +251,11 @@
             return owner
         return owner if owner is not None and owner[1] >= epoch else (last, epoch)
 
+    def highest_epoch(self, partition: Partition) -> int:
+        """Returns the highest epoch that any other daemon has claimed a partition under, or -1."""
+        epoch, _ = self._highest_claims.get(partition, (-1, ""))
+        return epoch
+
     def caller_addresses(self, now_ms: int, *, own_serves: bool, zone: str = "") -> list[str]:
         """Returns the addresses that callers of a zone should use."""
         serving = self._serving(now_ms, own_serves=own_serves)
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -153,12 +153,15 @@
       certain: Whether daemons that do not have the turn answer too, with the partitions that they
         are confirmed to own.
       account: Account that the turn must belong to; empty where there are no accounts.
+      claimed: Whether daemons that do not have the turn answer too, with the partitions that they
+        own by their lease, without a request to the store.
     """
 
     find_id: int
     turn_id: str
     certain: bool
     account: str
+    claimed: bool = False
 
 
 class TurnFound(NamedTuple):
@@ -175,7 +178,7 @@
 
 
 class TurnForeign(NamedTuple):
-    """The requested turn belongs to another account."""
+    """The requested turn exists in another account; the requested account may have one as well."""
 
     find_id: int
 
@@ -242,10 +245,15 @@
 
 
 class TurnAbsent(NamedTuple):
-    """The turn is in none of these partitions, whose ownership the store has just confirmed."""
+    """The turn is in none of these partitions of the sender.
+
+    Attributes:
+      claimed: Whether the sender owns them by its lease; if not, the store has just confirmed it.
+    """
 
     find_id: int
     partitions: tuple[PartitionClaim, ...]
+    claimed: bool = False
 
 
 class LinkProbe(NamedTuple):
--- a/src/quincespool/gateway/turns/finder.py
+++ b/src/quincespool/gateway/turns/finder.py
@@ -54,8 +54,9 @@
 
     Attributes:
       found: The turn, once a daemon has answered with it.
-      is_of_other_account: Whether a daemon has reported that the turn belongs to another account.
+      is_of_other_account: Whether a daemon has reported that another account has the turn.
       absent_in: Partitions whose confirmed owners have reported that they do not have the turn.
+      claimed_absent_in: The same for owners that are known only by their leases.
       updated: Set when one of the other attributes has changed.
     """
 
@@ -63,8 +64,19 @@
         self.found: FoundTurn | None = None
         self.is_of_other_account = False
         self.absent_in: set[Partition] = set()
+        self.claimed_absent_in: set[Partition] = set()
         self.updated = asyncio.Event()
 
+    def is_absent(self, partitions: frozenset[Partition]) -> bool:
+        """Whether the turn certainly does not exist in the account.
+
+        Beside a turn of another account the owners' leases suffice: programs that name such turns
+        must not cause a request to the store for each partition.
+        """
+        if self.is_of_other_account:
+            return self.absent_in | self.claimed_absent_in >= partitions
+        return self.absent_in >= partitions
+
 
 class TurnFinder:
     """Looks a turn up at the owners of all partitions."""
@@ -97,15 +109,15 @@
         find_id = next(self._ids)
         self._searches[find_id] = search
         until_ms = now_ms() + FIND_TIMEOUT_MS
+        query = FindTurn(find_id, turn_id, certain=False, account=account)
         try:
-            certain = False
             while now_ms() < until_ms:
-                await self._run_round(search, FindTurn(find_id, turn_id, certain, account))
-                certain = True
+                await self._run_round(search, query)
                 if search.found is not None:
                     return search.found
-                if search.is_of_other_account or search.absent_in >= self._partitions:
+                if search.is_absent(self._partitions):
                     return FoundTurn(None, 0)
+                query = _next_query(query, search)
             return None
         finally:
             del self._searches[find_id]
@@ -121,9 +133,9 @@
         if isinstance(message, TurnFound):
             search.found = FoundTurn(message.history, message.retention_ms)
         elif isinstance(message, TurnForeign):
-            # The search continues until the round ends: a turn of the account itself with the same
-            # id is reported just as quickly.
             search.is_of_other_account = True
+        elif message.claimed:
+            search.claimed_absent_in.update(self._not_claimed_since(message.partitions))
         else:
             search.absent_in.update(Partition(one.topic, one.number) for one in message.partitions)
         search.updated.set()
@@ -131,9 +143,9 @@
     async def _run_round(self, search: _Search, query: FindTurn) -> None:
         """Queries all daemons once; waits until all have answered or the round is over.
 
-        Only from the second round on, daemons that don't have the turn ask the store to confirm
-        that they own their partitions. After all hosts have failed, many programs look for their
-        turns at once, and a request for each partition in each round would overload the store.
+        In the first round, daemons that don't have the turn do not ask the store to confirm that
+        they own their partitions. After all hosts have failed, many programs look for their turns
+        at once, and a request for each partition in each round would overload the store.
         """
         for daemon in self._members.others:
             if self._members.is_alive(daemon.member_id, now_ms()):
@@ -142,10 +154,14 @@
                     link.send(query)
         search.found = search.found or self._find_locally(query)
         search.is_of_other_account = search.is_of_other_account or self._is_foreign(query)
+        if search.found is None and query.claimed:
+            search.claimed_absent_in.update(self._not_claimed_since(self._claims()))
         if search.found is None and query.certain:
             search.absent_in.update(await self._confirmed_partitions())
         round_ends_ms = now_ms() + (ROUND_TIMEOUT_MS if query.certain else FIRST_ROUND_TIMEOUT_MS)
-        while search.found is None and not search.absent_in >= self._partitions:
+        while search.found is None and not search.is_absent(self._partitions):
+            if search.is_of_other_account and _is_first(query):
+                return
             left_ms = round_ends_ms - now_ms()
             if left_ms <= 0:
                 return
@@ -163,7 +179,8 @@
             return
         if self._is_foreign(message):
             link.send(TurnForeign(message.find_id))
-            return
+        if message.claimed:
+            link.send(TurnAbsent(message.find_id, self._claims(), claimed=True))
         if not message.certain:
             return
         absent_from = tuple(
@@ -173,11 +190,7 @@
             link.send(TurnAbsent(message.find_id, absent_from))
 
     def _is_foreign(self, query: FindTurn) -> bool:
-        """Whether this daemon has the turn, but not in a program of the query's account.
-
-        The store need not confirm the ownership in this case: once the turn is known to belong to
-        another account, the other partitions need not be searched.
-        """
+        """Whether this daemon has the turn, but not in a program of the query's account."""
         return any(
             owned.ledger.is_foreign(query.turn_id, query.account)
             for owned in self._ownership.owned.values()
@@ -191,9 +204,26 @@
                 return FoundTurn(history, owned.ledger.retention_ms(program_id))
         return None
 
+    def _claims(self) -> tuple[PartitionClaim, ...]:
+        """Returns the partitions that this daemon owns by its lease."""
+        if not self._ownership.is_confirmed:
+            return ()
+        return tuple(
+            PartitionClaim(*one.partition, epoch=one.epoch) for one in self._ownership.ready_owned
+        )
+
+    def _not_claimed_since(self, claims: tuple[PartitionClaim, ...]) -> set[Partition]:
+        """Returns the claimed partitions that no other daemon is known to have taken over since."""
+        partitions = {Partition(one.topic, one.number): one.epoch for one in claims}
+        return {
+            partition
+            for partition, epoch in partitions.items()
+            if epoch >= self._members.highest_epoch(partition)
+        }
+
     async def _confirmed_partitions(self) -> list[Partition]:
         """Returns the partitions whose ownership by this daemon the store confirms now."""
-        ready = [one for one in self._ownership.owned.values() if one.ready]
+        ready = self._ownership.ready_owned
         confirmed = await asyncio.gather(*(_is_confirmed(one) for one in ready))
         return [
             one.partition
@@ -202,6 +232,16 @@
         ]
 
 
+def _is_first(query: FindTurn) -> bool:
+    return not query.certain and not query.claimed
+
+
+def _next_query(query: FindTurn, search: _Search) -> FindTurn:
+    if search.is_of_other_account and _is_first(query):
+        return query._replace(claimed=True)
+    return query._replace(certain=True, claimed=False)
+
+
 async def _is_confirmed(owned: OwnedPartition) -> bool:
     try:
         await owned.confirm()
--- a/src/quincespool/schema/gateway.capnp
+++ b/src/quincespool/schema/gateway.capnp
@@ -156,6 +156,7 @@
   turnId @1 :Text;
   certain @2 :Bool;
   account @3 :Text;
+  claimed @4 :Bool;
 }
 
 struct TurnForeign {
@@ -204,9 +205,11 @@
 }
 
 struct TurnAbsent {
-  # The turn is in none of these partitions, whose ownership the store has just confirmed.
+  # The turn is in none of these partitions, whose ownership the store has just confirmed, or which
+  # the sender claims by its lease.
   findId @0 :Int64;
   partitions @1 :List(PartitionClaim);
+  claimed @2 :Bool;
 }
 
 struct LinkProbe {
