A backend server counts as crashed only where it refuses connections

What callers would see: after three answers that were broken off at running backend servers, a harmless request is refused by all daemons for two minutes, which ends its program. Cause: after a lost answer a new connection is tried, and any failure of it counted as a crash: a connection that got no answer (queue full, host without power), and one that this daemon could not open (no descriptor left). Class: a verdict that rests on the absence of something new, and a "no" that rests on one witness.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -287,13 +287,15 @@
         """Checks whether the backend server crashed during the call; if so, announces the crash.
 
         A lost answer alone does not show a crash: only a backend server that is down refuses new
-        connections.
+        connections. One that does not answer may run, with a full queue, or have no power.
         """
         await asyncio.sleep(CRASH_CHECK_S)
         probe = BackendConnection()
         try:
             await probe.connect(self.entry.address)
-        except ConnectError:
+        except ConnectError as error:
+            if not error.refused:
+                return
             digest = fingerprint(self._call)
             # Two incarnations with one id count as two crashes.
             incarnation = str(self.entry.incarnation)
--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -70,11 +70,13 @@
 
     Attributes:
       silent: Whether the host did not answer within the timeout.
+      refused: Whether the host refused the connection, as nobody listens at the address.
     """
 
-    def __init__(self, detail: str, *, silent: bool = False) -> None:
+    def __init__(self, detail: str, *, silent: bool = False, refused: bool = False) -> None:
         super().__init__(detail)
         self.silent = silent
+        self.refused = refused
 
 
 class BackendConnection(asyncio.Protocol):
@@ -124,8 +126,11 @@
             async with asyncio.timeout(timeout_s):
                 await loop.create_connection(lambda: self, host, port)
         except (OSError, ValueError) as error:
-            silent = isinstance(error, TimeoutError)
-            raise ConnectError(f"{address}: {error!r}", silent=silent) from error
+            raise ConnectError(
+                f"{address}: {error!r}",
+                silent=isinstance(error, TimeoutError),
+                refused=isinstance(error, ConnectionRefusedError),
+            ) from error
 
     def send(
         self,
--- a/tests/gateway/backends/test_crashes.py
+++ b/tests/gateway/backends/test_crashes.py
@@ -11,6 +11,8 @@
 from quincespool.gateway.backends.crashes import CRASH_MEMORY_MS
 from quincespool.gateway.backends.crashes import CRASHES_TO_REFUSE
 from quincespool.gateway.backends.crashes import CrashHistory
+from quincespool.gateway.backends.exchange import BackendConnection
+from quincespool.gateway.backends.exchange import ConnectError
 from tests.gateway.gateway_cluster import GatewayCluster
 
 
@@ -89,6 +91,30 @@
             assert reply.status == 200
 
 
+@pytest.mark.parametrize("cause", ["no answer", "no descriptor left"])
+async def test_an_answer_lost_at_a_running_backend_does_not_count_as_a_crash(
+    cause: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection that can't be made shows no crash: the queue of a running one may be full.
+
+    Three such answers would make all daemons refuse a harmless request for two minutes.
+    """
+    async with GatewayCluster(1) as cluster:
+        engine = cluster.engines["s1"]
+        engine.knobs.gap_ms = 5_000
+        calling = asyncio.create_task(cluster.call("a", "non_idempotent", body=b"long"))
+        await cluster.until(functools.partial(len, engine.runs))
+
+        async def fail(*_: object, **__: object) -> None:
+            raise ConnectError(cause, silent=cause == "no answer")
+
+        monkeypatch.setattr(BackendConnection, "connect", fail)
+        engine.cut_all()
+        assert (await calling).status == 502
+        await asyncio.sleep(2 * CRASH_CHECK_S)
+        assert cluster.nodes["a"].daemon._crashes._crashes == {}
+
+
 def _is_leaving_everywhere(cluster: GatewayCluster, backend_id: str) -> bool:
     entries = [node.daemon._backends.entries.get(backend_id) for node in cluster.nodes.values()]
     return all(entry is None or entry.leaving for entry in entries)
