A record whose writer goes away is sent to the next writer

What callers would see: a turn that ran is cut as record_not_kept or owner_changed, though another daemon could write its record in time: its partition was taken over, the record was sent to the new writer, and that one ended. Cause: the outcome was waited for until the time limit, also if the link had not taken the message or was lost with it. Class: as the owner that is given up while it reads; "and if that one is given up too?" had no answer here. Evidence: found by reading. Now a lost link ends the wait, and the writer of that moment is asked; a record that is appended twice changes nothing.

--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -14,9 +14,11 @@
 from quincespool.gateway.members.messages import PermitAnswer
 from quincespool.gateway.members.messages import PermitQuestion
 from quincespool.gateway.members.messages import PermitReturn
+from quincespool.gateway.members.messages import SettleTurn
 from quincespool.gateway.members.messages import TurnAbsent
 from quincespool.gateway.members.messages import TurnForeign
 from quincespool.gateway.members.messages import TurnFound
+from quincespool.gateway.members.messages import TurnSettled
 from quincespool.gateway.store.configuration_copies import ConfigurationCopies
 from quincespool.gateway.turns.admission import make_admission
 from quincespool.gateway.turns.finder import TurnFinder
@@ -25,6 +27,7 @@
 from quincespool.gateway.turns.ownership import partition_of
 from quincespool.gateway.turns.relay import Relay
 from quincespool.gateway.turns.runner import TurnRunner
+from quincespool.gateway.turns.settlements import Settlements
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,9 +40,7 @@
     from quincespool.gateway.store.cluster_view import ClusterView
     from quincespool.gateway.store.cluster_view import StoreHealth
     from quincespool.gateway.store.hedged_requests import HedgedRequests
-    from quincespool.gateway.store.interface import Partition
     from quincespool.gateway.store.interface import Store
-    from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.partition import OwnedPartition
 
 
@@ -51,6 +52,7 @@
       ownership: Which partitions this daemon owns.
       links: Connections to the other daemons.
       finder: Looks up turns at other owners.
+      settlements: Appends records of turns whose partition was taken over.
       admission: Admission control of programs.
       turns: Runs turns at this daemon.
       relay: Forwards turns to the owners of their programs.
@@ -105,12 +107,13 @@
             ownership=self.ownership,
             links=self.links,
         )
+        self.settlements = Settlements(members=members, ownership=self.ownership, links=self.links)
         self.admission = make_admission(
             is_controlled=settings.admission_control, log=log, metrics=services.metrics
         )
         self.turns = TurnRunner(
             services,
-            settle_at_owner=self._settle_elsewhere,
+            settle_at_owner=self.settlements.settle_at_owner,
             finder=self.finder,
             store_reachable=lambda: store_health.reachable,
             admission=self.admission,
@@ -122,6 +125,7 @@
             ownership=self.ownership,
             links=self.links,
             turns=self.turns,
+            settlements=self.settlements,
             store_reachable=lambda: store_health.reachable,
             has_time_until=has_time_until,
             log=log,
@@ -156,14 +160,12 @@
             self.limits.on_message(link, message)
         elif isinstance(message, ConfigurationQuestion | ConfigurationCopy):
             self.copies.on_message(link, sender, message)
+        elif isinstance(message, SettleTurn | TurnSettled):
+            self.settlements.on_message(link, message)
         else:
             self.relay.on_message(link, sender, message)
 
     def _on_link_lost(self, link: Link) -> None:
         self.relay.on_link_lost(link)
+        self.settlements.on_link_lost(link)
         self.limits.on_lost(link)
-
-    async def _settle_elsewhere(
-        self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
-    ) -> bool:
-        return await self.relay.settle_at_owner(partition, record, budget_tokens, left_ms)
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-import msgspec
-
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_background_task
 from quincespool.gateway.members.messages import RelayCall
@@ -17,22 +15,14 @@
 from quincespool.gateway.members.messages import RelayHead
 from quincespool.gateway.members.messages import RelayPiece
 from quincespool.gateway.members.messages import RelayRefused
-from quincespool.gateway.members.messages import SettleTurn
-from quincespool.gateway.members.messages import TurnSettled
-from quincespool.gateway.members.messages import read_optional
-from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.model import FAILED
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
-from quincespool.gateway.store.interface import Partition
-from quincespool.gateway.turns.ledger import decode_record
-from quincespool.gateway.turns.ledger import encode_record
 from quincespool.gateway.turns.relay_codec import decode_headers
 from quincespool.gateway.turns.relay_codec import decode_relay_call
 from quincespool.gateway.turns.relay_codec import encode_headers
 from quincespool.gateway.turns.relay_codec import encode_relay_call
-from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.turn_records import STORE_UNREACHABLE
 from quincespool.verdict import Verdict
 
@@ -48,10 +38,11 @@
     from quincespool.gateway.model import Daemon
     from quincespool.gateway.model import Headers
     from quincespool.gateway.model import TurnParameters
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.store.interface import Partition
     from quincespool.gateway.turns.ownership import Ownership
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.turns.runner import TurnRunner
+    from quincespool.gateway.turns.settlements import Settlements
 
 # Maximum time for which a turn waits for an owner. A reassigned partition has a new owner within
 # some tens of milliseconds or, if its owner has crashed, within the duration of the lease. A turn
@@ -116,6 +107,7 @@
         ownership: Ownership,
         links: Links,
         turns: TurnRunner,
+        settlements: Settlements,
         store_reachable: Callable[[], bool],
         has_time_until: Callable[[int], bool],
         log: DecisionLog,
@@ -126,15 +118,14 @@
         self._ownership = ownership
         self._links = links
         self._turns = turns
+        self._settlements = settlements
         self._store_reachable = store_reachable
         self._has_time_until = has_time_until
         self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _PendingTurn] = {}
         self._relayed_tasks: dict[tuple[Link, int], asyncio.Task[None]] = {}
-        self._pending_settlements: dict[int, asyncio.Future[Settlement]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._settlement_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def serving(self) -> int:
@@ -147,7 +138,7 @@
 
         Counts those of turns that ran here, and those that other daemons have sent.
         """
-        return len(self._settlement_tasks) + self._turns.unsettled_turns
+        return self._settlements.serving + self._turns.unsettled_turns
 
     async def run(
         self, call: Call, parameters: TurnParameters, reply: Reply, *, until_ms: int
@@ -194,34 +185,6 @@
                 return ""
             await asyncio.sleep(OWNER_POLL_S)
 
-    async def settle_at_owner(
-        self, partition: Partition, record: Record, budget_tokens: int | None, left_ms: int
-    ) -> bool:
-        """Has the current owner of a partition append a record; returns whether it is durable.
-
-        A daemon that has given the partition up still writes to it until another one takes it over.
-
-        Args:
-          partition: The partition of the record.
-          record: The record of a turn that an earlier owner ran.
-          budget_tokens: Token budget of the program, None if it must not refuse the turn's start.
-          left_ms: Time limit in milliseconds.
-        """
-        until_ms = now_ms() + left_ms
-        while now_ms() < until_ms:
-            owned_here = self._ownership.writer(partition)
-            owner = self._members.writer(partition, now_ms())
-            outcome = Settlement.NOT_HERE
-            if owned_here is not None and (owner is None or owner[1] <= owned_here.epoch):
-                outcome = await owned_here.settle(record, budget_tokens=budget_tokens)
-            elif owner is not None:
-                message = _make_settle_message(next(self._ids), partition, record, budget_tokens)
-                outcome = await self._request_settlement(owner[0].peer_address, message, until_ms)
-            if outcome is not Settlement.NOT_HERE:
-                return outcome is Settlement.DURABLE
-            await asyncio.sleep(OWNER_POLL_S)
-        return False
-
     def on_message(self, link: Link, sender: str, message: Any) -> None:
         """Handles a message from another daemon."""
         del sender
@@ -231,12 +194,6 @@
             task = self._relayed_tasks.get((link, message.relay_id))
             if task is not None:
                 task.cancel()
-        elif isinstance(message, SettleTurn):
-            start_background_task(self._handle_settlement(link, message), self._settlement_tasks)
-        elif isinstance(message, TurnSettled):
-            future = self._pending_settlements.pop(message.settle_id, None)
-            if future is not None and not future.done():
-                future.set_result(Settlement(message.outcome))
         else:
             self._handle_answer(message)
 
@@ -349,36 +306,6 @@
             )
             reply.refuse(may_have_run(FAILED))
 
-    async def _request_settlement(
-        self, address: str, message: SettleTurn, until_ms: int
-    ) -> Settlement:
-        link = await self._links.get(address)
-        if link is None:
-            return Settlement.NOT_HERE
-        future: asyncio.Future[Settlement] = asyncio.get_running_loop().create_future()
-        self._pending_settlements[message.settle_id] = future
-        link.send(message)
-        try:
-            async with asyncio.timeout(max(0, until_ms - now_ms()) / 1000):
-                return await future
-        except TimeoutError:
-            return Settlement.NOT_HERE
-        finally:
-            self._pending_settlements.pop(message.settle_id, None)
-
-    async def _handle_settlement(self, link: Link, message: SettleTurn) -> None:
-        owned = self._ownership.writer(Partition(message.topic, message.number))
-        outcome = Settlement.NOT_HERE
-        try:
-            record = decode_record(message.record)
-        except msgspec.DecodeError:
-            # The sender's version has other record types. It retries until its time limit is over.
-            owned = None
-        if owned is not None:
-            budget_tokens = read_optional(message.budget_tokens)
-            outcome = await owned.settle(record, budget_tokens=budget_tokens)
-        link.send(TurnSettled(message.settle_id, outcome.value))
-
 
 def _is_store_refusal(refusal: Refusal) -> bool:
     """Whether an owner has refused a turn, without running it, as it can't reach the store.
@@ -386,15 +313,3 @@
     A turn that was broken off for the same reason may have run, and must not go to another owner.
     """
     return refusal.reason == STORE_UNREACHABLE and refusal.verdict is Verdict.NOT_RUN
-
-
-def _make_settle_message(
-    settle_id: int, partition: Partition, record: Record, budget_tokens: int | None
-) -> SettleTurn:
-    return SettleTurn(
-        settle_id=settle_id,
-        topic=partition.topic,
-        number=partition.number,
-        record=encode_record(record),
-        budget_tokens=write_optional(budget_tokens),
-    )
