A relayed turn that can't be read is refused at once

Cause: a fault in decoding the message was reported by the link, and the daemon that had relayed the turn was told nothing. Class: a fault of one request that tells nobody. Now the owner refuses the turn as not run, and logs the fault with the id of its call. Evidence: test_a_relayed_turn_that_cannot_be_read_is_refused_at_once failed before (504 instead of 503); tests of unanswered calls pass.

--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -271,8 +271,14 @@
             pending.done.set_result(refusal)
 
     def _handle_call(self, link: Link, message: RelayCall) -> None:
-        call, parameters = decode_relay_call(message)
         reply = _RemoteReply(link, message.relay_id)
+        try:
+            call, parameters = decode_relay_call(message)
+        except Exception as error:
+            # Reported by the link alone, the other daemon would wait until the time limit.
+            self._log_fault(message.call_id, message.program_id, error)
+            reply.refuse(not_run(FAILED))
+            return
         owned = self._ownership.serving(self._partition_for(message.program_id))
         until_ms = now_ms() + message.left_ms
         if owned is None or not self._has_time_until(until_ms):
@@ -301,11 +307,14 @@
         try:
             await self._turns.run(call, parameters, owned, reply, until_ms=until_ms)
         except Exception as error:
-            self._log.write_always(
-                "call failed", call_id=call.call_id, program_id=call.program_id, error=repr(error)
-            )
+            self._log_fault(call.call_id, call.program_id, error)
             reply.refuse(may_have_run(FAILED))
 
+    def _log_fault(self, call_id: str, program_id: str, error: Exception) -> None:
+        self._log.write_always(
+            "call failed", call_id=call_id, program_id=program_id, error=repr(error)
+        )
+
 
 def _is_store_refusal(refusal: Refusal) -> bool:
     """Whether an owner has refused a turn, without running it, as it can't reach the store.
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -139,3 +139,24 @@
             await cluster.turn("a", "p", call_id="t1")
     assert [line["call_id"] for line in _lines(caplog, "call failed")] == ["t1"]
     assert [line["outcome"] for line in _lines(caplog, "call answered")] == ["failed"]
+
+
+async def test_a_relayed_turn_that_cannot_be_read_is_refused_at_once(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a caller that waits for its whole time limit for an owner that met a fault."""
+    caplog.set_level("INFO")
+
+    def fail(_: object) -> None:
+        raise KeyError("x")
+
+    async with GatewayCluster() as cluster:
+        relay = cluster.nodes["a"].daemon._program_components.relay
+        owned = cluster.nodes["b"].daemon._ownership.owned
+        programs = (f"p{number}" for number in range(200))
+        program = next(one for one in programs if relay._partition_for(one) in owned)
+        monkeypatch.setattr("quincespool.gateway.turns.relay.decode_relay_call", fail)
+        call_id, answer = await cluster.turn("a", program)
+        assert answer.status == 503
+        assert cluster.runs(call_id) == []
+    assert [line["call_id"] for line in _lines(caplog, "call failed")] == [call_id]
