A turn whose start is written again after its end is counted once

What callers would see: 402 for a program that has budget left, or a turn that ran cut as owner_changed. Cause: the start and the end of a turn are appended together; if both become durable, the answer is lost and the partition is taken over, the last owner has the next one write both again. The start reserved its tokens again, its end counted them again, and near the budget the start was refused. Now a start with the same turn id and time is known, reserves nothing and needs no budget. A caller that uses an id again has another time and is counted: without that, ids used again would pass by the budget.

--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -20,6 +20,9 @@
 # Maximum size of the text in one record. The store limits a record to 256 KiB; the rest is reserved
 # for the record's ids.
 MAX_PART_BYTES = 200_000
+# A record that is written again follows its first copy within some seconds, in which a program
+# starts fewer turns.
+MAX_RECENT_STARTS = 32
 
 
 class TurnStarted(msgspec.Struct, tag="s", array_like=True, frozen=True):
@@ -139,6 +142,7 @@
     """
 
     __slots__ = (
+        "_started_ms",
         "kept_until_ms",
         "oldest_ms",
         "reserved",
@@ -154,6 +158,21 @@
         self.turns: dict[str, _StoredTurn] = {}
         self.kept_until_ms = 0
         self.retention_ms = 0
+        # Time of the start of recent turns, by turn id.
+        self._started_ms: dict[str, int] = {}
+
+    def has_started(self, start: TurnStarted) -> bool:
+        """Whether this record was applied before; a caller may use the id of a turn again."""
+        return self._started_ms.get(start.turn_id) == start.at_ms
+
+    def reserve(self, start: TurnStarted) -> None:
+        """Reserves the tokens of a turn, unless its start is written again after its end."""
+        if self.has_started(start):
+            return
+        self.reserved[start.turn_id] = start.max_tokens
+        self._started_ms[start.turn_id] = start.at_ms
+        if len(self._started_ms) > MAX_RECENT_STARTS:
+            del self._started_ms[next(iter(self._started_ms))]
 
     def chain(self, turn_id: str) -> list[bytes] | None:
         """Returns the texts up to a turn, newest first; None if one of them is missing."""
@@ -199,7 +218,7 @@
             program.oldest_ms = record.at_ms
             return
         if isinstance(record, TurnStarted):
-            program.reserved[record.turn_id] = record.max_tokens
+            program.reserve(record)
             program.extend_retention(record.at_ms, record.retention_ms or program.retention_ms)
             return
         if isinstance(record, HistoryPart):
@@ -241,7 +260,9 @@
     def readmit(self, start: TurnStarted, *, budget_tokens: int | None) -> Admission:
         """Returns whether a turn that another owner has admitted may still start."""
         program = self.programs.get(start.program_id)
-        if program is not None and start.turn_id in program.reserved:
+        if program is not None and (
+            start.turn_id in program.reserved or program.has_started(start)
+        ):
             # The other owner's record was appended after all.
             return Admission.ADMITTED
         return _check_budget(program, budget_tokens, start.max_tokens)
--- a/tests/gateway/turns/test_ledger_machine.py
+++ b/tests/gateway/turns/test_ledger_machine.py
@@ -163,3 +163,18 @@
     assert ledger.expire(60_000, grace_ms=1_000) == 0
     assert ledger.expire(62_001, grace_ms=1_000) == 1
     assert ledger.find("t", "") == ""
+
+
+def test_a_turn_whose_records_are_written_again_is_counted_once() -> None:
+    """Guards against a 402 for a program whose owner lost the answer to an append.
+
+    Both records of a turn are durable; the next owner, which has read them, writes them again.
+    """
+    for end in (TurnEnded("t", "p", "", b"", b"", 10, 1_000, 0), TurnBroken("t", "p", 10, 0)):
+        ledger = Ledger()
+        start = TurnStarted("t", "p", MAX_TOKENS, 0)
+        for record in (start, end, start, end):
+            assert ledger.readmit(start, budget_tokens=MAX_TOKENS) is Admission.ADMITTED
+            ledger.apply(record)
+        assert ledger.programs["p"].spent_tokens == 10
+        assert ledger.programs["p"].reserved == {}
