A part of a history does not shorten the retention of its program

What callers would see: a program that goes on from another one's history can do so for less time than the route says. Cause: the records of a renewal carry the time that is left, and each set the retention of the program; an owner that ended before the last record, which sets it right, left the shorter one (reproduced by the review of lost answers). Evidence: test_a_part_of_a_renewal_does_not_shorten_the_retention_of_a_program failed before (1000 instead of 10000); 46 tests of the ledger, the walk, lost and imported histories pass.

--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -223,6 +223,10 @@
             return
         if isinstance(record, HistoryPart):
             self._store_turn(program, record, record.text)
+            # Parts of a renewal have only the time that is left.
+            retention_ms = max(program.retention_ms, record.retention_ms)
+            program.extend_retention(record.at_ms, record.retention_ms)
+            program.retention_ms = retention_ms
             return
         if record.turn_id in program.reserved:
             # The end of a turn is counted once. After a lost answer of the store it may be recorded
@@ -231,6 +235,7 @@
             program.spent_tokens += record.tokens
         if isinstance(record, TurnEnded):
             self._store_turn(program, record, record.input + record.output)
+            program.extend_retention(record.at_ms, record.retention_ms)
         else:
             program.extend_retention(record.at_ms, program.retention_ms)
 
@@ -354,7 +359,6 @@
         programs = self._program_ids_by_turn.get(record.turn_id, ())
         if record.program_id not in programs:
             self._program_ids_by_turn[record.turn_id] = (*programs, record.program_id)
-        program.extend_retention(record.at_ms, record.retention_ms)
 
 
 def _check_budget(
--- a/tests/gateway/turns/test_ledger_machine.py
+++ b/tests/gateway/turns/test_ledger_machine.py
@@ -178,3 +178,16 @@
             ledger.apply(record)
         assert ledger.programs["p"].spent_tokens == 10
         assert ledger.programs["p"].reserved == {}
+
+
+def test_a_part_of_a_renewal_does_not_shorten_the_retention_of_a_program() -> None:
+    """Guards against copies of a history that are kept too briefly.
+
+    An owner ends after it has written the first records of a renewal.
+    """
+    ledger = Ledger()
+    ledger.apply(TurnEnded("t", "p", "", b"in", b"out", 10, 10_000, 0))
+    for record in ledger.renewal_records("p", 9_000)[:-1]:
+        ledger.apply(record)
+    assert ledger.retention_ms("p") == 10_000
+    assert ledger.programs["p"].kept_until_ms == 10_000
