--- a/specs/turns.py
+++ b/specs/turns.py
@@ -7,7 +7,7 @@
 for its turns, and for those of owners before it, until the next one has shut it out; it differs
 from one that was not told only in that it admits nothing.
 
-A turn generates one token at most. The records are those of `quincespool.gateway.turns.ledger`.
+A turn generates one token at most. The records are those of `quincespool.gateway.turns.records`.
 
 With `defers`, an owner hands a token out while its turn's start is on the way, or not sent at all:
 of one turn at a time, and only if the program began at this owner and a record of it lasts. The
--- a/src/quincespool/gateway/turns/page_replay.py
+++ b/src/quincespool/gateway/turns/page_replay.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from quincespool.gateway.turns.ledger import decode_record
+from quincespool.gateway.turns.records import decode_record
 from quincespool.gateway.turns.waiting_records import replaced_count
 
 if TYPE_CHECKING:
--- a/src/quincespool/gateway/turns/partition.py
+++ b/src/quincespool/gateway/turns/partition.py
@@ -18,12 +18,12 @@
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.coalesced_request import CoalescedRequest
 from quincespool.gateway.turns.ledger import Admission
-from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.ledger import encode_record
 from quincespool.gateway.turns.log_extent import LogExtent
 from quincespool.gateway.turns.page_replay import replay_page
+from quincespool.gateway.turns.records import HistoryPart
+from quincespool.gateway.turns.records import TurnStarted
+from quincespool.gateway.turns.records import encode_record
 from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.settlement import Settlement
 from quincespool.gateway.turns.unrecorded_tokens import UnrecordedTokens
@@ -39,7 +39,7 @@
     from quincespool.gateway.store.hedged_requests import HedgedRequests
     from quincespool.gateway.store.interface import Partition
     from quincespool.gateway.store.interface import Store
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.records import Record
 
 # A failed append is retried after this pause. The pause doubles up to MAX_RETRY_S and ends early
 # when any other request shows that the store is reachable again.
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -10,7 +10,7 @@
 from quincespool.gateway.model import not_run
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
-from quincespool.gateway.turns.ledger import split_history
+from quincespool.gateway.turns.records import split_history
 from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.turn_records import STORE_UNREACHABLE
 from quincespool.gateway.turns.turn_records import RecordContext
--- a/src/quincespool/gateway/turns/settlements.py
+++ b/src/quincespool/gateway/turns/settlements.py
@@ -16,16 +16,16 @@
 from quincespool.gateway.members.messages import read_optional
 from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.store.interface import Partition
-from quincespool.gateway.turns.ledger import decode_record
-from quincespool.gateway.turns.ledger import encode_record
+from quincespool.gateway.turns.records import decode_record
+from quincespool.gateway.turns.records import encode_record
 from quincespool.gateway.turns.settlement import Settlement
 
 if TYPE_CHECKING:
     from quincespool.gateway.members.links import Link
     from quincespool.gateway.members.links import Links
     from quincespool.gateway.members.member_table import MemberTable
-    from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.ownership import Ownership
+    from quincespool.gateway.turns.records import Record
 
 # Interval at which the writer of a partition is looked up while there is none.
 WRITER_POLL_S = 0.02
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -11,11 +11,11 @@
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.futures import start_background_task
 from quincespool.gateway.model import may_have_run
-from quincespool.gateway.turns.ledger import MAX_PART_BYTES
-from quincespool.gateway.turns.ledger import TurnBroken
-from quincespool.gateway.turns.ledger import TurnEnded
-from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.ledger import split_history
+from quincespool.gateway.turns.records import MAX_PART_BYTES
+from quincespool.gateway.turns.records import TurnBroken
+from quincespool.gateway.turns.records import TurnEnded
+from quincespool.gateway.turns.records import TurnStarted
+from quincespool.gateway.turns.records import split_history
 from quincespool.gateway.turns.settlement import LostPartitionError
 
 if TYPE_CHECKING:
@@ -26,8 +26,8 @@
     from quincespool.gateway.model import Refusal
     from quincespool.gateway.model import TurnParameters
     from quincespool.gateway.store.interface import Partition
-    from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.partition import OwnedPartition
+    from quincespool.gateway.turns.records import Record
 
 # The start of a turn is usually durable within some tens of milliseconds, before the engine's first
 # token. After this time the store is considered unreachable, and the first token is sent before the
--- a/src/quincespool/gateway/turns/waiting_records.py
+++ b/src/quincespool/gateway/turns/waiting_records.py
@@ -5,15 +5,15 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from quincespool.gateway.turns.ledger import HistoryPart
-from quincespool.gateway.turns.ledger import ProgramRenewed
-from quincespool.gateway.turns.ledger import decode_record
+from quincespool.gateway.turns.records import HistoryPart
+from quincespool.gateway.turns.records import ProgramRenewed
+from quincespool.gateway.turns.records import decode_record
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Iterable
 
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.records import Record
 
 
 class WaitingRecord(NamedTuple):
--- a/tests/gateway/accounts/test_accounts.py
+++ b/tests/gateway/accounts/test_accounts.py
@@ -12,7 +12,7 @@
 from quincespool.gateway.store.configuration_copies import read_configuration_copy
 from quincespool.gateway.store.configuration_copies import write_configuration_copy
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnEnded
+from quincespool.gateway.turns.records import TurnEnded
 from quincespool.platform.entries import read_configuration
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.platform_entries import make_configuration
--- a/tests/gateway/store/test_store_outages.py
+++ b/tests/gateway/store/test_store_outages.py
@@ -7,15 +7,15 @@
 
 import pytest
 
-from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.partition import OwnedPartition
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.platform.store import PlatformStore
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 
 if TYPE_CHECKING:
     from quincespool.gateway.store.interface import Partition
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.records import Record
 
 # Deadline of a caller that has already waited: a caller with a larger part of the route's timeout
 # left is refused and told to retry.
--- a/tests/gateway/turns/partition_walk.py
+++ b/tests/gateway/turns/partition_walk.py
@@ -22,10 +22,10 @@
 from quincespool.gateway.store.interface import SequenceError
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
-from quincespool.gateway.turns.ledger import TurnBroken
-from quincespool.gateway.turns.ledger import TurnEnded
-from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.partition import OwnedPartition
+from quincespool.gateway.turns.records import TurnBroken
+from quincespool.gateway.turns.records import TurnEnded
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.settlement import Settlement
 
@@ -34,7 +34,7 @@
     from collections.abc import Coroutine
 
     from quincespool.gateway.store.interface import Store
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.records import Record
 
 T = TypeVar("T")
 
--- a/tests/gateway/turns/test_admission.py
+++ b/tests/gateway/turns/test_admission.py
@@ -11,7 +11,7 @@
 from quincespool.gateway.model import TurnParameters
 from quincespool.gateway.turns.admission import make_admission
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.net.metrics import Metrics
 from quincespool.policy.urgency import Rank
 from quincespool.verdict import Verdict
--- a/tests/gateway/turns/test_imported_histories.py
+++ b/tests/gateway/turns/test_imported_histories.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from quincespool.gateway.turns.ledger import TurnBroken
+from quincespool.gateway.turns.records import TurnBroken
 from tests.gateway.gateway_cluster import GatewayCluster
 
 if TYPE_CHECKING:
@@ -14,8 +14,8 @@
 
     from quincespool.gateway.store.interface import Partition
     from quincespool.gateway.turns.finder import FoundTurn
-    from quincespool.gateway.turns.ledger import Record
     from quincespool.gateway.turns.partition import OwnedPartition
+    from quincespool.gateway.turns.records import Record
 
 
 def _program_of(cluster: GatewayCluster, node: str) -> str:
--- a/tests/gateway/turns/test_ledger_machine.py
+++ b/tests/gateway/turns/test_ledger_machine.py
@@ -13,15 +13,15 @@
 
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnBroken
-from quincespool.gateway.turns.ledger import TurnEnded
-from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.ledger import decode_record
-from quincespool.gateway.turns.ledger import encode_record
-from quincespool.gateway.turns.ledger import split_history
+from quincespool.gateway.turns.records import TurnBroken
+from quincespool.gateway.turns.records import TurnEnded
+from quincespool.gateway.turns.records import TurnStarted
+from quincespool.gateway.turns.records import decode_record
+from quincespool.gateway.turns.records import encode_record
+from quincespool.gateway.turns.records import split_history
 
 if TYPE_CHECKING:
-    from quincespool.gateway.turns.ledger import Record
+    from quincespool.gateway.turns.records import Record
 
 BUDGET = 100
 MAX_TOKENS = 30
--- a/tests/gateway/turns/test_lost_histories.py
+++ b/tests/gateway/turns/test_lost_histories.py
@@ -11,12 +11,12 @@
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
 from quincespool.gateway.turns.ledger import Admission
-from quincespool.gateway.turns.ledger import HistoryPart
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnBroken
-from quincespool.gateway.turns.ledger import TurnEnded
-from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.log_extent import LogExtent
+from quincespool.gateway.turns.records import HistoryPart
+from quincespool.gateway.turns.records import TurnBroken
+from quincespool.gateway.turns.records import TurnEnded
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.gateway.turns.settlement import LostPartitionError
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
--- a/tests/gateway/turns/test_ownership.py
+++ b/tests/gateway/turns/test_ownership.py
@@ -7,9 +7,9 @@
 
 from quincespool.gateway.store.hedged_requests import HedgedRequests
 from quincespool.gateway.store.interface import Partition
-from quincespool.gateway.turns.ledger import TurnStarted
-from quincespool.gateway.turns.ledger import encode_record
 from quincespool.gateway.turns.ownership import Ownership
+from quincespool.gateway.turns.records import TurnStarted
+from quincespool.gateway.turns.records import encode_record
 from quincespool.gateway.turns.settlement import Settlement
 from quincespool.platform.store import PlatformStore
 from tests.support.standins.platform_store import make_platform_store
--- a/tests/gateway/turns/test_partition.py
+++ b/tests/gateway/turns/test_partition.py
@@ -9,8 +9,8 @@
 
 from quincespool.gateway.store.hedged_requests import HedgedRequests
 from quincespool.gateway.store.interface import Partition
-from quincespool.gateway.turns.ledger import TurnStarted
 from quincespool.gateway.turns.partition import OwnedPartition
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.gateway.turns.settlement import LostPartitionError
 from quincespool.gateway.turns.settlement import Settlement
 from quincespool.platform.store import PlatformStore
--- a/tests/gateway/turns/test_partition_walk.py
+++ b/tests/gateway/turns/test_partition_walk.py
@@ -9,7 +9,7 @@
 from quincespool.gateway.turns import partition
 from quincespool.gateway.turns.ledger import Admission
 from quincespool.gateway.turns.ledger import Ledger
-from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.gateway.turns.unrecorded_tokens import UnrecordedTokens
 from quincespool.policy.answer_times import AnswerTimes
 from tests.gateway.turns.partition_walk import PartitionWalk
--- a/tests/gateway/turns/test_settlements.py
+++ b/tests/gateway/turns/test_settlements.py
@@ -13,7 +13,7 @@
 from quincespool.gateway.members.messages import TurnSettled
 from quincespool.gateway.model import Daemon
 from quincespool.gateway.store.interface import Partition
-from quincespool.gateway.turns.ledger import TurnStarted
+from quincespool.gateway.turns.records import TurnStarted
 from quincespool.gateway.turns.settlements import Settlements
 
 if TYPE_CHECKING:
