--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -66,8 +66,8 @@
         self.store = store
         self.way_to_store = way
         self.ports = Ports(*_free_ports(len(Ports._fields)))
-        # Stops that took longer than their grace.
-        self.killed = 0
+        # The stops that took longer than their grace: name, process and Unix time in milliseconds.
+        self.killed: list[str] = []
         self._folder = folder
         self._starting = asyncio.Lock()
         self._process: Process | None = None
@@ -118,7 +118,8 @@
             async with asyncio.timeout(GRACE_S):
                 await process.wait()
         except TimeoutError:
-            self.killed += 1
+            at_ms = time.time_ns() // 1_000_000
+            self.killed.append(f"{self.name} (process {process.pid}) at {at_ms}")
             process.kill()
             await process.wait()
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -72,10 +72,10 @@
         await _settle()
         await callers.prove_service()
         callers.audit()
-        killed = sum(daemon.killed for daemon in deployment.daemons)
-        callers.counts["killed in a stop"] = killed
+        killed = [one for daemon in deployment.daemons for one in daemon.killed]
+        callers.counts["killed in a stop"] = len(killed)
         if killed and faults != "all":
-            callers.faults.append(f"killed in a stop: {killed} processes outlived their grace")
+            callers.faults.append(f"killed in a stop: {killed} outlived their grace")
     callers.faults += [f"error: {line[:200]}" for line in find_errors(folder)]
     return Outcome(callers.counts, callers.faults, [str(fault) for fault in plan])
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,11 +13,16 @@
 
 SEEDS = (1, 2)
 PLANNED_SEEDS = (11, 12)
+TOGETHER_SEEDS = (21,)
 
 
 @pytest.mark.parametrize(
     ("seed", "faults"),
-    [*((seed, "all") for seed in SEEDS), *((seed, "planned") for seed in PLANNED_SEEDS)],
+    [
+        *((seed, "all") for seed in SEEDS),
+        *((seed, "planned") for seed in PLANNED_SEEDS),
+        *((seed, "together") for seed in TOGETHER_SEEDS),
+    ],
 )
 async def test_no_promise_is_broken(seed: int, faults: str, tmp_path: Path) -> None:
     outcome = await soak(seed, tmp_path, for_s=8.0, daemons=3, faults=faults)
