--- a/tests/gateway/turns/partition_walk.py
+++ b/tests/gateway/turns/partition_walk.py
@@ -257,10 +257,7 @@
             self._owners.pop(0).mark_lost("killed")
 
     def _retire(self) -> None:
-        """Retires the newest owner, which may not have read the partition yet.
-
-        It writes records until another one takes over.
-        """
+        """Retires the newest owner, perhaps while it reads; it writes until the next takeover."""
         newest = self._owners[-1]
         if not newest.lost and not newest.retired:
             newest.retire("leaves")
