The end of a turn's log line says how its engine ended the stream

The incident's hypotheses can't be told apart by the logs: 'turn ended' did not say whether an answer ended with its connection, nor whether bytes came after its last complete event. It says both now, as ended_by_close and incomplete_bytes. What callers get is unchanged.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -48,7 +48,13 @@
 
 
 class AnswerEnd(NamedTuple):
-    """The answer is complete."""
+    """The answer is complete.
+
+    Attributes:
+      closed: Whether the answer states neither a length nor chunks, and ended with its connection.
+    """
+
+    closed: bool
 
 
 class AnswerBroken(NamedTuple):
@@ -268,8 +274,8 @@
             self._skip_stale_answer()
             return
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        extra, ended_by_close = self._http.trailing_data
         reusable = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
-        extra = bool(self._http.trailing_data[0])
         self._complete = True
         if reusable and not unsent and not extra and not self._closed:
             self._http.start_next_cycle()
@@ -277,7 +283,7 @@
             # Data follows the answer, or the backend server has not read the whole request body:
             # further data on this connection can't be matched to a request.
             self.close()
-        self._events.put_nowait(AnswerEnd())
+        self._events.put_nowait(AnswerEnd(closed=ended_by_close))
 
     def _skip_stale_answer(self) -> None:
         """Resets the parser after an answer to an earlier request, to read the awaited answer."""
--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -68,6 +68,11 @@
         self._splitter = EventSplitter()
         self._payloads: list[bytes] = []
 
+    @property
+    def incomplete_bytes(self) -> bytes:
+        """The bytes after the last complete event."""
+        return self._splitter.incomplete_bytes
+
     @property
     def has_incomplete_event(self) -> bool:
         """Whether a line, or an event with data, is incomplete."""
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -233,13 +233,12 @@
                 self._context.backends.record_stream(attempt.entry, events, now_ms() - began_ms)
                 if self._progress.incomplete_bytes:
                     self._reply.send_chunk(self._progress.incomplete_bytes)
-                break
+                await self._finish(attempt.entry, event)
+                return None
             elif isinstance(event, AnswerBroken):
                 if self._events.has_incomplete_event:
                     self._records.count_partial_event()
                 return attempt.fail(event)
-        await self._finish(attempt.entry)
-        return None
 
     def _relay_head(self, head: AnswerHead) -> None:
         """Sends the head of the answer once; the heads of later attempts are dropped."""
@@ -281,7 +280,7 @@
         self._reply.send_chunk(data)
         return None
 
-    async def _finish(self, entry: BackendEntry) -> None:
+    async def _finish(self, entry: BackendEntry, end: AnswerEnd) -> None:
         """Appends the end of the turn durably, then ends the answer to the caller."""
         ended_ms = now_ms()
         if not await self._records.append_end(self._events.collected_data, self._until_ms):
@@ -298,8 +297,17 @@
             took_ms=recorded_ms - self._started_ms,
             record_ms=recorded_ms - ended_ms,
             epoch=self._owned.epoch,
+            ended_by_close=end.closed,
+            incomplete_bytes=len(self._incomplete_bytes),
         )
 
+    @property
+    def _incomplete_bytes(self) -> bytes:
+        """The bytes of the answer after its last complete event."""
+        if self._parameters.is_resumable:
+            return self._progress.incomplete_bytes
+        return self._events.incomplete_bytes
+
 
 def _attempt_outcome(failed: NotRun | AnswerLost) -> AttemptOutcome:
     if isinstance(failed, AnswerLost):
--- a/tests/gateway/backends/test_exchange.py
+++ b/tests/gateway/backends/test_exchange.py
@@ -122,6 +122,26 @@
         assert not connection.is_reusable
 
 
+@pytest.mark.parametrize(
+    ("answer", "closed"),
+    [
+        (b"HTTP/1.1 200 OK\r\nrequest-id: a\r\n\r\nabc", True),
+        (COMPLETE % b"a", False),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", False),
+    ],
+)
+async def test_the_end_tells_whether_the_connection_was_what_ended_the_answer(
+    answer: bytes, *, closed: bool
+) -> None:
+    async with Backend(answer, close=True) as backend:
+        connection = BackendConnection()
+        await connection.connect(backend.address)
+        events = await _request(connection, "a")
+
+        assert events[-1] == AnswerEnd(closed=closed)
+        connection.close()
+
+
 @pytest.mark.parametrize(
     "answer",
     [
