--- a/tests/gateway/turns/test_resumed_streams.py
+++ b/tests/gateway/turns/test_resumed_streams.py
@@ -14,6 +14,7 @@
 from tests.support.client import ConnectionLostError
 from tests.support.client import fetch
 from tests.support.platform_entries import HOST_NAME
+from tests.support.standins.platform_engine import CutPlace
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -55,7 +56,8 @@
     """Failure: a turn is lost if its engine breaks off in the middle of an event."""
     async with _cluster() as cluster:
         for engine in _engines(cluster):
-            engine.knobs.cut_after, engine.knobs.cut_inside, engine.knobs.cuts = 2, True, 1
+            engine.knobs.cut_after, engine.knobs.cuts = 2, 1
+            engine.knobs.cut_place = CutPlace.IN_DATA
         call_id, reply = await cluster.turn("a", "p")
         # Each engine cuts one stream, so the second engine cuts the continuation of the first.
         assert reply.status == 200
--- a/tests/support/standins/http.py
+++ b/tests/support/standins/http.py
@@ -9,6 +9,8 @@
 import argparse
 import asyncio
 import os
+import socket
+import struct
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -30,6 +32,15 @@
 
 _READ_BYTES = 65536
 _CRASH_EXIT_CODE = 70
+# Closing then resets the connection, also if everything was read.
+_LINGER_NOT = struct.pack("ii", 1, 0)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection; the other side may still read what was sent before."""
+    connection: socket.socket = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+    writer.transport.abort()
 
 
 class Request(NamedTuple):
@@ -65,6 +76,7 @@
         self.request = request
         self._connection = connection
         self._writer = writer
+        self._has_framing = True
 
     async def reply(self, status: int, value: object, **headers: str) -> None:
         """Sends a whole JSON response; `retry_after="1"` becomes the header `retry-after`."""
@@ -81,20 +93,36 @@
         self._write(h11.Response(status_code=200, headers=fields))
         await self._writer.drain()
 
+    def start_without_length(self, fields: list[tuple[str, str]]) -> None:
+        """Starts a 200 response that has neither a length nor chunks and ends by `finish`."""
+        self._has_framing = False
+        lines = [f"{name}: {value}\r\n" for name, value in fields]
+        self._writer.write(f"HTTP/1.1 200 OK\r\n{''.join(lines)}\r\n".encode())
+
     async def send(self, data: bytes) -> None:
-        """Sends a piece of a chunked response."""
-        self._write(h11.Data(data=data))
+        """Sends a piece of a response that has no length."""
+        if self._has_framing:
+            self._write(h11.Data(data=data))
+        else:
+            self._writer.write(data)
         await self._writer.drain()
 
     async def finish(self) -> None:
-        """Ends the response."""
-        self._write(h11.EndOfMessage())
-        await self._writer.drain()
+        """Ends the response, by closing the connection if nothing else says where it ends."""
+        if self._has_framing:
+            self._write(h11.EndOfMessage())
+            await self._writer.drain()
+        else:
+            self._writer.close()
 
     def cut(self) -> None:
-        """Resets the connection, whatever has been answered so far."""
+        """Closes the connection at once, whatever has been answered so far."""
         self._writer.transport.abort()
 
+    def reset(self) -> None:
+        """Resets the connection, whatever has been answered so far."""
+        reset(self._writer)
+
     def _write(self, event: h11.Event) -> None:
         self._writer.write(self._connection.send(event) or b"")
 
