A stream that ends inside an event was broken off, whatever its framing says

Callers saw: a 200 with the engine's receipt, framed as complete, whose body lacked the end of the stream; the program went on from it, as its turn was recorded as ended.

Cause: the end of a stream was judged by HTTP's framing alone. An answer without length or chunks ends when its connection is closed, and an engine that crashes closes it too; a chunked answer may end properly inside an event. Class: an end of transport taken for the end of the content.

Why it works: the content says where it may end, with an empty line after each event. A stream that ends with a line or an event begun takes the path of a broken answer: the caller's is aborted, the turn not recorded as ended, a resumable stream continued, the event counted, the engine's failure reported, and a crash looked for if the connection was closed. Comments belong to no event. Answers whose media type is another one are left to their framing.

--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -8,7 +8,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from quincespool.gateway.model import Headers
+
 _DATA = b"data:"
+_COMMENT = b":"
+_MEDIA_TYPE = "text/event-stream"
 
 
 class StreamEvent(NamedTuple):
@@ -43,6 +47,13 @@
         """Whether a line, or an event with data, is incomplete."""
         return bool(self._partial_line) or any(line.startswith(_DATA) for line in self._lines)
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a stream that ends here was broken off; comments belong to no event."""
+        return bool(self._partial_line) or any(
+            not line.startswith(_COMMENT) for line in self._lines
+        )
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes of the stream; returns the events that they complete."""
         events = []
@@ -78,6 +89,11 @@
         """Whether a line, or an event with data, is incomplete."""
         return self._splitter.has_incomplete_event
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether a stream that ends here was broken off."""
+        return self._splitter.is_inside_event
+
     @property
     def collected_data(self) -> bytes:
         """The data of all complete events, each with a line feed after it."""
@@ -95,6 +111,12 @@
         return len(payloads)
 
 
+def is_event_stream(headers: Headers) -> bool:
+    """Whether the body of an answer consists of events; one without a media type does, too."""
+    media_type = next((value for name, value in headers if name == "content-type"), _MEDIA_TYPE)
+    return media_type.strip().lower().startswith(_MEDIA_TYPE)
+
+
 def _read_event(lines: list[bytes]) -> StreamEvent:
     number, payloads = None, []
     for line in (one.removesuffix(b"\r") for one in lines):
--- a/src/quincespool/gateway/turns/stream_progress.py
+++ b/src/quincespool/gateway/turns/stream_progress.py
@@ -51,6 +51,11 @@
         """Bytes that the current attempt has returned after its last complete event."""
         return self._splitter.incomplete_bytes
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether the current attempt was broken off if it ends here."""
+        return self._splitter.is_inside_event
+
     def begin_attempt(self) -> None:
         """Begins another attempt; drops an event that the last attempt returned incompletely."""
         self._splitter = EventSplitter()
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -18,6 +18,7 @@
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.turns.event_stream import EventCollector
+from quincespool.gateway.turns.event_stream import is_event_stream
 from quincespool.gateway.turns.stream_progress import EventGapError
 from quincespool.gateway.turns.stream_progress import StreamProgress
 from quincespool.gateway.turns.turn_records import TurnFailedError
@@ -227,7 +228,10 @@
                 lost = await self._relay_piece(attempt, event.data)
                 if lost is not None:
                     return lost
-            elif isinstance(event, AnswerEnd):
+                continue
+            if isinstance(event, AnswerEnd) and is_event_stream(head.headers):
+                event = self._check_end(event)
+            if isinstance(event, AnswerEnd):
                 attempt.complete(is_valid=True)
                 events = self._events.event_count - earlier_events
                 self._context.backends.record_stream(attempt.entry, events, now_ms() - began_ms)
@@ -235,11 +239,25 @@
                     self._reply.send_chunk(self._progress.incomplete_bytes)
                 await self._finish(attempt.entry, event)
                 return None
-            elif isinstance(event, AnswerBroken):
+            if isinstance(event, AnswerBroken):
                 if self._events.has_incomplete_event:
                     self._records.count_partial_event()
                 return attempt.fail(event)
 
+    @property
+    def _parser(self) -> StreamProgress | EventCollector:
+        """The part that has all bytes of the current attempt."""
+        return self._progress if self._parameters.is_resumable else self._events
+
+    def _check_end(self, end: AnswerEnd) -> AnswerEnd | AnswerBroken:
+        """Returns how a stream has ended: one that ends inside an event was broken off.
+
+        An engine that crashes may close its connection as if its answer were complete.
+        """
+        if not self._parser.is_inside_event:
+            return end
+        return AnswerBroken("the stream ended inside an event", closed=end.closed)
+
     def _relay_head(self, head: AnswerHead) -> None:
         """Sends the head of the answer once; the heads of later attempts are dropped."""
         if not self._head_sent:
@@ -298,16 +316,9 @@
             record_ms=recorded_ms - ended_ms,
             epoch=self._owned.epoch,
             ended_by_close=end.closed,
-            incomplete_bytes=len(self._incomplete_bytes),
+            incomplete_bytes=len(self._parser.incomplete_bytes),
         )
 
-    @property
-    def _incomplete_bytes(self) -> bytes:
-        """The bytes of the answer after its last complete event."""
-        if self._parameters.is_resumable:
-            return self._progress.incomplete_bytes
-        return self._events.incomplete_bytes
-
 
 def _attempt_outcome(failed: NotRun | AnswerLost) -> AttemptOutcome:
     if isinstance(failed, AnswerLost):
--- a/tests/gateway/turns/test_event_stream.py
+++ b/tests/gateway/turns/test_event_stream.py
@@ -4,10 +4,12 @@
 
 from itertools import pairwise
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from quincespool.gateway.turns.event_stream import EventCollector
+from quincespool.gateway.turns.event_stream import is_event_stream
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\r\ndata: two\r\ndata: more\r\n\r\n: note\n\nid: 3\ndata:\n\n"
 DATA = b"one\ntwo\nmore\n\n"
@@ -30,3 +32,43 @@
 
     assert collector.event_count == 1
     assert collector.has_incomplete_event
+
+
+@pytest.mark.parametrize(
+    ("end", "is_inside"),
+    [
+        (b"", False),
+        (b": a comment\n", False),
+        (b": a comment\n\n", False),
+        (b": a com", True),
+        (b"id: 2\n", True),
+        (b"weights-version: 3\n", True),
+        (b"data: tw", True),
+        (b"data: two\n", True),
+        (b"data: two\r\n", True),
+        (b"data: two\r\n\r", True),
+        (b"data: two\n\n", False),
+    ],
+)
+def test_a_stream_that_ends_inside_an_event_or_a_line_was_broken_off(
+    end: bytes, *, is_inside: bool
+) -> None:
+    collector = EventCollector()
+    collector.feed(b"id: 1\ndata: one\n\n" + end)
+
+    assert collector.is_inside_event == is_inside
+
+
+@pytest.mark.parametrize(
+    ("media_type", "is_stream"),
+    [
+        ("text/event-stream", True),
+        ("Text/Event-Stream; charset=utf-8", True),
+        ("application/json", False),
+    ],
+)
+def test_the_media_type_tells_whether_a_body_consists_of_events(
+    media_type: str, *, is_stream: bool
+) -> None:
+    assert is_event_stream((("content-type", media_type),)) == is_stream
+    assert is_event_stream(())
