A broken stream is reset for a caller whose answers end with their connections

Callers of HTTP/1.0 know no chunks: their streams end by a close, and one that was broken off was closed, too. The connection resets on close from the head of such a stream to its end, so that a process that is killed in between resets it as well.

test_a_broken_stream_is_reset_for_a_caller_whose_answers_have_no_length failed before: no reset.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -17,6 +17,7 @@
 
 from quincespool.net.requests import HttpRequest
 from quincespool.net.requests import RequestError
+from quincespool.net.socket_options import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -33,6 +34,8 @@
 STALL_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
 
+HTTP_1_1 = b"1.1"
+
 Headers = list[tuple[str, str]]
 
 
@@ -200,8 +203,12 @@
 
     def start_stream(self, status: int, headers: Headers) -> None:
         """Sends the head of a response whose body follows piece by piece."""
-        if not self._lost:
-            self._transport.write(self._http.send(self._response_head(status, headers)) or b"")
+        if self._lost:
+            return
+        if self._ends_by_close:
+            # Only a reset tells a response that is broken off from a complete one.
+            reset_on_close(self._transport, enabled=True)
+        self._transport.write(self._http.send(self._response_head(status, headers)) or b"")
 
     def send_piece(self, data: bytes) -> None:
         """Sends a piece of the body, or drops a caller that reads too slowly to be waited for."""
@@ -216,6 +223,8 @@
         """Ends a response that has been sent piece by piece and takes the next request."""
         if self._lost:
             return
+        if self._ends_by_close:
+            reset_on_close(self._transport, enabled=False)
         self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
         self._finish()
 
@@ -236,6 +245,12 @@
         self._lost = True
         self._transport.abort()
 
+    @property
+    def _ends_by_close(self) -> bool:
+        """Whether the caller knows no chunks, so that its connection ends a streamed response."""
+        version = self._http.their_http_version
+        return version is not None and version < HTTP_1_1
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is on it."""
         if not self.busy:
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -18,6 +18,8 @@
 # The same for how long ago, in milliseconds, data was last sent, an acknowledgement sent, data
 # received and an acknowledgement received.
 _LAST_TIMES = struct.Struct("=44x4I")
+# The kernel's `struct linger`: whether closing waits for unsent data, and for how many seconds.
+_LINGER = struct.Struct("=2i")
 
 
 def limit_silence(
@@ -74,6 +76,15 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
 
 
+def reset_on_close(transport: asyncio.Transport, *, enabled: bool) -> None:
+    """Sets whether closing a connection resets it, also when its process is killed."""
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(int(enabled), 0))
+
+
 def last_received_ms_ago(transport: asyncio.Transport) -> int | None:
     """Returns how long ago the kernel received anything, which may be only an acknowledgement.
 
