A message after the stop of the datagram socket is dropped

A crash check or a partition whose task outlives the socket ended with an AttributeError inside asyncio, which forgets the transport's loop once it is closed; a partition then counted as failed.

--- a/src/quincespool/gateway/members/datagram_socket.py
+++ b/src/quincespool/gateway/members/datagram_socket.py
@@ -40,9 +40,10 @@
         await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
 
     def stop(self) -> None:
-        """Closes the socket."""
+        """Closes the socket; messages that are sent later are dropped."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def send(self, daemons: list[Daemon], message: Any) -> None:
         """Sends a message to each daemon; lost datagrams are not retransmitted."""
