A stream that is closed before its first event was broken off

Callers saw: 200 and an empty stream, framed as complete, recorded as a turn without text. A run begins with its first token, so a run that ended has an event; only an attempt that continues a stream may have none left. A chunked stream that says it is complete may still be empty.

test_a_stream_without_length_that_is_closed_before_its_first_event_is_broken_off failed before: both answers counted as complete.

--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -252,11 +252,15 @@
     def _check_end(self, end: AnswerEnd) -> AnswerEnd | AnswerBroken:
         """Returns how a stream has ended: one that ends inside an event was broken off.
 
-        An engine that crashes may close its connection as if its answer were complete.
+        An engine that crashes may close its connection as if its answer were complete. It may do so
+        before its first event, too; between two events nothing tells a crash from an end.
         """
-        if not self._parser.is_inside_event:
-            return end
-        return AnswerBroken("the stream ended inside an event", closed=end.closed)
+        if self._parser.is_inside_event:
+            return AnswerBroken("the stream ended inside an event", closed=end.closed)
+        has_events = self._events.event_count > 0 or self._call.resumes_after is not None
+        if end.closed and not has_events:
+            return AnswerBroken("the connection was closed before the first event", closed=True)
+        return end
 
     def _relay_head(self, head: AnswerHead) -> None:
         """Sends the head of the answer once; the heads of later attempts are dropped."""
--- a/tests/gateway/turns/test_short_streams.py
+++ b/tests/gateway/turns/test_short_streams.py
@@ -140,6 +140,36 @@
                 assert isinstance(outcome, ConnectionLostError) or outcome.status == 502
 
 
+async def test_a_stream_without_length_that_is_closed_before_its_first_event_is_broken_off() -> (
+    None
+):
+    """Failure: a program goes on from an empty turn, as its engine closed before it said a word."""
+    async with GatewayCluster() as cluster:
+        _cut(cluster, CutPlace.BEFORE_EVENT, after=0, by=CutBy.END, has_chunks=False)
+        for node in ("a", "b"):
+            assert isinstance(await _turn(cluster, node, "p", node), ConnectionLostError)
+
+
+async def test_a_chunked_stream_may_be_empty() -> None:
+    async with GatewayCluster(1) as cluster:
+        _cut(cluster, CutPlace.BEFORE_EVENT, after=0, by=CutBy.END, has_chunks=True)
+        _, reply = await cluster.turn("a", "p")
+        assert (reply.status, reply.body) == (200, b"")
+
+
+async def test_a_stream_may_be_continued_after_its_last_event_by_an_empty_one() -> None:
+    """The caller has had all events; the engine that continues has none left, and closes."""
+    async with GatewayCluster(1) as cluster:
+        cluster.configure(2, resumable=True, retain_context=False)
+        await cluster.until(lambda: cluster.nodes["a"].daemon._routes.version == 2)
+        _cut(cluster, CutPlace.BEFORE_EVENT, after=EVENTS, by=CutBy.RESET, has_chunks=False)
+        for name in ("e1", "e2"):
+            cluster.engines[name].knobs.cuts = int(name == "e1")
+        for number in range(4):
+            _, reply = await cluster.turn("a", f"p{number}")
+            assert _event_numbers(reply.body) == [1, 2, 3]
+
+
 async def test_a_stream_without_length_that_is_closed_after_an_event_is_complete() -> None:
     async with GatewayCluster() as cluster:
         for name in ("e1", "e2"):
