A page of the store that ends early is no page

What would be seen: a turn that was answered whole is not known to the next owner (404), as its record was read in part and put aside as undecodable, or as a page shorter than its two offsets counted as an empty one. A page must now hold both offsets and end with a record; otherwise the read fails and is repeated.

test_a_page_that_ends_early_is_no_page failed before in all ten cases.

--- a/src/quincespool/platform/store.py
+++ b/src/quincespool/platform/store.py
@@ -193,8 +193,7 @@
         }
         limit_ms = wait_ms + _ROUND_TRIP_MS if wait_ms else self._time_limit_ms
         answer = await self._request("GET", "/log-read", query, b"", limit_ms)
-        end_offset = int.from_bytes(answer.body[:_OFFSET_BYTES], "big")
-        return Page(end_offset, _split_frames(answer.body[2 * _OFFSET_BYTES :]))
+        return _decode_page(answer.body)
 
     async def _post(self, path: str, query: dict[str, object], body: bytes) -> ChannelAnswer:
         return await self._request("POST", path, query, body, self._time_limit_ms)
@@ -257,14 +256,23 @@
     return len(record).to_bytes(_LENGTH_BYTES, "big") + record
 
 
-def _split_frames(data: bytes) -> list[bytes]:
+def _decode_page(body: bytes) -> Page:
+    """Decodes a page: the end and the first offset, then records, each behind its length.
+
+    Raises:
+      StoreError: If the page ends early; one without a length may, and look complete.
+    """
+    if len(body) < 2 * _OFFSET_BYTES:
+        raise StoreError(f"a page of {len(body)} bytes", refused=False)
     records = []
-    position = 0
-    while position + _LENGTH_BYTES <= len(data):
+    position = 2 * _OFFSET_BYTES
+    while position < len(body):
         start = position + _LENGTH_BYTES
-        position = start + int.from_bytes(data[position:start], "big")
-        records.append(data[start:position])
-    return records
+        position = start + int.from_bytes(body[position:start], "big")
+        records.append(body[start:position])
+    if position > len(body):
+        raise StoreError("a page that ends inside a record", refused=False)
+    return Page(int.from_bytes(body[:_OFFSET_BYTES], "big"), records)
 
 
 def _decode_keyed(record: bytes, offset: int) -> KeyedRecord:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -18,6 +18,8 @@
 from tests.support.standins.platform_store import make_platform_store
 
 PARTITION = Partition("programs.0", 1)
+# The end and the first offset, then a record of six bytes behind its length.
+_PAGE = (1).to_bytes(8, "big") + bytes(8) + (6).to_bytes(4, "big") + b"record"
 
 
 def _client(store: PlatformStoreStandIn) -> PlatformStore:
@@ -131,3 +133,40 @@
 
         await client.leave("a")
         assert await client.owners() == {"b"}
+
+
+@pytest.mark.parametrize("has_length", [False, True])
+@pytest.mark.parametrize(
+    "page",
+    [
+        b"",
+        bytes(15),
+        _PAGE[:-1],
+        _PAGE[:-4],
+        _PAGE + bytes(3),
+    ],
+    ids=["empty", "in the offsets", "in a record", "early in a record", "in a length"],
+)
+async def test_a_page_that_ends_early_is_no_page(page: bytes, *, has_length: bool) -> None:
+    """Failure: a record is read in part, or records count as read, as the store broke off."""
+    head = f"content-length: {len(page)}\r\n" if has_length else ""
+    answer = f"HTTP/1.1 200 OK\r\n{head}\r\n".encode() + page
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    async with server:
+        host, port = server.sockets[0].getsockname()
+        client = PlatformStore(
+            address=f"{host}:{port}",
+            lease_ms=1_000,
+            time_limit_ms=500,
+            partition_count=8,
+            on_call=lambda path, status: None,
+        )
+        with pytest.raises(StoreError) as error:
+            await client.read(PARTITION, 0)
+        assert not error.value.refused
