A plain answer of events that ends inside one was broken off

The incident's class on routes that don't stream: an answer that consists of events by its media type was complete by its framing alone and got a length, so that the caller could not notice. It is judged by its events like a turn's now; a close that cuts it has a crash looked for.

test_a_plain_call_whose_events_end_inside_one_has_no_complete_answer failed before, with and without chunks (200).

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -15,6 +15,8 @@
 from quincespool.gateway.backends.exchange import Head
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_background_task
+from quincespool.gateway.turns.event_stream import ends_inside_event
+from quincespool.gateway.turns.event_stream import is_event_stream
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -33,6 +35,7 @@
     from quincespool.net.metrics import Metrics
 
 MAX_ANSWER_BYTES = 16_000_000
+ENDED_INSIDE_EVENT = "the stream ended inside an event"
 BACKEND_FULL = "backend_full"
 BACKEND_REPLACED = "backend_replaced"
 # Time after a lost answer at which a new connection is tried: by then the host of a crashed process
@@ -181,14 +184,17 @@
         self._context.backends.record_first_event(self.entry, took_s * 1000, now_ms())
         return head
 
-    async def body(self) -> bytes | AnswerLost:
-        """Returns the complete body of the answer."""
+    async def body(self, head: AnswerHead) -> bytes | AnswerLost:
+        """Returns the complete body of the answer whose head is given."""
         chunks: list[bytes] = []
         size_bytes = 0
         while True:
             event = await self.next_event()
             if isinstance(event, AnswerEnd):
-                return b"".join(chunks)
+                body = b"".join(chunks)
+                if _is_cut_stream(head, body):
+                    return self.fail(AnswerBroken(ENDED_INSIDE_EVENT, closed=event.closed))
+                return body
             if isinstance(event, AnswerBroken):
                 return self.fail(event)
             if isinstance(event, AnswerChunk):
@@ -310,3 +316,8 @@
             )
         finally:
             probe.close()
+
+
+def _is_cut_stream(head: AnswerHead, body: bytes) -> bool:
+    """Whether an answer consists of events and ends inside one of them."""
+    return is_event_stream(head.headers, if_unstated=False) and ends_inside_event(body)
--- a/src/quincespool/gateway/callers/plain_calls.py
+++ b/src/quincespool/gateway/callers/plain_calls.py
@@ -114,7 +114,7 @@
     head = await attempt.head()
     if isinstance(head, NotRun | AnswerLost):
         return head
-    body = await attempt.body()
+    body = await attempt.body(head)
     if isinstance(body, AnswerLost):
         return body
     attempt.complete(is_valid=head.status < 500)
--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -111,12 +111,26 @@
         return len(payloads)
 
 
-def is_event_stream(headers: Headers) -> bool:
-    """Whether the body of an answer consists of events; one without a media type does, too."""
-    media_type = next((value for name, value in headers if name == "content-type"), _MEDIA_TYPE)
+def is_event_stream(headers: Headers, *, if_unstated: bool) -> bool:
+    """Whether the body of an answer consists of events.
+
+    Args:
+      headers: Headers of the answer, with names in lower case.
+      if_unstated: What holds for an answer that states no media type.
+    """
+    media_type = next((value for name, value in headers if name == "content-type"), None)
+    if media_type is None:
+        return if_unstated
     return media_type.strip().lower().startswith(_MEDIA_TYPE)
 
 
+def ends_inside_event(body: bytes) -> bool:
+    """Whether a stream with this body was broken off."""
+    splitter = EventSplitter()
+    splitter.feed(body)
+    return splitter.is_inside_event
+
+
 def _read_event(lines: list[bytes]) -> StreamEvent:
     number, payloads = None, []
     for line in (one.removesuffix(b"\r") for one in lines):
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -8,6 +8,7 @@
 
 from quincespool.gateway.backends.attempt import BACKEND_FULL
 from quincespool.gateway.backends.attempt import BACKEND_REPLACED
+from quincespool.gateway.backends.attempt import ENDED_INSIDE_EVENT
 from quincespool.gateway.backends.attempt import AnswerLost
 from quincespool.gateway.backends.attempt import Attempt
 from quincespool.gateway.backends.attempt import NotRun
@@ -229,7 +230,7 @@
                 if lost is not None:
                     return lost
                 continue
-            if isinstance(event, AnswerEnd) and is_event_stream(head.headers):
+            if isinstance(event, AnswerEnd) and is_event_stream(head.headers, if_unstated=True):
                 event = self._check_end(event)
             if isinstance(event, AnswerEnd):
                 attempt.complete(is_valid=True)
@@ -256,7 +257,7 @@
         before its first event, too; between two events nothing tells a crash from an end.
         """
         if self._parser.is_inside_event:
-            return AnswerBroken("the stream ended inside an event", closed=end.closed)
+            return AnswerBroken(ENDED_INSIDE_EVENT, closed=end.closed)
         has_events = self._events.event_count > 0 or self._call.resumes_after is not None
         if end.closed and not has_events:
             return AnswerBroken("the connection was closed before the first event", closed=True)
@@ -269,7 +270,7 @@
             self._reply.start(head.status, head.headers)
 
     async def _relay_failure(self, attempt: Attempt, head: AnswerHead) -> AnswerLost | None:
-        body = await attempt.body()
+        body = await attempt.body(head)
         if isinstance(body, AnswerLost):
             return body
         attempt.complete(is_valid=head.status < 500)
--- a/tests/gateway/callers/test_plain_calls.py
+++ b/tests/gateway/callers/test_plain_calls.py
@@ -4,7 +4,11 @@
 
 import asyncio
 
+import pytest
+
 from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.standins.platform_engine import CutBy
+from tests.support.standins.platform_engine import CutPlace
 
 
 async def test_a_plain_call_is_answered() -> None:
@@ -73,3 +77,19 @@
         await asyncio.sleep(0.1)
         reply = await fetch(address, "GET", "/resolve?name=x&region=r&zone=z")
         assert reply.json()["addresses"] == [cluster.nodes["a"].address]
+
+
+@pytest.mark.parametrize("has_chunks", [False, True])
+async def test_a_plain_call_whose_events_end_inside_one_has_no_complete_answer(
+    *, has_chunks: bool
+) -> None:
+    """Failure: a caller takes events for complete whose server has crashed inside one of them."""
+    async with GatewayCluster(1) as cluster:
+        knobs = cluster.engines["s1"].knobs
+        knobs.streams_all, knobs.has_chunks = True, has_chunks
+        whole = await cluster.call("a", "non_idempotent")
+        knobs.cut_after, knobs.cut_by, knobs.cut_place = 1, CutBy.END, CutPlace.IN_DATA
+        broken = await cluster.call("a", "non_idempotent")
+
+        assert (whole.status, whole.body.count(b"data: ")) == (200, 3)
+        assert broken.status == 502
--- a/tests/gateway/turns/test_event_stream.py
+++ b/tests/gateway/turns/test_event_stream.py
@@ -70,5 +70,8 @@
 def test_the_media_type_tells_whether_a_body_consists_of_events(
     media_type: str, *, is_stream: bool
 ) -> None:
-    assert is_event_stream((("content-type", media_type),)) == is_stream
-    assert is_event_stream(())
+    headers = (("content-type", media_type),)
+    assert is_event_stream(headers, if_unstated=True) == is_stream
+    assert is_event_stream(headers, if_unstated=False) == is_stream
+    assert is_event_stream((), if_unstated=True)
+    assert not is_event_stream((), if_unstated=False)
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -47,6 +47,7 @@
       event_bytes: Added to the data of each event.
       gap_ms: Before each event, or before a whole answer.
       full: Every request is refused as not run.
+      streams_all: Plain calls are answered by streams, too.
       has_chunks: Streams are chunked; otherwise nothing but the end of the connection ends them.
       cut_after: So many events, then the stream is cut off; -1 never.
       cut_place: What the stream has of the event after these.
@@ -60,6 +61,7 @@
     event_bytes: int = 0
     gap_ms: float = 5
     full: bool = False
+    streams_all: bool = False
     has_chunks: bool = True
     cut_after: int = -1
     cut_place: CutPlace = CutPlace.BEFORE_EVENT
@@ -118,7 +120,9 @@
         began_s = time.monotonic()
         is_cut = False
         try:
-            is_cut = await self._run(exchange, call_id, streams="/stream/" in request.path)
+            is_cut = await self._run(
+                exchange, call_id, streams=self.knobs.streams_all or "/stream/" in request.path
+            )
         finally:
             self.under_way -= 1
             self.spans.append(Span(call_id, self.backend_id, began_s, time.monotonic(), is_cut))
