A store connection that was reset while idle is made anew

What callers would see: their program's partition given up ('partition failed', 'ownership failed'), so their turns wait for another owner or end as lost. Cause: a kept connection counted as open until its reader was at an end, which a reset does not bring about. On uvloop, the product's loop, the next write raised RuntimeError, which no caller of the store handles; on asyncio's own the request was lost as 'may have been done'.

--- a/src/quincespool/net/http_channel.py
+++ b/src/quincespool/net/http_channel.py
@@ -110,15 +110,20 @@
         its answer were lost, and an append would have to be read back for nothing.
         """
         loop = asyncio.get_running_loop()
-        reader = self._reader
-        usable = reader is not None and not reader.at_eof()
-        if usable and loop.time() - self._used_s < IDLE_LIMIT_S:
+        if self._is_open and loop.time() - self._used_s < IDLE_LIMIT_S:
             return
         self.close()
         host, port = split_address(self._address)
         self._reader, self._writer = await asyncio.open_connection(host, port)
         self._http = h11.Connection(h11.CLIENT)
 
+    @property
+    def _is_open(self) -> bool:
+        """Whether the service has neither closed nor reset the connection, as far as is known."""
+        if self._reader is None or self._writer is None:
+            return False
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
     async def _read_answer(self) -> ChannelAnswer:
         assert self._reader is not None
         status = 0
--- a/tests/support/standins/http.py
+++ b/tests/support/standins/http.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import socket
 import struct
@@ -39,7 +40,9 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; the other side may still read what was sent before."""
     connection: socket.socket = writer.get_extra_info("socket")
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+    # The kernel refuses the option for a connection that the other side has reset.
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
     writer.transport.abort()
 
 
