The soak brings streams without length, cut off at every place

--faults streams: engines whose streams have neither length nor chunks, cut off by a close, a reset or a false end at each place of an event, beside all other faults; 'short' is a stream that its caller was told is whole and that lacks events. The proxy passes a reset on as a reset, and its own resets are real. The draws of the older kinds stay as they are.

--- a/tests/gateway/turns/test_short_streams.py
+++ b/tests/gateway/turns/test_short_streams.py
@@ -12,14 +12,14 @@
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import HOST_NAME
 from tests.support.platform_entries import TOKENS_PER_EVENT
+from tests.support.standins.platform_engine import INSIDE_EVENT
+from tests.support.standins.platform_engine import STREAM_EVENTS
 from tests.support.standins.platform_engine import CutBy
 from tests.support.standins.platform_engine import CutPlace
 
 if TYPE_CHECKING:
     from tests.support.client import Reply
 
-EVENTS = 3
-INSIDE_EVENT = (CutPlace.AFTER_ID, CutPlace.IN_DATA, CutPlace.AFTER_DATA)
 # A stream without chunks is closed, one with chunks says that it is complete.
 HAS_CHUNKS = pytest.mark.parametrize("has_chunks", [False, True])
 
@@ -62,7 +62,7 @@
     """
     taken_for_complete: list[str] = []
     async with GatewayCluster() as cluster:
-        for after in range(EVENTS):
+        for after in range(STREAM_EVENTS):
             for place in INSIDE_EVENT:
                 _cut(cluster, place, after=after, by=CutBy.END, has_chunks=has_chunks)
                 for node in ("a", "b"):
@@ -103,7 +103,7 @@
                     cluster.engines[name].knobs.cuts = 1
                 _, reply = await cluster.turn(node, "p", call_id=f"{place}-{node}")
                 assert _event_numbers(reply.body) == [1, 2, 3]
-                assert reply.body.count(b"data: ") == EVENTS
+                assert reply.body.count(b"data: ") == STREAM_EVENTS
 
 
 @HAS_CHUNKS
@@ -114,7 +114,7 @@
         _cut(cluster, CutPlace.IN_DATA, after=1, by=CutBy.END, has_chunks=has_chunks)
         await _turn(cluster, "a", "p", "short")
         _heal(cluster)
-        budget = spent_tokens + EVENTS * TOKENS_PER_EVENT
+        budget = spent_tokens + STREAM_EVENTS * TOKENS_PER_EVENT
         _, over = await cluster.turn("a", "p", budget=budget - 1, max_tokens=30)
         _, within = await cluster.turn("a", "p", budget=budget, max_tokens=30)
         assert (over.status, within.status) == (402, 200)
@@ -133,7 +133,7 @@
 async def test_a_stream_without_length_that_is_reset_is_broken_off(place: CutPlace) -> None:
     """Failure: a reset is taken for the end of a stream, also behind its last event."""
     async with GatewayCluster() as cluster:
-        for after in range(EVENTS + 1):
+        for after in range(STREAM_EVENTS + 1):
             _cut(cluster, place, after=after, by=CutBy.RESET, has_chunks=False)
             for node in ("a", "b"):
                 outcome = await _turn(cluster, node, "p", f"{after}-{node}")
@@ -162,7 +162,7 @@
     async with GatewayCluster(1) as cluster:
         cluster.configure(2, resumable=True, retain_context=False)
         await cluster.until(lambda: cluster.nodes["a"].daemon._routes.version == 2)
-        _cut(cluster, CutPlace.BEFORE_EVENT, after=EVENTS, by=CutBy.RESET, has_chunks=False)
+        _cut(cluster, CutPlace.BEFORE_EVENT, after=STREAM_EVENTS, by=CutBy.RESET, has_chunks=False)
         for name in ("e1", "e2"):
             cluster.engines[name].knobs.cuts = int(name == "e1")
         for number in range(4):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,6 +22,7 @@
 from tests.support.platform_entries import HOST_NAME
 from tests.support.platform_entries import RESUMABLE_PATH
 from tests.support.platform_entries import TOKENS_PER_EVENT
+from tests.support.standins.platform_engine import STREAM_EVENTS
 
 if TYPE_CHECKING:
     import random
@@ -221,6 +222,7 @@
                 self._fail("lost", f"{call_id} of {program_id}: {status} after {last.call_id}")
             return status, call_id
         outputs = [line[6:] + b"\n" for line in reply.body.split(b"\n") if line[:6] == b"data: "]
+        self._check_length(call_id, len(outputs))
         return Turn(call_id, before + text + b"".join(outputs)), call_id
 
     async def _resumable_stream(self, line: Line) -> None:
@@ -234,12 +236,19 @@
             "token-usage": f"5,{MOST_TOKENS}",
         }
         received = bytearray()
-        await self._fetch(line, _Sent(f"{RESUMABLE_PATH}x", headers, b"text"), received)
+        reply = await self._fetch(line, _Sent(f"{RESUMABLE_PATH}x", headers, b"text"), received)
         whole_events, _, _ = received.rpartition(b"\n\n")
         lines = whole_events.decode().split("\n")
         texts = [line[6:] for line in lines if line.startswith("data: ")]
         if texts != [f"{call_id}.{number}" for number in range(1, len(texts) + 1)]:
             self._fail("misjoined", f"{call_id}: {texts}")
+        if reply is not None and reply.status == 200:
+            self._check_length(call_id, len(texts))
+
+    def _check_length(self, call_id: str, events: int) -> None:
+        """A stream that its caller was told is whole has all events."""
+        if events != STREAM_EVENTS:
+            self._fail("short", f"{call_id} is whole with {events} of {STREAM_EVENTS} events")
 
     async def _plain_call(self, line: Line) -> None:
         path = self._chance.choice(["/idempotent/", "/non_idempotent/", ADDED_PATH])
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -24,6 +24,8 @@
 from tests.support.client import fetch
 from tests.support.platform_entries import make_backend_entry
 from tests.support.platform_entries import make_configuration
+from tests.support.standins.platform_engine import CutBy
+from tests.support.standins.platform_engine import CutPlace
 from tests.support.standins.platform_engine import make_platform_engine
 from tests.support.standins.platform_store import StoreState
 from tests.support.standins.platform_store import make_platform_store
@@ -228,7 +230,8 @@
     def heal_backend(self, backend_id: str) -> None:
         """Ends all faults of a backend server; it stays as slow as it is by itself."""
         knobs = self.engines[backend_id].knobs
-        knobs.full, knobs.cut_after = False, -1
+        knobs.full, knobs.cut_after, knobs.has_chunks = False, -1, True
+        knobs.cut_by, knobs.cut_place = CutBy.CLOSE, CutPlace.BEFORE_EVENT
         knobs.gap_ms = self.gaps_ms.get(backend_id, GAP_MS)
         self.ways[backend_id].heal()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,6 +11,10 @@
 from tests.soak.planned import PLANNED
 from tests.soak.planned import TOGETHER
 from tests.soak.planned import Planned
+from tests.support.standins.platform_engine import INSIDE_EVENT
+from tests.support.standins.platform_engine import STREAM_EVENTS
+from tests.support.standins.platform_engine import CutBy
+from tests.support.standins.platform_engine import CutPlace
 
 if TYPE_CHECKING:
     from tests.soak.deployment import SoakDeployment
@@ -32,7 +36,14 @@
     "backend_full",
     "backend_cuts",
 )
-KINDS = {"planned": PLANNED, "together": TOGETHER, "all": UNPLANNED + PLANNED}
+STREAMS = ("streams_without_length", "streams_cut")
+KINDS = {
+    "planned": PLANNED,
+    "together": TOGETHER,
+    "all": UNPLANNED + PLANNED,
+    # Half of the faults are of streams.
+    "streams": STREAMS * ((len(UNPLANNED) + len(PLANNED)) // len(STREAMS)) + UNPLANNED + PLANNED,
+}
 FOR_ALL = frozenset({"kill_all", "store_down"})
 # Nothing lasts longer: callers would only see more of the same.
 LONGEST_S = 3.0
@@ -85,6 +96,8 @@
             await _hurt_process(fault, deployment)
         elif fault.kind.startswith("store"):
             await _hurt_store(fault, deployment)
+        elif fault.kind in STREAMS:
+            await _hurt_streams(fault, deployment)
         else:
             await _hurt_backend(fault, deployment)
 
@@ -92,7 +105,7 @@
 def _where(fault: Fault, deployment: SoakDeployment) -> str:
     if fault.kind in FOR_ALL:
         return ""
-    if fault.kind.startswith("backend"):
+    if fault.kind.startswith("backend") or fault.kind in STREAMS:
         return deployment.pick_backend(fault.backend)
     return deployment.pick_daemon(fault.daemon).name
 
@@ -145,3 +158,19 @@
     way.cut_back |= fault.kind == "backend_silent"
     await asyncio.sleep(fault.for_s)
     deployment.heal_backend(name)
+
+
+async def _hurt_streams(fault: Fault, deployment: SoakDeployment) -> None:
+    name = deployment.pick_backend(fault.backend)
+    knobs = deployment.engines[name].knobs
+    knobs.has_chunks = False
+    if fault.kind == "streams_cut":
+        chance = random.Random(fault.seed)
+        knobs.has_chunks = chance.random() < 0.3
+        knobs.cut_by = chance.choice((CutBy.CLOSE, CutBy.RESET, CutBy.END))
+        # An orderly end between two events is no fault that a daemon could notice.
+        may_be_between = knobs.cut_by is CutBy.RESET
+        knobs.cut_place = chance.choice(list(CutPlace) if may_be_between else INSIDE_EVENT)
+        knobs.cut_after = chance.randrange(STREAM_EVENTS)
+    await asyncio.sleep(fault.for_s)
+    deployment.heal_backend(name)
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from typing import TYPE_CHECKING
 from typing import Self
 
+from tests.support.standins.http import reset
+
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
@@ -46,7 +47,7 @@
     def reset(self) -> None:
         """Resets all connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            reset(writer)
 
     def heal(self) -> None:
         """Ends all faults; connections that lost something are reset, as TCP would never go on."""
@@ -73,11 +74,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, forth: bool
     ) -> None:
         self._writers.add(writer)
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(_READ_BYTES):
                 while self.cut_back and not forth:
                     await asyncio.sleep(_HEAL_POLL_S)
                 writer.write(data)
                 await writer.drain()
-        self._writers.discard(writer)
-        writer.close()
+            writer.close()
+        except OSError:
+            # What ends by a reset must not look like an orderly end.
+            reset(writer)
+        finally:
+            self._writers.discard(writer)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 SEEDS = (1, 2)
 PLANNED_SEEDS = (11, 12)
 TOGETHER_SEEDS = (21,)
+STREAM_SEEDS = (31,)
 
 
 @pytest.mark.parametrize(
@@ -22,6 +23,7 @@
         *((seed, "all") for seed in SEEDS),
         *((seed, "planned") for seed in PLANNED_SEEDS),
         *((seed, "together") for seed in TOGETHER_SEEDS),
+        *((seed, "streams") for seed in STREAM_SEEDS),
     ],
 )
 async def test_no_promise_is_broken(seed: int, faults: str, tmp_path: Path) -> None:
--- a/tests/support/standins/platform_engine.py
+++ b/tests/support/standins/platform_engine.py
@@ -19,6 +19,9 @@
     from tests.support.standins.http import Exchange
 
 
+STREAM_EVENTS = 3
+
+
 class CutPlace(enum.StrEnum):
     """The part of the next event that a stream still has when it is cut off."""
 
@@ -28,6 +31,9 @@
     AFTER_DATA = "after_data"
 
 
+INSIDE_EVENT = (CutPlace.AFTER_ID, CutPlace.IN_DATA, CutPlace.AFTER_DATA)
+
+
 class CutBy(enum.StrEnum):
     """How a stream is cut off."""
 
@@ -57,7 +63,7 @@
       crash: The next request resets all connections; new ones are refused from then on.
     """
 
-    events: int = 3
+    events: int = STREAM_EVENTS
     event_bytes: int = 0
     gap_ms: float = 5
     full: bool = False
