A daemon says when its planned stop has ended

Cause: an end was noticed by silence alone, PEER_TIMEOUT_MS after the last heartbeat that was read, which a busy process reads late.

The daemon sends the notice that watchers send, about itself; the others believe it at once. Older daemons ignore it and wait as before.

--- a/src/quincespool/gateway/members/member_table.py
+++ b/src/quincespool/gateway/members/member_table.py
@@ -173,17 +173,20 @@
                 return daemon._replace(incarnation=latest.heartbeat.incarnation)
         return None
 
-    def record_silence_notice(self, member_id: str, incarnation: int, now_ms: int) -> bool:
-        """Handles a watcher's notice that a daemon is silent; returns whether it is now suspected.
+    def record_silence_notice(
+        self, member_id: str, incarnation: int, now_ms: int, *, told_by: str
+    ) -> bool:
+        """Handles a notice that a daemon is silent; returns whether it is now suspected.
 
-        The notice is ignored if this daemon has received a heartbeat of the reported daemon
+        A watcher's notice is ignored if this daemon has received a heartbeat of the reported daemon
         recently, as the watcher itself may be cut off. The reported daemon gets the notice as well
-        and answers with a heartbeat to all daemons.
+        and answers with a heartbeat to all daemons. A daemon that says so of itself has ended.
         """
         latest = self._last_heartbeats.get(member_id)
         if latest is None or latest.heartbeat.incarnation != incarnation:
             return False
-        if now_ms - latest.received_ms < PROBE_AFTER_MS or not self.is_alive(member_id, now_ms):
+        was_heard = told_by != member_id and now_ms - latest.received_ms < PROBE_AFTER_MS
+        if was_heard or not self.is_alive(member_id, now_ms):
             return False
         self.suspect(member_id)
         return True
--- a/src/quincespool/gateway/members/messages.py
+++ b/src/quincespool/gateway/members/messages.py
@@ -284,10 +284,10 @@
 
 
 class SilenceNotice(NamedTuple):
-    """The sender watches this daemon and considers it crashed.
+    """The sender watches this daemon and considers it crashed, or is it and has ended.
 
-    The daemon itself gets the notice too; if it is alive, it answers with a heartbeat to all
-    daemons.
+    The daemon itself gets a watcher's notice too; if it is alive, it answers with a heartbeat to
+    all daemons.
     """
 
     member_id: str
--- a/src/quincespool/gateway/members/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -86,7 +86,14 @@
         await self._socket.start(host, port)
 
     def stop(self) -> None:
-        """Closes the datagram socket and cancels a pending announcement or pause."""
+        """Closes the datagram socket and cancels a pending announcement or pause.
+
+        At the end of a planned stop the other daemons are told: those that stop too would wait
+        until this one counts as silent.
+        """
+        if self.draining:
+            notice = SilenceNotice(self._own.member_id, self._own.incarnation)
+            self._socket.send(self._members.others, notice)
         self._socket.stop()
         if self._announce_timer is not None:
             self._announce_timer.cancel()
@@ -274,7 +281,9 @@
     def _on_silence_notice(self, sender: str, notice: SilenceNotice) -> None:
         if notice.member_id == self._own.member_id:
             self.announce()
-        elif self._members.record_silence_notice(notice.member_id, notice.incarnation, now_ms()):
+        elif self._members.record_silence_notice(
+            notice.member_id, notice.incarnation, now_ms(), told_by=sender
+        ):
             self._log.write("daemon said to be silent", peer_id=notice.member_id, told_by=sender)
             daemon = self._members.entries.get(notice.member_id)
             if daemon is not None:
--- a/tests/gateway/members/test_member_table.py
+++ b/tests/gateway/members/test_member_table.py
@@ -157,7 +157,7 @@
 
     other = next(members for name, members in group.items() if name not in [*watchers, "d7"])
     assert other.is_alive("d7", silent_ms)
-    assert other.record_silence_notice("d7", 1, silent_ms)
+    assert other.record_silence_notice("d7", 1, silent_ms, told_by="d6")
     assert not other.is_alive("d7", silent_ms)
 
 
@@ -169,11 +169,20 @@
     """
     members = _large_group(40)["d0"]
     members.record_heartbeat("d7", _heartbeat(incarnation=2), 10_000)
-    assert not members.record_silence_notice("d7", 1, 10_000 + PEER_TIMEOUT_MS)
-    assert not members.record_silence_notice("d7", 2, 10_000 + PROBE_AFTER_MS - 1)
+    assert not members.record_silence_notice("d7", 1, 10_000 + PEER_TIMEOUT_MS, told_by="d6")
+    assert not members.record_silence_notice("d7", 2, 10_000 + PROBE_AFTER_MS - 1, told_by="d6")
     assert members.is_alive("d7", 10_000 + PEER_TIMEOUT_MS)
 
 
+def test_a_daemon_that_says_that_it_has_ended_is_believed_at_once() -> None:
+    """Guards against daemons that stop at the same time waiting for one another's silence."""
+    members = _large_group(40)["d0"]
+    members.record_heartbeat("d7", _heartbeat(incarnation=2), 10_000)
+    assert not members.record_silence_notice("d7", 1, 10_001, told_by="d7")
+    assert members.record_silence_notice("d7", 2, 10_001, told_by="d7")
+    assert not members.is_alive("d7", 10_001)
+
+
 def test_a_daemon_of_a_large_group_without_heartbeats_is_isolated_within_a_second() -> None:
     members = _large_group(40)["d0"]
     for number in range(1, 40):
