--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -155,6 +155,8 @@
         return
     engine.knobs.full = fault.kind == "backend_full"
     engine.knobs.cut_after = 1 if fault.kind == "backend_cuts" else -1
+    # An orderly close would end a stream without length as complete.
+    engine.knobs.cut_by, engine.knobs.cut_place = CutBy.RESET, CutPlace.BEFORE_EVENT
     if fault.kind == "backend_slow":
         engine.knobs.gap_ms = 200
     way.cut_back |= fault.kind == "backend_silent"
