Claims of partitions are made in one place; names that needed explaining

Presence and the finder built the same claims; the ledger extended a program's retention for a part of a history and set it back, and has a method for the time alone now. 'wire' and 'services' are 'codec' and 'attempts', 'uncertain' is 'unrecorded', as their types say. No behaviour changes.

--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -26,14 +26,14 @@
     def __init__(
         self,
         *,
-        wire: PlatformCodec,
+        codec: PlatformCodec,
         metrics: Metrics,
         is_ready: Callable[[], bool],
         addresses: Callable[[str], list[str]],
         addresses_valid_ms: Callable[[], int],
         dump: Callable[[], dict[str, object]],
     ) -> None:
-        self._wire = wire
+        self._codec = codec
         self._metrics = metrics
         self._is_ready = is_ready
         self._addresses = addresses
@@ -55,14 +55,14 @@
         return HttpResponse(500, _JSON, msgspec.json.encode({"error": "internal error"}))
 
     def _answer(self, request: HttpRequest) -> HttpResponse:
-        if self._wire.is_readiness_request(request):
+        if self._codec.is_readiness_request(request):
             return HttpResponse(200 if self._is_ready() else 503, [], b"")
-        query = self._wire.read_address_request(request)
+        query = self._codec.read_address_request(request)
         if query is not None:
             addresses = self._addresses(query.zone)
             if not addresses:
                 return HttpResponse(503, [], b"")
-            body = self._wire.write_addresses(addresses, self._addresses_valid_ms())
+            body = self._codec.write_addresses(addresses, self._addresses_valid_ms())
             return HttpResponse(200, _JSON, body)
         path = request.target.partition("?")[0]
         if path == "/metrics":
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -156,7 +156,7 @@
             store=self._store,
             hedged=self._hedged_requests,
             store_health=self._store_health,
-            services=self._attempt_context,
+            attempts=self._attempt_context,
             members=self._members,
             routes=self._routes,
             cluster_view=self._cluster_view,
@@ -175,7 +175,7 @@
                 caller_address=settings.caller_address,
                 peer_address=settings.peer_address,
             ),
-            wire=self._codec,
+            codec=self._codec,
             members=self._members,
             cluster_view=self._cluster_view,
             ownership=self._ownership,
@@ -233,7 +233,7 @@
             metrics=self._metrics,
         )
         side = SidePorts(
-            wire=self._codec,
+            codec=self._codec,
             metrics=self._metrics,
             is_ready=self._is_ready,
             addresses=self._caller_addresses,
--- a/src/quincespool/gateway/members/presence.py
+++ b/src/quincespool/gateway/members/presence.py
@@ -12,7 +12,6 @@
 from quincespool.gateway.members.messages import BackendReport
 from quincespool.gateway.members.messages import CrashNotice
 from quincespool.gateway.members.messages import Heartbeat
-from quincespool.gateway.members.messages import PartitionClaim
 from quincespool.gateway.members.messages import SilenceNotice
 from quincespool.gateway.members.messages import SilenceQuestion
 from quincespool.gateway.store.interface import Partition
@@ -30,7 +29,6 @@
     from quincespool.gateway.store.cluster_view import ClusterView
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.turns.ownership import Ownership
-    from quincespool.gateway.turns.partition import OwnedPartition
 
 REGISTER_RETRY_S = 0.3
 # A daemon that takes over several partitions reads them within some tens of milliseconds.
@@ -50,7 +48,7 @@
         self,
         own: Daemon,
         *,
-        wire: PlatformCodec,
+        codec: PlatformCodec,
         members: MemberTable,
         cluster_view: ClusterView,
         ownership: Ownership,
@@ -62,7 +60,7 @@
     ) -> None:
         self.draining = False
         self._own = own
-        self._wire = wire
+        self._codec = codec
         self._members = members
         self._cluster_view = cluster_view
         self._ownership = ownership
@@ -108,10 +106,10 @@
         """
         self._members.put(self._own, now_ms())
         await self._cluster_view.daemon_entries.synced_event.wait()
-        value = self._wire.write_daemon(self._own)
+        value = self._codec.write_daemon(self._own)
         while True:
             try:
-                await store.append_keyed(self._wire.DAEMONS_TOPIC, self._own.member_id, value)
+                await store.append_keyed(self._codec.DAEMONS_TOPIC, self._own.member_id, value)
             except StoreError as error:
                 self._log.write("daemon entry not written", detail=str(error))
                 await asyncio.sleep(REGISTER_RETRY_S)
@@ -195,8 +193,7 @@
 
     def _announced_state(self) -> tuple[object, ...]:
         """Returns the state whose changes are announced at once."""
-        ownership = self._ownership
-        return self.draining, _claims(ownership.ready_owned), _claims(ownership.ready_retired)
+        return self.draining, self._ownership.claims, self._ownership.retired_claims
 
     def _send_heartbeat(self, daemons: list[Daemon], *, generation: int | None = None) -> None:
         self._sequence += 1
@@ -207,8 +204,8 @@
             draining=self.draining,
             configuration_version=self._cluster_view.configuration_version,
             generation=self._ownership.generation if generation is None else generation,
-            claims=_claims(self._ownership.ready_owned),
-            retired_claims=_claims(self._ownership.ready_retired),
+            claims=self._ownership.claims,
+            retired_claims=self._ownership.retired_claims,
             store_reachable=self._cluster_view.store_reachable,
             engine_id=speed.backend_id if speed is not None else "",
             engine_event_us=round(1_000 * speed.event_interval_ms) if speed is not None else 0,
@@ -288,9 +285,3 @@
             daemon = self._members.entries.get(notice.member_id)
             if daemon is not None:
                 self._on_silent(daemon)
-
-
-def _claims(partitions: list[OwnedPartition]) -> tuple[PartitionClaim, ...]:
-    return tuple(
-        PartitionClaim(one.partition.topic, one.partition.number, one.epoch) for one in partitions
-    )
--- a/src/quincespool/gateway/turns/finder.py
+++ b/src/quincespool/gateway/turns/finder.py
@@ -206,11 +206,7 @@
 
     def _claims(self) -> tuple[PartitionClaim, ...]:
         """Returns the partitions that this daemon owns by its lease."""
-        if not self._ownership.is_confirmed:
-            return ()
-        return tuple(
-            PartitionClaim(*one.partition, epoch=one.epoch) for one in self._ownership.ready_owned
-        )
+        return self._ownership.claims if self._ownership.is_confirmed else ()
 
     def _not_claimed_since(self, claims: tuple[PartitionClaim, ...]) -> set[Partition]:
         """Returns the claimed partitions that no other daemon is known to have taken over since."""
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -98,9 +98,13 @@
         return texts
 
     def extend_retention(self, at_ms: int, retention_ms: int) -> None:
-        """Retains the program for at least `retention_ms` after `at_ms`, the time of a record."""
+        """Sets the retention of turns; retains the program so long after `at_ms`."""
         self.retention_ms = retention_ms
-        self.kept_until_ms = max(self.kept_until_ms, at_ms + retention_ms)
+        self.retain(at_ms, retention_ms)
+
+    def retain(self, at_ms: int, for_ms: int) -> None:
+        """Retains the program for at least `for_ms` after `at_ms`, the time of a record."""
+        self.kept_until_ms = max(self.kept_until_ms, at_ms + for_ms)
 
     def has_complete_history(self, turn_id: str) -> bool:
         """Whether a turn and all turns before it are present."""
@@ -134,9 +138,8 @@
         if isinstance(record, HistoryPart):
             self._store_turn(program, record, record.text)
             # Parts of a renewal have only the time that is left.
-            retention_ms = max(program.retention_ms, record.retention_ms)
-            program.extend_retention(record.at_ms, record.retention_ms)
-            program.retention_ms = retention_ms
+            program.retention_ms = max(program.retention_ms, record.retention_ms)
+            program.retain(record.at_ms, record.retention_ms)
             return
         if record.turn_id in program.reserved:
             # The end of a turn is counted once. After a lost answer of the store it may be recorded
@@ -147,7 +150,7 @@
             self._store_turn(program, record, record.input + record.output)
             program.extend_retention(record.at_ms, record.retention_ms)
         else:
-            program.extend_retention(record.at_ms, program.retention_ms)
+            program.retain(record.at_ms, program.retention_ms)
 
     def find(self, turn_id: str, account: str) -> str:
         """Returns the id of an account's program with a turn's complete history, empty if none."""
--- a/src/quincespool/gateway/turns/ownership.py
+++ b/src/quincespool/gateway/turns/ownership.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.members.messages import PartitionClaim
 from quincespool.gateway.store.interface import Partition
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.partition import OwnedPartition
@@ -132,6 +133,16 @@
         """The partitions whose turns this daemon serves."""
         return [one for one in self.owned.values() if one.ready]
 
+    @property
+    def claims(self) -> tuple[PartitionClaim, ...]:
+        """The claims of the partitions whose turns this daemon serves."""
+        return _claims(self.ready_owned)
+
+    @property
+    def retired_claims(self) -> tuple[PartitionClaim, ...]:
+        """The claims of the partitions that this daemon only writes."""
+        return _claims(self.ready_retired)
+
     @property
     def ready_retired(self) -> list[OwnedPartition]:
         """The partitions that this daemon only writes, until another one takes them over."""
@@ -338,3 +349,7 @@
     one.
     """
     return f"{member_id}.{incarnation}"
+
+
+def _claims(partitions: list[OwnedPartition]) -> tuple[PartitionClaim, ...]:
+    return tuple(PartitionClaim(*one.partition, epoch=one.epoch) for one in partitions)
--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -68,7 +68,7 @@
         store: Store,
         hedged: HedgedRequests,
         store_health: StoreHealth,
-        services: AttemptContext,
+        attempts: AttemptContext,
         members: MemberTable,
         routes: RouteTable,
         cluster_view: ClusterView,
@@ -79,7 +79,7 @@
     ) -> None:
         topics = settings.owner_topic_names
         partitions = list_partitions(topics, settings.store_partitions)
-        log = services.log
+        log = attempts.log
         self.partition_count = len(partitions)
         self.ownership = Ownership(
             member_id=settings.member_id,
@@ -109,10 +109,10 @@
         )
         self.settlements = Settlements(members=members, ownership=self.ownership, links=self.links)
         self.admission = make_admission(
-            is_controlled=settings.admission_control, log=log, metrics=services.metrics
+            is_controlled=settings.admission_control, log=log, metrics=attempts.metrics
         )
         self.turns = TurnRunner(
-            services,
+            attempts,
             settle_at_owner=self.settlements.settle_at_owner,
             finder=self.finder,
             store_reachable=lambda: store_health.reachable,
@@ -138,7 +138,7 @@
             ownership=self.ownership,
             links=self.links,
             log=log,
-            metrics=services.metrics,
+            metrics=attempts.metrics,
             settings=LimitSettings(
                 window_ms=1_000 * settings.limit_window_s,
                 slack_calls=settings.limit_slack_calls,
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -221,11 +221,11 @@
         return self._start_is_durable_elsewhere or start.exception() is None
 
     def _submit_start(self) -> asyncio.Future[None]:
-        uncertain, program_id = self._owned.unrecorded, self._turn.program_id
+        unrecorded, program_id = self._owned.unrecorded, self._turn.program_id
         self._start_deferred = self._may_defer_start()
         start = self._owned.submit(self._start, urgent=not self._start_deferred)
-        uncertain.start_turn(program_id)
-        start.add_done_callback(lambda _: uncertain.end_turn(program_id))
+        unrecorded.start_turn(program_id)
+        start.add_done_callback(lambda _: unrecorded.end_turn(program_id))
         return start
 
     def _may_defer_start(self) -> bool:
@@ -233,10 +233,10 @@
 
         This is allowed if durable records account for all other tokens sent to the program.
         """
-        uncertain, program_id = self._owned.unrecorded, self._turn.program_id
+        unrecorded, program_id = self._owned.unrecorded, self._turn.program_id
         if self._owned.stalled or not self._context.store_reachable():
             return False
-        return uncertain.is_allowed(program_id) and uncertain.is_fully_recorded(program_id)
+        return unrecorded.is_allowed(program_id) and unrecorded.is_fully_recorded(program_id)
 
     async def _settle_failed(self, append: asyncio.Future[None], record: TurnBroken) -> None:
         """Has the partition's next owner record the sent tokens, if this daemon lost ownership.
--- a/tests/gateway/turns/test_finder.py
+++ b/tests/gateway/turns/test_finder.py
@@ -44,7 +44,7 @@
         members = SimpleNamespace(
             others=[daemon], is_alive=lambda *_: True, highest_epoch=lambda _: known_epoch
         )
-        ownership = SimpleNamespace(owned={}, ready_owned=[], is_confirmed=True)
+        ownership = SimpleNamespace(owned={}, ready_owned=[], claims=(), is_confirmed=True)
         self._finder = TurnFinder(
             partitions=PARTITIONS,
             members=cast("MemberTable", members),
@@ -112,8 +112,9 @@
     """Guards against a search that finds no end where another account used the id."""
     ledger = SimpleNamespace(find=lambda *_: "", is_foreign=lambda *_: True)
     owned = SimpleNamespace(partition=PARTITIONS[0], epoch=EPOCH, ready=True, ledger=ledger)
+    claims = (PartitionClaim(*PARTITIONS[0], epoch=EPOCH),)
     ownership = SimpleNamespace(
-        owned={PARTITIONS[0]: owned}, ready_owned=[owned], is_confirmed=True
+        owned={PARTITIONS[0]: owned}, ready_owned=[owned], claims=claims, is_confirmed=True
     )
     finder = TurnFinder(
         partitions=PARTITIONS,
