The wait of a pipelined request counts from its own last byte

Cause: its wait was counted from the last data on the connection, which was the request after it (1,869 ms behind, took_ms 2,202).

The test with a third request that comes later failed before: the late one ran.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -15,6 +15,7 @@
 
 import h11
 
+from quincespool.net.arrival_times import ArrivalTimes
 from quincespool.net.connection_limits import ConnectionLimits
 from quincespool.net.connection_limits import default_limits
 from quincespool.net.requests import HttpRequest
@@ -83,7 +84,7 @@
     """The server's side of one connection.
 
     Attributes:
-      waited_s: For at least how long the last request waited behind earlier ones.
+      waited_s: For how long the last request has waited behind earlier ones.
     """
 
     def __init__(self, owner: ConnectionOwner, limits: ConnectionLimits | None = None) -> None:
@@ -101,7 +102,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._unread_bytes = 0
-        self._received_s = 0.0
+        self._arrivals = ArrivalTimes()
         self._lost = False
         self._request: HttpRequest | None = None
         self.waited_s = 0.0
@@ -140,7 +141,7 @@
         if self._phase is _Phase.DISCARD:
             return
         self._unread_bytes += len(data)
-        self._received_s = self._loop.time()
+        self._arrivals.add(len(data), self._loop.time())
         self._http.receive_data(data)
         if self._phase is not _Phase.ANSWER:
             self._advance()
@@ -314,7 +315,8 @@
         self._drop_body()
         self._unread_bytes = len(self._http.trailing_data[0])
         self._enter(_Phase.ANSWER, None)
-        self.waited_s = self._loop.time() - self._received_s
+        arrived_s = self._arrivals.consume(left_bytes=self._unread_bytes)
+        self.waited_s = self._loop.time() - arrived_s
         self._request = request
         self._owner.handle(self, request)
 
--- a/tests/gateway/callers/test_unanswered.py
+++ b/tests/gateway/callers/test_unanswered.py
@@ -6,14 +6,14 @@
 import contextlib
 from typing import TYPE_CHECKING
 
+import pytest
+
 from quincespool.gateway.clock import now_ms
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
 from tests.support.platform_entries import HOST_NAME
 
 if TYPE_CHECKING:
-    import pytest
-
     from quincespool.gateway.accounts.limits import Permit
     from quincespool.gateway.callers.reply import Reply
     from quincespool.gateway.model import Call
@@ -56,7 +56,10 @@
     assert answers.count(b"connection: close") == 1
 
 
-async def test_a_request_that_waited_behind_another_one_has_only_the_rest_of_its_time() -> None:
+@pytest.mark.parametrize("last_after_s", [0.0, 0.3])
+async def test_a_request_that_waited_behind_another_one_has_only_the_rest_of_its_time(
+    last_after_s: float,
+) -> None:
     """Failure: a request is run and answered long after the time that its caller gave it."""
     request = f"POST /non_idempotent/x HTTP/1.1\r\nhost: {HOST_NAME}\r\ncontent-length: 0\r\n"
     limits_ms = {"first": 2_000, "late": 300, "patient": 2_000}
@@ -68,13 +71,15 @@
         cluster.engines["s1"].knobs.gap_ms = 500
         host, _, port = cluster.nodes["a"].address.partition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        writer.write("".join(requests).encode())
+        writer.write("".join(requests[:2]).encode())
+        await asyncio.sleep(last_after_s)
+        writer.write(requests[2].encode())
         await cluster.until(lambda: len(cluster.all_runs()) == 2)
         writer.close()
         await reader.read()
         first, patient = cluster.all_runs()
     assert (first.call_id, patient.call_id) == ("first", "patient")
-    assert int(patient.headers["deadline-ms"]) <= 2_000 - 500
+    assert int(patient.headers["deadline-ms"]) <= 2_000 - 500 + int(1_000 * last_after_s)
 
 
 async def test_the_last_answer_arrives_although_its_caller_has_sent_more() -> None:
