--- a/tests/gateway/turns/test_event_stream.py
+++ b/tests/gateway/turns/test_event_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from itertools import pairwise
 
 import pytest
@@ -75,3 +76,15 @@
     assert is_event_stream(headers, if_unstated=False) == is_stream
     assert is_event_stream((), if_unstated=True)
     assert not is_event_stream((), if_unstated=False)
+
+
+@given(st.integers(0, len(STREAM)), st.lists(st.integers(0, len(STREAM)), max_size=5))
+def test_a_stream_is_whole_only_where_an_event_or_a_comment_ends(end: int, cuts: list[int]) -> None:
+    stream = STREAM[:end]
+    collector = EventCollector()
+    edges = [0, *sorted(min(cut, end) for cut in cuts), end]
+    for start, stop in pairwise(edges):
+        collector.feed(stream[start:stop])
+    ends_whole = re.fullmatch(rb"((?s:.*)\n\r?\n)?(:[^\n]*\n)*", stream) is not None
+
+    assert collector.is_inside_event != ends_whole
--- a/tests/gateway/turns/test_short_streams.py
+++ b/tests/gateway/turns/test_short_streams.py
@@ -183,7 +183,7 @@
             assert cluster.runs(second) == [b"one|" + outputs + b"two"]
 
 
-async def _read_as_http_1_0(address: str, call_id: str) -> bytes:
+async def read_as_http_1_0(address: str, call_id: str) -> bytes:
     """Sends a turn as a caller of HTTP/1.0 does, whose answers end with their connections."""
     host, port = address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
@@ -202,8 +202,8 @@
         for node in ("a", "b"):
             address = cluster.nodes[node].address
             _heal(cluster)
-            whole = await _read_as_http_1_0(address, f"whole-{node}")
+            whole = await read_as_http_1_0(address, f"whole-{node}")
             assert _event_numbers(whole) == [1, 2, 3]
             _cut(cluster, CutPlace.IN_DATA, after=1, by=CutBy.RESET, has_chunks=True)
             with pytest.raises(ConnectionResetError):
-                await _read_as_http_1_0(address, f"broken-{node}")
+                await read_as_http_1_0(address, f"broken-{node}")
