--- a/src/quincespool/cli/gateway.py
+++ b/src/quincespool/cli/gateway.py
@@ -10,6 +10,7 @@
 from quincespool.cli.command import command
 from quincespool.cli.errors import usage_error
 from quincespool.gateway.settings import load_gateway_settings
+from quincespool.logs import write_line
 from quincespool.settings import SettingsError
 
 SETTINGS_VARIABLE = "QUINCESPOOL_NODE_FILE"
@@ -41,4 +42,6 @@
 
     with asyncio.Runner(loop_factory=make_event_loop) as runner:
         runner.run(serve(loaded, load_settings=load))
+    # Tells a task that does not end from a process that does not.
+    write_line("warning", "event loop closed")
     return 0
--- a/tests/soak/test_killed_daemon.py
+++ b/tests/soak/test_ends.py
@@ -1,4 +1,4 @@
-"""A real daemon that is killed while it streams to a caller whose answers have no length."""
+"""How real daemons end: killed in the middle of a stream, and by a planned stop."""
 
 from __future__ import annotations
 
@@ -30,3 +30,11 @@
         await daemon.end(signal.SIGKILL)
         with pytest.raises(ConnectionResetError):
             await calling
+
+
+async def test_a_process_says_that_its_event_loop_is_closed(tmp_path: Path) -> None:
+    async with SoakDeployment(tmp_path, 1) as deployment:
+        await deployment.daemons[0].end(signal.SIGTERM)
+        lines = (tmp_path / "d0.log").read_text().splitlines()
+    assert '"message": "stopped"' in lines[-2]
+    assert '"message": "event loop closed"' in lines[-1]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,8 @@
 PLANNED_SEEDS = (11, 12)
 TOGETHER_SEEDS = (21,)
 STREAM_SEEDS = (31,)
+# Played as when it was found: a process outlived its stop.
+FOUND_SEED = 3033
 
 
 @pytest.mark.parametrize(
@@ -30,3 +32,9 @@
     outcome = await soak(seed, tmp_path, for_s=8.0, daemons=3, faults=faults)
     assert outcome.faults == [], outcome.plan
     assert outcome.counts["200"] > 50
+
+
+async def test_no_promise_is_broken_by_a_seed_that_broke_one(tmp_path: Path) -> None:
+    """Failure: a process is killed 2.5 s after it said that it had stopped."""
+    outcome = await soak(FOUND_SEED, tmp_path, for_s=12.0, daemons=4, faults="streams")
+    assert outcome.faults == [], outcome.plan
