--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -76,7 +76,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, idle_s)
 
 
-def reset_on_close(transport: asyncio.Transport, *, enabled: bool) -> None:
+def reset_on_close(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
     """Sets whether closing a connection resets it, also when its process is killed."""
     sock: socket.socket | None = transport.get_extra_info("socket")
     if sock is None:
--- a/tests/support/standins/http.py
+++ b/tests/support/standins/http.py
@@ -8,10 +8,7 @@
 
 import argparse
 import asyncio
-import contextlib
 import os
-import socket
-import struct
 import sys
 import traceback
 from typing import TYPE_CHECKING
@@ -26,6 +23,8 @@
 import h11
 import msgspec
 
+from quincespool.net.socket_options import reset_on_close
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -33,16 +32,11 @@
 
 _READ_BYTES = 65536
 _CRASH_EXIT_CODE = 70
-# Closing then resets the connection, also if everything was read.
-_LINGER_NOT = struct.pack("ii", 1, 0)
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """Resets a connection; the other side may still read what was sent before."""
-    connection: socket.socket = writer.get_extra_info("socket")
-    # The kernel refuses the option for a connection that the other side has reset.
-    with contextlib.suppress(OSError):
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+    reset_on_close(writer.transport, enabled=True)
     writer.transport.abort()
 
 
