--- a/src/quincespool/gateway/callers/request_handler.py
+++ b/src/quincespool/gateway/callers/request_handler.py
@@ -11,6 +11,7 @@
 from quincespool.gateway.backends.crashes import fingerprint
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.model import FAILED
+from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import CallKind
 from quincespool.gateway.model import Turn
 from quincespool.gateway.model import make_turn_parameters
@@ -42,7 +43,6 @@
 CALLER_GONE = "caller_gone"
 CUT_OFF = "cut_off"
 STOPPING = "stopping"
-TIMEOUT = "timeout"
 # Callers may retry soon, as another daemon accepts the call at once.
 STOPPING_RETRY_MS = 50
 _STOPPING_REFUSAL = not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS)
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -344,6 +344,8 @@
 
 # Reason of the refusal when a call failed because of a bug in the gateway.
 FAILED = "failed"
+# Reason of the refusal when the time limit of a call is over.
+TIMEOUT = "timeout"
 
 
 def not_run(reason: str, *, retry_after_ms: int = 0, status: int = 503) -> Refusal:
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -16,6 +16,7 @@
 from quincespool.gateway.members.messages import RelayPiece
 from quincespool.gateway.members.messages import RelayRefused
 from quincespool.gateway.model import FAILED
+from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
@@ -236,7 +237,7 @@
                 return await pending.done
         except TimeoutError:
             link.send(RelayCancel(relay_id))
-            return may_have_run("timeout", status=504)
+            return may_have_run(TIMEOUT, status=504)
         except BaseException:
             link.send(RelayCancel(relay_id))
             raise
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -16,6 +16,7 @@
 from quincespool.gateway.backends.exchange import AnswerChunk
 from quincespool.gateway.backends.exchange import AnswerEnd
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.turns.event_stream import EventCollector
@@ -178,8 +179,8 @@
     def timeout_refusal(self) -> Refusal:
         """Returns the final answer for a turn that has exceeded its time limit."""
         if self._may_have_run:
-            return may_have_run("timeout", status=504)
-        return not_run("timeout", retry_after_ms=FULL_RETRY_MS)
+            return may_have_run(TIMEOUT, status=504)
+        return not_run(TIMEOUT, retry_after_ms=FULL_RETRY_MS)
 
     def close(self) -> None:
         """Records how many tokens were sent, unless the turn has ended completely."""
