--- a/tests/gateway/turns/test_short_streams.py
+++ b/tests/gateway/turns/test_short_streams.py
@@ -10,7 +10,7 @@
 from quincespool.gateway.backends.attempt import CRASH_CHECK_S
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import ConnectionLostError
-from tests.support.platform_entries import HOST_NAME
+from tests.support.client import read_as_http_1_0
 from tests.support.platform_entries import TOKENS_PER_EVENT
 from tests.support.standins.platform_engine import INSIDE_EVENT
 from tests.support.standins.platform_engine import STREAM_EVENTS
@@ -183,19 +183,6 @@
             assert cluster.runs(second) == [b"one|" + outputs + b"two"]
 
 
-async def read_as_http_1_0(address: str, call_id: str) -> bytes:
-    """Sends a turn as a caller of HTTP/1.0 does, whose answers end with their connections."""
-    host, port = address.split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    head = f"POST /stream/x HTTP/1.0\r\nhost: {HOST_NAME}\r\nrequest-id: {call_id}\r\n"
-    fields = "program-id: p\r\ndeadline-ms: 3000\r\ntoken-usage: 5,30\r\ncontent-length: 2\r\n"
-    writer.write(f"{head}{fields}\r\nhi".encode())
-    try:
-        return await reader.read()
-    finally:
-        writer.close()
-
-
 async def test_a_broken_stream_is_reset_for_a_caller_whose_answers_have_no_length() -> None:
     """Failure: a caller of HTTP/1.0 takes a broken stream for complete, as both end by a close."""
     async with GatewayCluster() as cluster:
--- a/tests/soak/test_ends.py
+++ b/tests/soak/test_ends.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from tests.gateway.turns.test_short_streams import read_as_http_1_0
 from tests.soak.deployment import SoakDeployment
+from tests.support.client import read_as_http_1_0
 
 if TYPE_CHECKING:
     from pathlib import Path
--- a/tests/support/client.py
+++ b/tests/support/client.py
@@ -11,6 +11,8 @@
 import h11
 import msgspec
 
+from tests.support.platform_entries import HOST_NAME
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
@@ -207,3 +209,20 @@
         return await connection.fetch(method, path, headers=headers, body=body, on_data=on_data)
     finally:
         connection.close()
+
+
+async def read_as_http_1_0(address: str, call_id: str) -> bytes:
+    """Sends a turn as a caller of HTTP/1.0 does, and returns all up to the end of its connection.
+
+    Raises:
+      ConnectionResetError: if the answer was broken off.
+    """
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /stream/x HTTP/1.0\r\nhost: {HOST_NAME}\r\nrequest-id: {call_id}\r\n"
+    fields = "program-id: p\r\ndeadline-ms: 3000\r\ntoken-usage: 5,30\r\ncontent-length: 2\r\n"
+    writer.write(f"{head}{fields}\r\nhi".encode())
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
