--- a/review/rig.py
+++ b/review/rig.py
@@ -205,7 +205,10 @@
                 body = await read_body(reader, head)
                 if extra:
                     self._record.write(
-                        "extra answer", before_that_to=head.headers.get("request-id"), engine=self.engine_id, extra=extra
+                        "extra answer",
+                        before_that_to=head.headers.get("request-id"),
+                        engine=self.engine_id,
+                        extra=extra,
                     )
                     writer.write(extra)
                 extra = await self._answer(head, body, reader, writer)
@@ -482,7 +485,7 @@
         self.engines = engines
         for engine in engines:
             await engine.start()
-        self.store.put("keyed.op", "config", json.dumps(config).encode())
+        self.configure(config)
         self._beating = asyncio.create_task(self._beat())
         store = await self._stack.enter_async_context(make_platform_store(self.store))
         for number in range(daemon_count):
@@ -505,6 +508,10 @@
             engine.crash()
         await self._stack.aclose()
 
+    def configure(self, config: dict[str, Any]) -> None:
+        """Writes a configuration, which the store acknowledges at once."""
+        self.store.put("keyed.op", "config", json.dumps(config).encode())
+
     def announce(self, engine: Engine) -> None:
         """Writes an engine's entry."""
         self.store.put("keyed.servers", engine.engine_id, engine.entry())
