Review: the scripts end their daemons also when they are stopped early

Cause: SIGTERM, which the time limit sends, ended the case without its daemons; SIGTERM to run.sh reached neither.

--- a/review/rig2.py
+++ b/review/rig2.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import pathlib
@@ -29,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from tests.support.standins.platform_engine import PlatformEngine
     from tests.support.standins.platform_store import PlatformStoreStandIn
@@ -39,6 +41,7 @@
 ANNOUNCE_S = 0.5
 READY_LIMIT_S = 30.0
 GRACE_S = 8.0
+PR_SET_PDEATHSIG = 1
 # Exit status of a broken rule; `run.sh` makes it 1, which an unexpected error of Python has, too.
 BROKEN = 10
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -98,6 +101,7 @@
                 env=environment,
                 stdout=log,
                 stderr=log,
+                preexec_fn=_end_with_parent,
             )
 
     def send_signal(self, number: int) -> None:
@@ -292,7 +296,10 @@
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder)
     try:
-        broken = asyncio.run(make_case(record))
+        broken = asyncio.run(_run_until_signal(make_case(record)))
+    except asyncio.CancelledError:
+        record.write("could not run", error="ended by a signal")
+        sys.exit(2)
     except Exception as error:
         record.write("could not run", error=repr(error))
         sys.stderr.write(f"could not run: {error!r}\n")
@@ -301,6 +308,23 @@
     sys.exit(BROKEN if broken else 0)
 
 
+async def _run_until_signal(work: Coroutine[Any, Any, bool]) -> bool:
+    """Runs a case; a signal that ends the script early has it end its daemons first."""
+    task = asyncio.current_task()
+    assert task is not None
+    # `timeout` sends its signal twice; the second one must not cut off the end of the daemons.
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        asyncio.get_running_loop().add_signal_handler(
+            number, lambda: None if task.cancelling() else task.cancel()
+        )
+    return await work
+
+
+def _end_with_parent() -> None:
+    # A script that is killed can't end its daemons itself.
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 _taken: set[int] = set()
 
 
