--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import re
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,11 +11,12 @@
 from quincespool.gateway.settings import GatewaySettings
 from quincespool.gateway.settings import load_gateway_settings
 from quincespool.settings import SettingsError
+from tests.support.deploy_template import render
 
 if TYPE_CHECKING:
+    from pathlib import Path
     from typing import Any
 
-TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.json.tmpl"
 FIELDS: dict[str, Any] = {
     "node_name": "edge-bole-1",
     "zone": "bole",
@@ -34,16 +33,7 @@
 
 
 def _render(**more: object) -> str:
-    fields = {**FIELDS, **more}
-
-    def section(match: re.Match[str]) -> str:
-        return match[2] if match[1] in fields else ""
-
-    def value(match: re.Match[str]) -> str:
-        return msgspec.json.encode(fields[match[1].removesuffix("|json")]).decode()
-
-    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, TEMPLATE.read_text(), flags=re.S)
-    return re.sub(r"\{\{([^}]+)\}\}", value, text)
+    return render({**FIELDS, **more})
 
 
 def _write(folder: Path, **changes: object) -> Path:
--- a/tests/processes/deployment.py
+++ b/tests/processes/deployment.py
@@ -41,9 +41,13 @@
     """Three daemons, a log service, a host list, two engines and two services.
 
     Each service has one backend server, so that its journal shows the order of effects.
+
+    Attributes:
+      folder: Has the settings and the output of its processes.
     """
 
     def __init__(self, folder: Path, *, settings: dict[str, object] | None = None) -> None:
+        self.folder = folder
         self.cluster = Cluster(
             folder,
             settings={"stream_count": STREAMS, "partition_count": PARTITIONS, **(settings or {})},
--- a/tests/support/cluster.py
+++ b/tests/support/cluster.py
@@ -48,6 +48,11 @@
         """Whether the process has not ended yet."""
         return self._popen.poll() is None
 
+    @property
+    def process_id(self) -> int:
+        """Of the process that was started last."""
+        return self._popen.pid
+
     def signal(self, number: signal.Signals) -> None:
         """Sends a signal: SIGSTOP, SIGCONT, SIGTERM (planned stop) or SIGKILL."""
         self._popen.send_signal(number)
