A connection whose answers are unread is not read on

What callers saw: a daemon that grew until the platform killed it, and all calls on it lost, while one caller sent requests ahead and read nothing.

Cause: a connection stopped reading only while a request was being answered. Once its unread answers filled the buffer it waited for them to be read, but took all that came in meanwhile, for half a minute. And each answered request set the count of unread bytes to zero although the rest had not been parsed, so that every small request let another 64 KB in.

Now it pauses in both states and counts what really waits; reading goes on when the parser wants data. The new test failed before (it read 100,000 requests on).

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -27,7 +27,7 @@
 
     from quincespool.net.body_memory import BodyMemory
 
-MAX_UNREAD_BYTES = 65_536
+MAX_SENT_AHEAD_BYTES = 65_536
 MAX_UNSENT_BYTES = 1_048_576
 
 STALL_LIMIT_S = 30.0
@@ -101,7 +101,6 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
-        self._unread_bytes = 0
         self._arrivals = ArrivalTimes()
         self._lost = False
         self._request: HttpRequest | None = None
@@ -140,13 +139,13 @@
         """Takes what the caller sends."""
         if self._phase is _Phase.DISCARD:
             return
-        self._unread_bytes += len(data)
         self._arrivals.add(len(data), self._loop.time())
         self._http.receive_data(data)
-        if self._phase is not _Phase.ANSWER:
+        if not self._is_waiting:
             self._advance()
-        elif self._unread_bytes > MAX_UNREAD_BYTES:
-            # A caller that sends request after request while one is answered would fill memory.
+        elif self._sent_ahead_bytes > MAX_SENT_AHEAD_BYTES:
+            # A caller that sends request after request while one is answered, or that doesn't read
+            # its answers, would fill memory.
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -229,6 +228,16 @@
         self._lost = True
         self._transport.abort()
 
+    @property
+    def _is_waiting(self) -> bool:
+        """Whether requests that arrive wait for an answer to be complete or to be read."""
+        return self._phase is _Phase.ANSWER or self._stall is not None
+
+    @property
+    def _sent_ahead_bytes(self) -> int:
+        """Size of what has arrived behind the current request."""
+        return len(self._http.trailing_data[0])
+
     @property
     def _ends_by_close(self) -> bool:
         """Whether the caller knows no chunks, so that its connection ends a streamed response."""
@@ -259,6 +268,7 @@
             self._take(event)
 
     def _await_data(self) -> None:
+        self._transport.resume_reading()
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._http.send(go_on) or b"")
@@ -313,9 +323,8 @@
             body=b"".join(self._body),
         )
         self._drop_body()
-        self._unread_bytes = len(self._http.trailing_data[0])
         self._enter(_Phase.ANSWER, None)
-        arrived_s = self._arrivals.consume(left_bytes=self._unread_bytes)
+        arrived_s = self._arrivals.consume(left_bytes=self._sent_ahead_bytes)
         self.waited_s = self._loop.time() - arrived_s
         self._request = request
         self._owner.handle(self, request)
@@ -325,8 +334,6 @@
         self._request = None
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-            self._unread_bytes = 0
-            self._transport.resume_reading()
             self._enter(_Phase.IDLE, self._limits.idle_s)
             self._loop.call_soon(self._advance)
             return
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -210,6 +210,19 @@
         writer.close()
 
 
+async def test_requests_sent_ahead_of_unread_answers_do_not_fill_memory(server: Server) -> None:
+    """Guards against a connection that is read on although its answers are not."""
+    request = http("GET", "/v1/ready")
+    async with server.running() as port:
+        _, writer = await asyncio.open_connection("127.0.0.1", port, limit=1)
+        writer.write(100_000 * request)
+        await until(lambda: server.http._connections)
+        (connection,) = server.http._connections
+        await until(lambda: not connection._transport.is_reading())
+        assert len(connection._http.trailing_data[0]) < 1_000_000
+        writer.transport.abort()
+
+
 @pytest.mark.parametrize(
     ("limit", "data"), [("HEAD_LIMIT_S", CALL[:20]), ("BODY_LIMIT_S", CALL[:-5])]
 )
