A connection that takes a request from what has arrived stops reading at once

Cause: whether to stop reading was asked only for bytes that arrived while a request was under way already. Bytes that arrive between an answer and the next request begin that request themselves and were not asked about, so that a quarter of a megabyte more came in with each request.

--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -143,7 +143,7 @@
         self._http.receive_data(data)
         if not self._is_waiting:
             self._advance()
-        elif self._sent_ahead_bytes > MAX_SENT_AHEAD_BYTES:
+        if self._is_waiting and self._sent_ahead_bytes > MAX_SENT_AHEAD_BYTES:
             # A caller that sends request after request while one is answered, or that doesn't read
             # its answers, would fill memory.
             self._transport.pause_reading()
