What callers make a daemon hold has one bound, over all connections and ports

What callers saw: a process that ran out of memory although each connection and each port kept its own bound; four ports with 32 MB of bodies each, a quarter of a megabyte of unread answers on each of 6,000 connections, and megabytes that the kernel keeps for each.

Cause: bounds for one connection or one port, none for all together, and none that knows the memory of the host. Daemons weren't told it.

Beyond the bound it asks the kernel, and closes the connections that hold most; a request that still arrives is refused as not run. The kernel's buffers of accepted connections are limited to 64 KB each way. A caller that reads slowly isn't dropped any more while it reads at all, but one that reads nothing for half a minute is.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from quincespool.gateway.futures import report_exception
-from quincespool.net.body_memory import BodyMemory
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_connection import HttpResponse
 from quincespool.net.listener import Listener
@@ -17,12 +16,11 @@
     from collections.abc import Coroutine
 
     from quincespool.net.connection_limits import ConnectionLimits
+    from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
-# A quarter of the memory of a small host, for the request bodies of one port.
-MAX_BODIES_BYTES = 32_000_000
 # Leaves file descriptors for connections to backend servers, other daemons and the store.
 MAX_CONNECTIONS = 6_000
 OVERLOAD_RETRY_S = "0.5"
@@ -47,7 +45,7 @@
     Attributes:
       max_body_bytes: Largest request body.
       draining: Whether answers tell callers to close their connections.
-      bodies: Memory budget for request bodies.
+      memory: Bounds what the connections of all ports hold.
     """
 
     def __init__(
@@ -56,13 +54,14 @@
         *,
         limits: Callable[[], ConnectionLimits],
         max_body_bytes: int,
+        memory: HeldMemory,
         metrics: Metrics,
     ) -> None:
         self.max_body_bytes = max_body_bytes
         self.draining = False
         self._handler = handler
         self._metrics = metrics
-        self.bodies = BodyMemory(MAX_BODIES_BYTES)
+        self.memory = memory
         self._connections: set[Connection] = set()
         self._tasks: dict[Connection, asyncio.Task[None]] = {}
         self._listener = Listener(lambda: Connection(self, limits()))
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -37,7 +37,9 @@
 from quincespool.gateway.turns.trimming import LogTrimmer
 from quincespool.net.addresses import split_address
 from quincespool.net.connection_limits import default_limits
+from quincespool.net.held_memory import HeldMemory
 from quincespool.net.metrics import Metrics
+from quincespool.resource_limits import make_resource_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -84,6 +86,10 @@
         )
         self._store_health = StoreHealth(log, now_ms, on_recovery=self._hedged_requests.resend_all)
         self._store = make_store(self._record_store_call)
+        resources = make_resource_limits(
+            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+        )
+        self._held_memory = HeldMemory(resources.held_bytes)
         self._make_cluster_view()
         self._make_program_components()
         self._make_ports()
@@ -230,6 +236,7 @@
             request_handler,
             limits=self._caller_limits,
             max_body_bytes=MAX_BODY_BYTES,
+            memory=self._held_memory,
             metrics=self._metrics,
         )
         side = SidePorts(
@@ -242,7 +249,11 @@
         )
         self._side_ports = [
             HttpPort(
-                side, limits=default_limits, max_body_bytes=MAX_BODY_BYTES, metrics=self._metrics
+                side,
+                limits=default_limits,
+                max_body_bytes=MAX_BODY_BYTES,
+                memory=self._held_memory,
+                metrics=self._metrics,
             )
             for _ in range(3)
         ]
@@ -276,6 +287,8 @@
 
     def _register_gauges(self) -> None:
         self._metrics.watch("http_connections", lambda: self._caller_port.connection_count)
+        self._metrics.watch("held_bytes", lambda: self._held_memory.held_bytes)
+        self._metrics.watch("shed_connections_total", lambda: self._held_memory.shed_connections)
         self._metrics.watch("processor_seconds", time.process_time)
         self._metrics.watch("ready", lambda: float(self._is_ready()))
         self._metrics.watch("gateway_store_full", lambda: float(self._store_health.full))
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from quincespool.resource_limits import DEFAULT_DESCRIPTORS
+from quincespool.resource_limits import DEFAULT_MEMORY_MB
 from quincespool.settings import LOG_LEVELS
 from quincespool.settings import SettingsError
 from quincespool.settings import address_fault
@@ -18,6 +20,8 @@
 # Minimum and maximum allowed value of every number; with a value outside this range a daemon would
 # start but misbehave.
 RANGES: dict[str, tuple[int, int]] = {
+    "memory_mb": (32, 10_000_000),
+    "max_descriptors": (256, 100_000_000),
     "metrics_port": (1, 65_535),
     "peer_port": (1, 65_535),
     "stop_grace_s": (1, 600),
@@ -64,6 +68,9 @@
         addition to `limit_slack_calls`.
       admission_control: Whether new programs are refused while the engines of their service are too
         full for them to end in time.
+      memory_mb: Memory that the process may use, in millions of bytes. What callers and other
+        daemons can make it hold is bounded accordingly.
+      max_descriptors: Descriptors that the process may have open; bounds the connections.
       stop_grace_s: Time from SIGTERM until the platform kills the process.
     """
 
@@ -78,6 +85,8 @@
     store_address: str
     store_partitions: int
     stop_grace_s: float = 8.0
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_DESCRIPTORS
     owner_topics: int = 4
     owner_lease_ms: int = 1_000
     store_limit_ms: int = 600
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -18,19 +18,24 @@
 from quincespool.net.arrival_times import ArrivalTimes
 from quincespool.net.connection_limits import ConnectionLimits
 from quincespool.net.connection_limits import default_limits
-from quincespool.net.requests import HttpRequest
+from quincespool.net.connection_memory import ConnectionMemory
+from quincespool.net.incoming_request import IncomingRequest
+from quincespool.net.read_stall import ReadStall
 from quincespool.net.requests import RequestError
 from quincespool.net.socket_options import reset_on_close
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from quincespool.net.body_memory import BodyMemory
+    from quincespool.net.held_memory import HeldMemory
+    from quincespool.net.requests import HttpRequest
 
 MAX_SENT_AHEAD_BYTES = 65_536
+# Of whole answers, before the next request on the connection is taken.
+MAX_UNREAD_BYTES = 16_384
+# Of a stream that goes on meanwhile.
 MAX_UNSENT_BYTES = 1_048_576
 
-STALL_LIMIT_S = 30.0
 LINGER_LIMIT_S = 2.0
 
 HTTP_1_1 = b"1.1"
@@ -51,7 +56,7 @@
 
     max_body_bytes: int
     draining: bool
-    bodies: BodyMemory
+    memory: HeldMemory
 
     def opened(self, connection: Connection) -> bool:
         """Takes note of a connection; false if there are too many."""
@@ -97,10 +102,9 @@
         self._transport: asyncio.Transport
         self._phase = _Phase.IDLE
         self._limit: asyncio.TimerHandle | None = None
-        self._stall: asyncio.TimerHandle | None = None
-        self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._stall: ReadStall
+        self._incoming: IncomingRequest | None = None
+        self._memory: ConnectionMemory
         self._arrivals = ArrivalTimes()
         self._lost = False
         self._request: HttpRequest | None = None
@@ -120,7 +124,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time limit for the first request."""
         self._transport = cast("asyncio.Transport", transport)
-        self._transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES // 4)
+        self._transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
+        self._stall = ReadStall(self._transport, drop=self._drop)
+        self._memory = ConnectionMemory(self._owner.memory, self, self._transport)
         if not self._owner.opened(self):
             self._owner.overloaded(self)
             return
@@ -129,10 +135,10 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the server that the caller has gone."""
         self._lost = True
-        for handle in (self._limit, self._stall):
-            if handle is not None:
-                handle.cancel()
-        self._drop_body()
+        self._stall.stop()
+        if self._limit is not None:
+            self._limit.cancel()
+        self._memory.close()
         self._owner.closed(self)
 
     def data_received(self, data: bytes) -> None:
@@ -147,6 +153,7 @@
             # A caller that sends request after request while one is answered, or that doesn't read
             # its answers, would fill memory.
             self._transport.pause_reading()
+        self._report_held()
 
     def eof_received(self) -> bool:
         """Takes the end of what the caller sends for the end of its interest.
@@ -164,13 +171,11 @@
 
     def pause_writing(self) -> None:
         """Starts the time limit for a caller that does not read."""
-        self._stall = self._loop.call_later(STALL_LIMIT_S, self._drop)
+        self._stall.start()
 
     def resume_writing(self) -> None:
         """Goes on with the next request, which waited for the last answer to be read."""
-        if self._stall is not None:
-            self._stall.cancel()
-            self._stall = None
+        self._stall.stop()
         self._loop.call_soon(self._advance)
 
     def respond(self, response: HttpResponse) -> None:
@@ -181,7 +186,7 @@
         head = self._http.send(self._response_head(response.status, headers))
         body = self._http.send(h11.Data(data=response.body)) if response.body else b""
         end = self._http.send(h11.EndOfMessage())
-        self._transport.write((head or b"") + (body or b"") + (end or b""))
+        self._write((head or b"") + (body or b"") + (end or b""))
         self._finish()
 
     def start_stream(self, status: int, headers: Headers) -> None:
@@ -191,7 +196,7 @@
         if self._ends_by_close:
             # Only a reset tells a response that is broken off from a complete one.
             reset_on_close(self._transport, enabled=True)
-        self._transport.write(self._http.send(self._response_head(status, headers)) or b"")
+        self._write(self._http.send(self._response_head(status, headers)))
 
     def send_piece(self, data: bytes) -> None:
         """Sends a piece of the body, or drops a caller that reads too slowly to be waited for."""
@@ -200,7 +205,7 @@
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             self._drop()
             return
-        self._transport.write(self._http.send(h11.Data(data=data)) or b"")
+        self._write(self._http.send(h11.Data(data=data)))
 
     def end_stream(self) -> None:
         """Ends a response that has been sent piece by piece and takes the next request."""
@@ -208,7 +213,7 @@
             return
         if self._ends_by_close:
             reset_on_close(self._transport, enabled=False)
-        self._transport.write(self._http.send(h11.EndOfMessage()) or b"")
+        self._write(self._http.send(h11.EndOfMessage()))
         self._finish()
 
     def fail(self, request: HttpRequest, response: HttpResponse) -> None:
@@ -231,7 +236,7 @@
     @property
     def _is_waiting(self) -> bool:
         """Whether requests that arrive wait for an answer to be complete or to be read."""
-        return self._phase is _Phase.ANSWER or self._stall is not None
+        return self._phase is _Phase.ANSWER or self._stall.is_running
 
     @property
     def _sent_ahead_bytes(self) -> int:
@@ -244,6 +249,17 @@
         version = self._http.their_http_version
         return version is not None and version < HTTP_1_1
 
+    def measure_held(self) -> int:
+        """See `Holder.measure_held`."""
+        return 0 if self._lost else self._memory.measure(self._arrived_bytes)
+
+    def shed(self) -> None:
+        """See `Holder.shed`. Refuses a request that is still arriving, and may go elsewhere."""
+        if self._phase is _Phase.BODY:
+            self._owner.overloaded(self)
+        else:
+            self._drop()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is on it."""
         if not self.busy:
@@ -256,7 +272,7 @@
     def _advance(self) -> None:
         if self._lost:
             return
-        while self._phase in {_Phase.IDLE, _Phase.HEAD, _Phase.BODY} and self._stall is None:
+        while self._phase in {_Phase.IDLE, _Phase.HEAD, _Phase.BODY} and not self._stall.is_running:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -271,7 +287,7 @@
         self._transport.resume_reading()
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._http.send(go_on) or b"")
+            self._write(self._http.send(go_on))
         if self._phase is _Phase.IDLE and self._http.trailing_data[0]:
             self._enter(_Phase.HEAD, self._limits.head_s)
 
@@ -287,57 +303,42 @@
             self._phase = _Phase.DISCARD
 
     def _take_head(self, head: h11.Request) -> None:
-        self._head = head
+        self._incoming = IncomingRequest(head)
         self._enter(_Phase.BODY, self._limits.body_s)
-        headers = dict(head.headers)
-        if _head_bytes(head) > self._limits.max_head_bytes:
-            # h11 looks at the size of a head only while it is incomplete.
-            message = f"the head is larger than {self._limits.max_head_bytes} bytes"
-            self._owner.refuse(self, RequestError(status=431, message=message))
-            return
-        if b"content-length" in headers and b"transfer-encoding" in headers:
-            # Whoever read the other one of the two would take the body for another request.
-            message = "both content-length and transfer-encoding"
-            self._owner.refuse(self, RequestError(status=400, message=message))
-            return
-        length = headers.get(b"content-length", b"0")
-        if int(length) > self._owner.max_body_bytes:
-            self._refuse_size()
+        fault = self._incoming.find_head_fault(
+            max_head_bytes=self._limits.max_head_bytes, max_body_bytes=self._owner.max_body_bytes
+        )
+        if fault is not None:
+            self._owner.refuse(self, fault)
 
     def _take_data(self, data: bytes) -> None:
-        if self._body_bytes + len(data) > self._owner.max_body_bytes:
-            self._refuse_size()
-            return
-        if not self._owner.bodies.reserve(len(data)):
-            self._owner.overloaded(self)
-            return
-        self._body.append(data)
-        self._body_bytes += len(data)
+        assert self._incoming is not None
+        fault = self._incoming.add(data, max_body_bytes=self._owner.max_body_bytes)
+        if fault is not None:
+            self._owner.refuse(self, fault)
 
     def _take_end(self) -> None:
-        head = cast("h11.Request", self._head)
-        request = HttpRequest(
-            method=head.method.decode("latin-1"),
-            target=head.target.decode("latin-1"),
-            headers=tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers),
-            body=b"".join(self._body),
-        )
-        self._drop_body()
+        assert self._incoming is not None
+        incoming, self._incoming = self._incoming, None
         self._enter(_Phase.ANSWER, None)
         arrived_s = self._arrivals.consume(left_bytes=self._sent_ahead_bytes)
         self.waited_s = self._loop.time() - arrived_s
-        self._request = request
-        self._owner.handle(self, request)
+        if not self._memory.reserve(incoming.cost_bytes):
+            self._owner.overloaded(self)
+            return
+        self._request = incoming.to_request()
+        self._owner.handle(self, self._request)
 
     def _finish(self) -> None:
         """After a response: the next request, or the end of the connection."""
         self._request = None
+        self._memory.release()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._enter(_Phase.IDLE, self._limits.idle_s)
             self._loop.call_soon(self._advance)
             return
-        self._drop_body()
+        self._incoming = None
         self._linger()
 
     def _linger(self) -> None:
@@ -376,14 +377,21 @@
             self, RequestError(status=status, message=f"unreadable as HTTP/1.1: {error}")
         )
 
-    def _refuse_size(self) -> None:
-        message = f"the body is larger than {self._owner.max_body_bytes} bytes"
-        self._owner.refuse(self, RequestError(status=413, message=message))
+    def _write(self, data: bytes | None) -> None:
+        if data:
+            self._transport.write(data)
+            self._memory.record_write(len(data))
+            self._report_held()
+
+    def _report_held(self) -> None:
+        if not self._lost:
+            self._memory.report(self._arrived_bytes)
 
-    def _drop_body(self) -> None:
-        self._owner.bodies.release(self._body_bytes)
-        self._body.clear()
-        self._body_bytes = 0
+    @property
+    def _arrived_bytes(self) -> int:
+        """Memory of what has arrived, but for the request under way."""
+        arriving_bytes = self._incoming.held_bytes if self._incoming is not None else 0
+        return arriving_bytes + self._sent_ahead_bytes
 
     def _response_head(self, status: int, headers: Sequence[tuple[str, str]]) -> h11.Response:
         request_unread = self._http.their_state is not h11.DONE
@@ -392,9 +400,3 @@
         if ends_here or request_unread:
             headers = [*headers, ("connection", "close")]
         return h11.Response(status_code=status, headers=list(headers))
-
-
-def _head_bytes(head: h11.Request) -> int:
-    """Returns the size of a head as sent, but for whitespace that does not count."""
-    lines = sum(len(name) + len(value) + len(b": \r\n") for name, value in head.headers)
-    return len(head.method) + len(head.target) + len(b"  HTTP/1.1\r\n\r\n") + lines
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -19,11 +19,11 @@
 from quincespool.core.events import EndReceived
 from quincespool.core.events import WhereReceived
 from quincespool.core.reasons import Reason
-from quincespool.net.body_memory import BodyMemory
 from quincespool.net.error_bodies import answer_headers
 from quincespool.net.error_bodies import error_body
 from quincespool.net.error_bodies import refusal
 from quincespool.net.error_bodies import unavailable
+from quincespool.net.held_memory import HeldMemory
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_connection import HttpResponse
 from quincespool.net.listener import Listener
@@ -37,6 +37,7 @@
 from quincespool.net.requests import WhereRequest
 from quincespool.net.requests import read_request
 from quincespool.net.sse import ChunkWriter
+from quincespool.resource_limits import make_resource_limits
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -49,7 +50,6 @@
     from quincespool.settings import Settings
 
 MAX_CONNECTIONS = 8192
-MAX_BODIES_BYTES = 64_000_000
 CLOSE_LIMIT_S = 5.0
 OVERLOAD_RETRY_AFTER_MS = 1000
 
@@ -67,7 +67,7 @@
     Attributes:
       max_body_bytes: Largest request body.
       draining: Whether responses ask callers to close their connections.
-      bodies: Memory of request bodies.
+      memory: Bounds what all connections hold.
     """
 
     def __init__(
@@ -87,12 +87,17 @@
         self._dump = dump
         self._is_ready = is_ready
         self._stopping = False
-        self.bodies = BodyMemory(MAX_BODIES_BYTES)
+        resources = make_resource_limits(
+            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+        )
+        self.memory = HeldMemory(resources.held_bytes)
         self._request_ids = itertools.count(1)
         self._connections: set[Connection] = set()
         self._pending: dict[int, _Pending] = {}
         self._request_of: dict[Connection, int] = {}
         self._listener = Listener(lambda: Connection(self))
+        metrics.watch("held_bytes", lambda: self.memory.held_bytes)
+        metrics.watch("shed_connections_total", lambda: self.memory.shed_connections)
         metrics.watch("http_connections", lambda: len(self._connections))
 
     @property
--- a/src/quincespool/net/listener.py
+++ b/src/quincespool/net/listener.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quincespool.net.socket_options import limit_buffers
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -32,6 +34,8 @@
         """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(self._make_protocol, host, port, backlog=BACKLOG)
+        for listening in self._server.sockets:
+            limit_buffers(listening)
 
     def stop(self) -> None:
         """Accepts no more."""
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -17,6 +17,8 @@
     "http_requests_total": MetricSpec("counter", "Answered requests by status."),
     "http_refused_connections_total": MetricSpec("counter", "Connections beyond the bound."),
     "http_dropped_connections_total": MetricSpec("counter", "Callers that read too slowly."),
+    "held_bytes": MetricSpec("gauge", "Memory that others make the daemon hold, at most."),
+    "shed_connections_total": MetricSpec("counter", "Connections closed as they held most of it."),
     "http_connections": MetricSpec("gauge", "Open connections of callers and operators."),
     "http_response_ms": MetricSpec("histogram", "From a whole request to its whole answer."),
     "exchanges_total": MetricSpec("counter", "Requests to backend servers by how they ended."),
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import array
 import contextlib
+import fcntl
 import socket
 import struct
+import termios
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -13,6 +16,8 @@
 
 # Without a word for so long, the kernel asks the other side whether it is there.
 DEFAULT_IDLE_S = 5
+# Of what is received and of what is sent, on a connection that a caller or daemon has made.
+KERNEL_BUFFER_BYTES = 65_536
 # Place in the kernel's `struct tcp_info`: how often the oldest bytes were sent again in vain.
 _RETRANSMITS = 2
 # The same for how long ago, in milliseconds, data was last sent, an acknowledgement sent, data
@@ -85,6 +90,33 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(int(enabled), 0))
 
 
+def limit_buffers(sock: socket.socket) -> None:
+    """Limits what the kernel keeps of a connection; a listening socket hands it on to each.
+
+    Without a limit the kernel lets a connection's buffers grow to several megabytes.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_BUFFER_BYTES)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, KERNEL_BUFFER_BYTES)
+
+
+def kernel_held_bytes(transport: asyncio.BaseTransport) -> int:
+    """Returns what the kernel keeps: received and not read, or sent and not acknowledged.
+
+    0 if the kernel does not say.
+    """
+    sock: socket.socket | None = transport.get_extra_info("socket")
+    if sock is None:
+        return 0
+    size = array.array("i", [0])
+    held_bytes = 0
+    for request in (termios.FIONREAD, termios.TIOCOUTQ):
+        with contextlib.suppress(OSError, ValueError):
+            fcntl.ioctl(sock.fileno(), request, size)
+            held_bytes += size[0]
+    return held_bytes
+
+
 def last_received_ms_ago(transport: asyncio.Transport) -> int | None:
     """Returns how long ago the kernel received anything, which may be only an acknowledgement.
 
--- a/src/quincespool/settings.py
+++ b/src/quincespool/settings.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from quincespool.resource_limits import DEFAULT_DESCRIPTORS
+from quincespool.resource_limits import DEFAULT_MEMORY_MB
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
@@ -28,6 +31,8 @@
     "checkpoint_records": (10, 1_000_000),
     "checkpoint_every_ms": (1_000, 86_400_000),
     "max_body_bytes": (1_024, 1_000_000_000),
+    "memory_mb": (32, 10_000_000),
+    "max_descriptors": (256, 100_000_000),
 }
 
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
@@ -52,6 +57,8 @@
     host_list_address: str = ""
     seeds: tuple[str, ...] = ()
     log_level: str = "info"
+    memory_mb: int = DEFAULT_MEMORY_MB
+    max_descriptors: int = DEFAULT_DESCRIPTORS
 
     stream_count: int = 4
     partition_count: int = 32
--- a/tests/abuse/deployment.py
+++ b/tests/abuse/deployment.py
@@ -32,7 +32,7 @@
     from tests.abuse.crowd import Flood
     from tests.support.standins.platform_engine import PlatformEngine
 
-START_LIMIT_S = 60.0
+START_LIMIT_S = 30.0
 # A daemon that answers no ordinary caller within so many tries serves none.
 TRIES = 40
 TRY_LIMIT_S = 5.0
@@ -122,6 +122,7 @@
         await self.daemon.start()
         async with asyncio.timeout(START_LIMIT_S):
             while not await self.daemon.is_ready():
+                assert self.daemon.is_running
                 await asyncio.sleep(RETRY_S)
         await self.ask_ordinarily()
         return self
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -18,7 +18,7 @@
 from quincespool.net import error_bodies
 from quincespool.net import http_connection
 from quincespool.net import http_server
-from quincespool.net.body_memory import BodyMemory
+from quincespool.net.held_memory import HeldMemory
 from quincespool.verdict import Verdict
 from tests.net.conftest import ask
 from tests.net.conftest import typed
@@ -276,7 +276,9 @@
     # It may be the repeat of a call that has run elsewhere.
     turned_away = ("overload", "may_have_run", "@-1~overload~0~-")
     async with server.running():
-        monkeypatch.setattr(server.http, "bodies", BodyMemory(10))
+        memory = HeldMemory(10)
+        assert memory.reserve(1)
+        monkeypatch.setattr(server.http, "memory", memory)
         assert error_of(await server.ask(CALL)) == turned_away
         monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 0)
         assert error_of(await server.ask(b"")) == turned_away
