A body that comes in small chunks takes one buffer

What callers saw: as before. Cause: a body was kept as the list of its chunks. A chunk of two bytes takes 56 with its object and its place in the list, and counted as two.

--- a/src/quincespool/net/incoming_request.py
+++ b/src/quincespool/net/incoming_request.py
@@ -24,18 +24,18 @@
     def __init__(self, head: h11.Request) -> None:
         self._head = head
         self._head_bytes = _head_bytes(head)
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # One buffer: a list of many small chunks takes many times their size.
+        self._body = bytearray()
 
     @property
     def held_bytes(self) -> int:
         """Memory that it takes now."""
-        return self._head_memory_bytes + self._body_bytes
+        return self._head_memory_bytes + len(self._body)
 
     @property
     def cost_bytes(self) -> int:
         """Memory that it takes, at most, while it is under way."""
-        return REQUEST_BYTES + self._head_memory_bytes + BODY_COPIES * self._body_bytes
+        return REQUEST_BYTES + self._head_memory_bytes + BODY_COPIES * len(self._body)
 
     def find_head_fault(self, *, max_head_bytes: int, max_body_bytes: int) -> RequestError | None:
         """Returns why the head can't be accepted, None if it can."""
@@ -52,10 +52,9 @@
 
     def add(self, data: bytes, *, max_body_bytes: int) -> RequestError | None:
         """Adds a part of the body; returns why it can't be accepted, None if it can."""
-        if self._body_bytes + len(data) > max_body_bytes:
+        if len(self._body) + len(data) > max_body_bytes:
             return _too_large(max_body_bytes)
-        self._body.append(data)
-        self._body_bytes += len(data)
+        self._body += data
         return None
 
     def to_request(self) -> HttpRequest:
@@ -65,7 +64,7 @@
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
             headers=tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers),
-            body=b"".join(self._body),
+            body=bytes(self._body),
         )
 
     @property
