An unread answer counts with the objects of its write

What callers saw: as before. Cause: each write that the kernel doesn't take keeps about a kilobyte of objects beside its data, five times the size of a refusal.

--- a/src/quincespool/net/connection_memory.py
+++ b/src/quincespool/net/connection_memory.py
@@ -15,7 +15,7 @@
 
 
 # Objects of one write that waits for the kernel to take it, beside its data.
-WRITE_BYTES = 0
+WRITE_BYTES = 1_024
 
 
 class ConnectionMemory:
