Connections are bounded by the descriptors of the host, and idle ones make room

What callers saw: a daemon that answered nobody, as other callers' connections had taken its descriptors; it could reach neither store nor engines.

Cause: 6,000 connections at each of four ports, where hosts have 1,638 to 10,250 descriptors for all; beyond these, each refused connection lingered for two seconds and counted nowhere. A crowd that opened connections and left them shut all others out until the idle time was over.

A new connection beyond that closes one that waits for no answer: first one that has brought no whole request, then the one idle for longest. A refused connection is closed behind its refusal.

What a response looks like moved out of the connection's module, which was too large.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -8,7 +8,7 @@
 
 from quincespool.gateway.futures import report_exception
 from quincespool.net.http_connection import Connection
-from quincespool.net.http_connection import HttpResponse
+from quincespool.net.http_response import HttpResponse
 from quincespool.net.listener import Listener
 
 if TYPE_CHECKING:
@@ -16,13 +16,12 @@
     from collections.abc import Coroutine
 
     from quincespool.net.connection_limits import ConnectionLimits
+    from quincespool.net.connection_table import ConnectionTable
     from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
-# Leaves file descriptors for connections to backend servers, other daemons and the store.
-MAX_CONNECTIONS = 6_000
 OVERLOAD_RETRY_S = "0.5"
 
 
@@ -55,6 +54,7 @@
         limits: Callable[[], ConnectionLimits],
         max_body_bytes: int,
         memory: HeldMemory,
+        connections: ConnectionTable[Connection],
         metrics: Metrics,
     ) -> None:
         self.max_body_bytes = max_body_bytes
@@ -62,6 +62,8 @@
         self._handler = handler
         self._metrics = metrics
         self.memory = memory
+        self._table = connections
+        # Those of this port; the table may be shared by several ports.
         self._connections: set[Connection] = set()
         self._tasks: dict[Connection, asyncio.Task[None]] = {}
         self._listener = Listener(lambda: Connection(self, limits()))
@@ -103,7 +105,7 @@
 
     def opened(self, connection: Connection) -> bool:
         """See `ConnectionOwner.opened`."""
-        if len(self._connections) >= MAX_CONNECTIONS:
+        if not self._table.add(connection):
             self._metrics.count("http_refused_connections_total")
             return False
         self._connections.add(connection)
@@ -112,6 +114,7 @@
     def closed(self, connection: Connection) -> None:
         """See `ConnectionOwner.closed`."""
         self._connections.discard(connection)
+        self._table.discard(connection)
         task = self._tasks.pop(connection, None)
         if task is not None:
             task.cancel()
@@ -122,6 +125,7 @@
 
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """See `ConnectionOwner.handle`."""
+        self._table.record_use(connection)
         work = self._handler.handle(connection, request)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks[connection] = task
@@ -140,6 +144,7 @@
     ) -> None:
         if self._tasks.get(connection) is task:
             del self._tasks[connection]
+        self._table.record_use(connection)
         if task.cancelled():
             return
         error = task.exception()
--- a/src/quincespool/gateway/callers/request_handler.py
+++ b/src/quincespool/gateway/callers/request_handler.py
@@ -18,7 +18,7 @@
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
 from quincespool.gateway.model import scoped_program
-from quincespool.net.http_connection import HttpResponse
+from quincespool.net.http_response import HttpResponse
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from quincespool.net.http_connection import HttpResponse
+from quincespool.net.http_response import HttpResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -37,6 +37,7 @@
 from quincespool.gateway.turns.trimming import LogTrimmer
 from quincespool.net.addresses import split_address
 from quincespool.net.connection_limits import default_limits
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.held_memory import HeldMemory
 from quincespool.net.metrics import Metrics
 from quincespool.resource_limits import make_resource_limits
@@ -52,6 +53,7 @@
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.net.connection_limits import ConnectionLimits
+    from quincespool.net.http_connection import Connection
 
 MAX_BODY_BYTES = 8_000_000
 
@@ -86,10 +88,10 @@
         )
         self._store_health = StoreHealth(log, now_ms, on_recovery=self._hedged_requests.resend_all)
         self._store = make_store(self._record_store_call)
-        resources = make_resource_limits(
+        self._resources = make_resource_limits(
             memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
         )
-        self._held_memory = HeldMemory(resources.held_bytes)
+        self._held_memory = HeldMemory(self._resources.held_bytes)
         self._make_cluster_view()
         self._make_program_components()
         self._make_ports()
@@ -237,8 +239,12 @@
             limits=self._caller_limits,
             max_body_bytes=MAX_BODY_BYTES,
             memory=self._held_memory,
+            connections=ConnectionTable(self._resources.caller_connections),
             metrics=self._metrics,
         )
+        side_connections: ConnectionTable[Connection] = ConnectionTable(
+            self._resources.side_connections
+        )
         side = SidePorts(
             codec=self._codec,
             metrics=self._metrics,
@@ -253,6 +259,7 @@
                 limits=default_limits,
                 max_body_bytes=MAX_BODY_BYTES,
                 memory=self._held_memory,
+                connections=side_connections,
                 metrics=self._metrics,
             )
             for _ in range(3)
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -9,7 +9,6 @@
 import asyncio
 from enum import Enum
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 from typing import Protocol
 from typing import cast
 
@@ -19,15 +18,17 @@
 from quincespool.net.connection_limits import ConnectionLimits
 from quincespool.net.connection_limits import default_limits
 from quincespool.net.connection_memory import ConnectionMemory
+from quincespool.net.http_response import encode_response
+from quincespool.net.http_response import make_head
 from quincespool.net.incoming_request import IncomingRequest
 from quincespool.net.read_stall import ReadStall
 from quincespool.net.requests import RequestError
 from quincespool.net.socket_options import reset_on_close
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
-
     from quincespool.net.held_memory import HeldMemory
+    from quincespool.net.http_response import Headers
+    from quincespool.net.http_response import HttpResponse
     from quincespool.net.requests import HttpRequest
 
 MAX_SENT_AHEAD_BYTES = 65_536
@@ -40,16 +41,6 @@
 
 HTTP_1_1 = b"1.1"
 
-Headers = list[tuple[str, str]]
-
-
-class HttpResponse(NamedTuple):
-    """A whole response."""
-
-    status: int
-    headers: Headers
-    body: bytes
-
 
 class ConnectionOwner(Protocol):
     """What a connection needs of the server it belongs to."""
@@ -129,6 +120,8 @@
         self._memory = ConnectionMemory(self._owner.memory, self, self._transport)
         if not self._owner.opened(self):
             self._owner.overloaded(self)
+            # It must not linger, since it counts nowhere.
+            self._transport.close()
             return
         self._enter(_Phase.IDLE, self._limits.first_s)
 
@@ -183,10 +176,8 @@
         if self._lost or self._http.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         headers = [*response.headers, ("content-length", str(len(response.body)))]
-        head = self._http.send(self._response_head(response.status, headers))
-        body = self._http.send(h11.Data(data=response.body)) if response.body else b""
-        end = self._http.send(h11.EndOfMessage())
-        self._write((head or b"") + (body or b"") + (end or b""))
+        head = self._response_head(response.status, headers)
+        self._write(encode_response(self._http, head, response.body))
         self._finish()
 
     def start_stream(self, status: int, headers: Headers) -> None:
@@ -249,6 +240,15 @@
         version = self._http.their_http_version
         return version is not None and version < HTTP_1_1
 
+    @property
+    def is_evictable(self) -> bool:
+        """See `Evictable.is_evictable`."""
+        return self._phase is not _Phase.ANSWER
+
+    def evict(self) -> None:
+        """See `Evictable.evict`."""
+        self.abort()
+
     def measure_held(self) -> int:
         """See `Holder.measure_held`."""
         return 0 if self._lost else self._memory.measure(self._arrived_bytes)
@@ -393,10 +393,8 @@
         arriving_bytes = self._incoming.held_bytes if self._incoming is not None else 0
         return arriving_bytes + self._sent_ahead_bytes
 
-    def _response_head(self, status: int, headers: Sequence[tuple[str, str]]) -> h11.Response:
-        request_unread = self._http.their_state is not h11.DONE
+    def _response_head(self, status: int, headers: Headers) -> h11.Response:
+        is_unread = self._http.their_state is not h11.DONE
         # What came behind this request is answered first, and says it in its turn.
-        ends_here = self._owner.draining and not self._http.trailing_data[0]
-        if ends_here or request_unread:
-            headers = [*headers, ("connection", "close")]
-        return h11.Response(status_code=status, headers=list(headers))
+        ends_here = self._owner.draining and not self._sent_ahead_bytes
+        return make_head(status, headers, closes=ends_here or is_unread)
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -19,13 +19,14 @@
 from quincespool.core.events import EndReceived
 from quincespool.core.events import WhereReceived
 from quincespool.core.reasons import Reason
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.error_bodies import answer_headers
 from quincespool.net.error_bodies import error_body
 from quincespool.net.error_bodies import refusal
 from quincespool.net.error_bodies import unavailable
 from quincespool.net.held_memory import HeldMemory
 from quincespool.net.http_connection import Connection
-from quincespool.net.http_connection import HttpResponse
+from quincespool.net.http_response import HttpResponse
 from quincespool.net.listener import Listener
 from quincespool.net.requests import AuditRequest
 from quincespool.net.requests import CallRequest
@@ -49,7 +50,6 @@
     from quincespool.net.metrics import Metrics
     from quincespool.settings import Settings
 
-MAX_CONNECTIONS = 8192
 CLOSE_LIMIT_S = 5.0
 OVERLOAD_RETRY_AFTER_MS = 1000
 
@@ -92,7 +92,9 @@
         )
         self.memory = HeldMemory(resources.held_bytes)
         self._request_ids = itertools.count(1)
-        self._connections: set[Connection] = set()
+        self._connections: ConnectionTable[Connection] = ConnectionTable(
+            resources.caller_connections
+        )
         self._pending: dict[int, _Pending] = {}
         self._request_of: dict[Connection, int] = {}
         self._listener = Listener(lambda: Connection(self))
@@ -134,6 +136,7 @@
         if pending is None:
             return
         answer = effect.answer
+        self._connections.record_use(pending.connection)
         del self._request_of[pending.connection]
         self._metrics.count("http_requests_total", status=str(answer.status))
         self._metrics.observe("http_response_ms", (time.monotonic() - pending.started_s) * 1000)
@@ -160,10 +163,9 @@
 
     def opened(self, connection: Connection) -> bool:
         """Takes note of a connection; false if there are too many."""
-        if len(self._connections) >= MAX_CONNECTIONS:
+        if not self._connections.add(connection):
             self._metrics.count("http_refused_connections_total")
             return False
-        self._connections.add(connection)
         return True
 
     def closed(self, connection: Connection) -> None:
@@ -180,6 +182,7 @@
 
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """Turns a request into an event, or answers it at once."""
+        self._connections.record_use(connection)
         result = read_request(request, fresh_id=lambda: uuid.uuid4().hex)
         if result.is_error():
             self.refuse(connection, result.error)
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -18,6 +18,7 @@
 from quincespool.net import error_bodies
 from quincespool.net import http_connection
 from quincespool.net import http_server
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.held_memory import HeldMemory
 from quincespool.verdict import Verdict
 from tests.net.conftest import ask
@@ -280,7 +281,7 @@
         assert memory.reserve(1)
         monkeypatch.setattr(server.http, "memory", memory)
         assert error_of(await server.ask(CALL)) == turned_away
-        monkeypatch.setattr(http_server, "MAX_CONNECTIONS", 0)
+        monkeypatch.setattr(server.http, "_connections", ConnectionTable(0))
         assert error_of(await server.ask(b"")) == turned_away
 
 
