What others hold at the port of daemons is bounded

What callers saw: a daemon out of memory or descriptors, by whoever reaches its port for other daemons.

Cause: a frame may announce 32 MB, and what has come of it was kept for each link without a bound for all; links were accepted without a limit, of the gateway for as long as their maker wished.

The same for `quincespool serve`, where a link without a name made room only after five seconds.

--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -6,17 +6,23 @@
 
 import msgspec
 
+from quincespool.gateway.callers.http_port import HttpPort
+from quincespool.net.connection_limits import default_limits
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.http_response import HttpResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from quincespool.gateway.platform_codec import PlatformCodec
+    from quincespool.net.held_memory import HeldMemory
     from quincespool.net.http_connection import Connection
     from quincespool.net.metrics import Metrics
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
+MAX_BODY_BYTES = 8_000_000
+
 _JSON = [("content-type", "application/json")]
 
 
@@ -71,3 +77,34 @@
         if path == "/state":
             return HttpResponse(200, _JSON, msgspec.json.encode(self._dump()))
         return HttpResponse(404, _JSON, msgspec.json.encode({"error": "no such resource"}))
+
+
+def make_side_ports(
+    handler: SidePorts,
+    *,
+    count: int,
+    memory: HeldMemory,
+    max_connections: int,
+    metrics: Metrics,
+) -> list[HttpPort]:
+    """Returns the administrative ports.
+
+    Args:
+      handler: Answers the requests of all of them.
+      count: Number of ports.
+      memory: Bounds what all connections of the daemon hold.
+      max_connections: Maximum number of connections to all of them together.
+      metrics: Counts connections that are refused or dropped.
+    """
+    connections: ConnectionTable[Connection] = ConnectionTable(max_connections)
+    return [
+        HttpPort(
+            handler,
+            limits=default_limits,
+            max_body_bytes=MAX_BODY_BYTES,
+            memory=memory,
+            connections=connections,
+            metrics=metrics,
+        )
+        for _ in range(count)
+    ]
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -20,6 +20,7 @@
 from quincespool.gateway.callers.request_handler import RequestHandler
 from quincespool.gateway.callers.routes import RouteTable
 from quincespool.gateway.callers.side_ports import SidePorts
+from quincespool.gateway.callers.side_ports import make_side_ports
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import run_with_restarts
 from quincespool.gateway.live_settings import LiveSettings
@@ -53,7 +54,6 @@
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.net.connection_limits import ConnectionLimits
-    from quincespool.net.http_connection import Connection
 
 MAX_BODY_BYTES = 8_000_000
 
@@ -164,6 +164,8 @@
             store=self._store,
             hedged=self._hedged_requests,
             store_health=self._store_health,
+            memory=self._held_memory,
+            resources=self._resources,
             attempts=self._attempt_context,
             members=self._members,
             routes=self._routes,
@@ -242,9 +244,6 @@
             connections=ConnectionTable(self._resources.caller_connections),
             metrics=self._metrics,
         )
-        side_connections: ConnectionTable[Connection] = ConnectionTable(
-            self._resources.side_connections
-        )
         side = SidePorts(
             codec=self._codec,
             metrics=self._metrics,
@@ -253,17 +252,13 @@
             addresses_valid_ms=lambda: self._live_settings.current.addresses_valid_ms,
             dump=self._dump,
         )
-        self._side_ports = [
-            HttpPort(
-                side,
-                limits=default_limits,
-                max_body_bytes=MAX_BODY_BYTES,
-                memory=self._held_memory,
-                connections=side_connections,
-                metrics=self._metrics,
-            )
-            for _ in range(3)
-        ]
+        self._side_ports = make_side_ports(
+            side,
+            count=len(settings.side_addresses),
+            memory=self._held_memory,
+            max_connections=self._resources.side_connections,
+            metrics=self._metrics,
+        )
 
         self._maintenance = MaintenanceTasks(
             cluster_view=self._cluster_view,
--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.members.messages import CODEC
 from quincespool.gateway.members.messages import LinkProbe
 from quincespool.net.addresses import split_address
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.framing import FrameError
 from quincespool.net.framing import FrameReader
 from quincespool.net.framing import frame
@@ -24,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from quincespool.net.held_memory import HeldMemory
+
 CONNECT_LIMIT_S = 0.5
 # Data that stays unacknowledged for this long means a dead host or a broken link. The link is
 # then closed, and its pending turns are answered with errors while their callers still wait.
@@ -57,9 +60,16 @@
         self,
         member_id: str,
         *,
+        memory: HeldMemory,
         on_message: Callable[[Link, str, Any], None],
         on_lost: Callable[[Link], None],
+        on_made: Callable[[Link], bool] = lambda _: True,
+        on_named: Callable[[Link], None] = lambda _: None,
     ) -> None:
+        self._memory = memory
+        self._on_made = on_made
+        self._on_named = on_named
+        self._has_message = False
         self._member_id = member_id
         self._on_message = on_message
         self._on_lost = on_lost
@@ -98,6 +108,7 @@
         if self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             # Otherwise this daemon would buffer without bound for a peer that does not read.
             self.close()
+        self._report_held()
         return True
 
     def close(self) -> None:
@@ -105,9 +116,34 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def is_evictable(self) -> bool:
+        """See `Evictable.is_evictable`. Whoever made the link has not shown to be a daemon."""
+        return not self._has_message
+
+    def evict(self) -> None:
+        """See `Evictable.evict`."""
+        self.close()
+
+    def measure_held(self) -> int:
+        """See `Holder.measure_held`."""
+        if self.lost or self._transport is None:
+            return 0
+        return self._frames.held_bytes + self._transport.get_write_buffer_size()
+
+    def shed(self) -> None:
+        """See `Holder.shed`."""
+        self.close()
+
+    def _report_held(self) -> None:
+        self._memory.update(self, self.measure_held())
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Sets the socket options that limit how long a silent link goes unnoticed."""
         self._transport = cast("asyncio.Transport", transport)
+        if not self._on_made(self):
+            self.close()
+            return
         limit_silence(
             self._transport, unacknowledged_ms=UNACKNOWLEDGED_MS, idle_s=IDLE_BEFORE_PROBES_S
         )
@@ -119,11 +155,15 @@
         try:
             while (message := self._frames.next_message()) is not None:
                 sender, decoded = CODEC.decode(message)
+                if not self._has_message:
+                    self._has_message = True
+                    self._on_named(self)
                 if not isinstance(decoded, LinkProbe):
                     self._dispatch(sender, decoded)
         except (FrameError, CodecError):
             # The peer speaks another protocol version; nothing else on this link can be decoded.
             self.close()
+        self._report_held()
 
     def _dispatch(self, sender: str, message: Any) -> None:
         """Calls `on_message`; an exception in it must not end the other calls on the link."""
@@ -136,6 +176,7 @@
         """Reports the closed link to its owner, so that pending calls on it can fail."""
         self.lost = True
         self.detail = repr(exc) if exc is not None else ""
+        self._memory.discard(self)
         self._on_lost(self)
 
 
@@ -146,6 +187,8 @@
         self,
         member_id: str,
         *,
+        memory: HeldMemory,
+        max_incoming: int,
         on_message: Callable[[Link, str, Any], None],
         on_lost: Callable[[Link], None],
         on_refused: Callable[[str], None],
@@ -154,18 +197,21 @@
 
         Args:
           member_id: Id of this daemon.
+          memory: Bounds what all connections hold.
+          max_incoming: Maximum number of links that others have made.
           on_message: Called with the link, the sender's member id and the message.
           on_lost: Called with a link that was closed.
           on_refused: Called with the address of a peer that refuses connections.
         """
         self._member_id = member_id
+        self._memory = memory
         self._on_message = on_message
         self._on_lost = on_lost
         self._on_refused = on_refused
         self._reconnecting: set[asyncio.Task[Link | None]] = set()
         self._outgoing: dict[str, Link] = {}
         self._locks: dict[str, asyncio.Lock] = {}
-        self._incoming: set[Link] = set()
+        self._incoming: ConnectionTable[Link] = ConnectionTable(max_incoming)
         self._listener = Listener(self._make_incoming)
 
     async def start(self, host: str, port: int) -> None:
@@ -223,6 +269,7 @@
     async def _connect(self, address: str) -> Link | None:
         link = Link(
             self._member_id,
+            memory=self._memory,
             on_message=self._on_message,
             on_lost=lambda link: self._on_outgoing_lost(address, link),
         )
@@ -251,9 +298,14 @@
         start_background_task(self.get(address), self._reconnecting)
 
     def _make_incoming(self) -> Link:
-        link = Link(self._member_id, on_message=self._on_message, on_lost=self._on_incoming_lost)
-        self._incoming.add(link)
-        return link
+        return Link(
+            self._member_id,
+            memory=self._memory,
+            on_message=self._on_message,
+            on_lost=self._on_incoming_lost,
+            on_made=self._incoming.add,
+            on_named=self._incoming.record_use,
+        )
 
     def _on_incoming_lost(self, link: Link) -> None:
         self._incoming.discard(link)
--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -42,6 +42,8 @@
     from quincespool.gateway.store.hedged_requests import HedgedRequests
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.turns.partition import OwnedPartition
+    from quincespool.net.held_memory import HeldMemory
+    from quincespool.resource_limits import ResourceLimits
 
 
 class ProgramComponents:
@@ -68,6 +70,8 @@
         store: Store,
         hedged: HedgedRequests,
         store_health: StoreHealth,
+        memory: HeldMemory,
+        resources: ResourceLimits,
         attempts: AttemptContext,
         members: MemberTable,
         routes: RouteTable,
@@ -97,6 +101,8 @@
         )
         self.links = Links(
             settings.member_id,
+            memory=memory,
+            max_incoming=resources.incoming_links,
             on_message=self._dispatch_message,
             on_lost=self._on_link_lost,
             on_refused=on_refused,
--- a/src/quincespool/net/daemon.py
+++ b/src/quincespool/net/daemon.py
@@ -27,6 +27,7 @@
 from quincespool.logs import write_line
 from quincespool.net.clock import Clock
 from quincespool.net.gossip import Gossip
+from quincespool.net.held_memory import HeldMemory
 from quincespool.net.host_list import poll_host_list
 from quincespool.net.http_client import Exchanges
 from quincespool.net.http_server import HttpServer
@@ -34,6 +35,7 @@
 from quincespool.net.log_client import LogClient
 from quincespool.net.metrics import Metrics
 from quincespool.net.peers import Peers
+from quincespool.resource_limits import make_resource_limits
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -244,8 +246,14 @@
 
     def _make_parts(self) -> None:
         settings, post, metrics, clock = self._settings, self.post, self._metrics, self._clock
+        resources = make_resource_limits(
+            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
+        )
+        memory = HeldMemory(resources.held_bytes)
         self._http = HttpServer(
             settings=settings,
+            memory=memory,
+            max_connections=resources.caller_connections,
             post=post,
             metrics=metrics,
             dump=self._dump,
@@ -263,6 +271,8 @@
         )
         self._peers = Peers(
             settings=settings,
+            memory=memory,
+            max_incoming=resources.incoming_links,
             incarnation=self._started_ms,
             find_member=self._state.members.find,
             post=post,
--- a/src/quincespool/net/framing.py
+++ b/src/quincespool/net/framing.py
@@ -26,6 +26,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def held_bytes(self) -> int:
+        """Size of what has come in and is not a whole message yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> None:
         """Takes bytes as they come."""
         self._buffer += data
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -24,7 +24,6 @@
 from quincespool.net.error_bodies import error_body
 from quincespool.net.error_bodies import refusal
 from quincespool.net.error_bodies import unavailable
-from quincespool.net.held_memory import HeldMemory
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_response import HttpResponse
 from quincespool.net.listener import Listener
@@ -38,7 +37,6 @@
 from quincespool.net.requests import WhereRequest
 from quincespool.net.requests import read_request
 from quincespool.net.sse import ChunkWriter
-from quincespool.resource_limits import make_resource_limits
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -47,6 +45,7 @@
     from quincespool.core.effects import Respond
     from quincespool.core.effects import RespondText
     from quincespool.core.events import Event
+    from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.settings import Settings
 
@@ -74,6 +73,8 @@
         self,
         *,
         settings: Settings,
+        memory: HeldMemory,
+        max_connections: int,
         post: Callable[[Event], None],
         metrics: Metrics,
         dump: Callable[[], dict[str, object]],
@@ -87,14 +88,9 @@
         self._dump = dump
         self._is_ready = is_ready
         self._stopping = False
-        resources = make_resource_limits(
-            memory_mb=settings.memory_mb, max_descriptors=settings.max_descriptors
-        )
-        self.memory = HeldMemory(resources.held_bytes)
+        self.memory = memory
         self._request_ids = itertools.count(1)
-        self._connections: ConnectionTable[Connection] = ConnectionTable(
-            resources.caller_connections
-        )
+        self._connections: ConnectionTable[Connection] = ConnectionTable(max_connections)
         self._pending: dict[int, _Pending] = {}
         self._request_of: dict[Connection, int] = {}
         self._listener = Listener(lambda: Connection(self))
--- a/src/quincespool/net/incoming_link.py
+++ b/src/quincespool/net/incoming_link.py
@@ -19,6 +19,7 @@
 
 if TYPE_CHECKING:
     from quincespool.core.messages import Message
+    from quincespool.net.held_memory import HeldMemory
 
 HELLO_LIMIT_S = 5.0
 
@@ -27,9 +28,10 @@
     """What a link needs of the daemon that it was made to."""
 
     member_id: str
+    memory: HeldMemory
 
-    def incoming_made(self, link: IncomingLink) -> None:
-        """A link was made to this daemon; who made it is not known yet."""
+    def incoming_made(self, link: IncomingLink) -> bool:
+        """A link was made to this daemon, by whom is not known yet; false if there are too many."""
 
     def incoming_named(self, link: IncomingLink) -> bool:
         """The other side has said who it is; false if the link is not to be used."""
@@ -66,25 +68,20 @@
         self._transport = cast("asyncio.Transport", transport)
         limit_silence(self._transport)
         self._hello_limit = asyncio.get_running_loop().call_later(HELLO_LIMIT_S, self.abort)
-        self._owner.incoming_made(self)
+        if not self._owner.incoming_made(self):
+            self.abort()
 
     def data_received(self, data: bytes) -> None:
         """Hands whole messages on; stops at once when the link is broken off meanwhile."""
         self._frames.feed(data)
-        while not self._over:
-            try:
-                message = self._frames.next_message()
-            except FrameError:
-                self.abort()
-                return
-            if message is None:
-                return
-            self._take(message)
+        self._take_messages()
+        self._owner.memory.update(self, self.measure_held())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the owner."""
         self._over = True
         self._hello_limit.cancel()
+        self._owner.memory.discard(self)
         self._owner.incoming_lost(self)
 
     def abort(self) -> None:
@@ -92,6 +89,34 @@
         self._over = True
         self._transport.abort()
 
+    @property
+    def is_evictable(self) -> bool:
+        """See `Evictable.is_evictable`. Whoever made the link has not said who it is."""
+        return not self.sender
+
+    def evict(self) -> None:
+        """See `Evictable.evict`."""
+        self.abort()
+
+    def measure_held(self) -> int:
+        """See `Holder.measure_held`."""
+        return 0 if self._over else self._frames.held_bytes
+
+    def shed(self) -> None:
+        """See `Holder.shed`."""
+        self.abort()
+
+    def _take_messages(self) -> None:
+        while not self._over:
+            try:
+                message = self._frames.next_message()
+            except FrameError:
+                self.abort()
+                return
+            if message is None:
+                return
+            self._take(message)
+
     def _take(self, data: bytes) -> None:
         try:
             sender, message = decode(data)
--- a/src/quincespool/net/peers.py
+++ b/src/quincespool/net/peers.py
@@ -15,6 +15,7 @@
 from quincespool.core.events import MessageReceived
 from quincespool.net.codec import CodecError
 from quincespool.net.codec import encode
+from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.framing import frame
 from quincespool.net.incoming_link import IncomingLink
 from quincespool.net.listener import Listener
@@ -27,6 +28,7 @@
     from quincespool.core.members import Member
     from quincespool.core.messages import Message
     from quincespool.net.clock import Clock
+    from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.settings import Settings
 
@@ -38,12 +40,15 @@
 
     Attributes:
       member_id: Of this daemon.
+      memory: Bounds what all connections hold.
     """
 
     def __init__(
         self,
         *,
         settings: Settings,
+        memory: HeldMemory,
+        max_incoming: int,
         incarnation: int,
         find_member: Callable[[str], Member | None],
         post: Callable[[Event], None],
@@ -51,6 +56,7 @@
         metrics: Metrics,
     ) -> None:
         self.member_id = settings.member_id
+        self.memory = memory
         self._settings = settings
         self._incarnation = incarnation
         self._find_member = find_member
@@ -59,7 +65,8 @@
         self._metrics = metrics
         self._outgoing: dict[str, OutgoingLink] = {}
         self._incoming: dict[str, IncomingLink] = {}
-        self._unnamed: set[IncomingLink] = set()
+        # All links that others have made, named or not.
+        self._made: ConnectionTable[IncomingLink] = ConnectionTable(max_incoming)
         self._listener = Listener(lambda: IncomingLink(self))
         self._sent_messages = 0
         self._sent_bytes = 0
@@ -96,7 +103,7 @@
         self._listener.stop()
         for outgoing in self._outgoing.values():
             outgoing.abort()
-        for incoming in [*self._incoming.values(), *self._unnamed]:
+        for incoming in self._made:
             incoming.abort()
 
     def send(self, member_id: str, message: Message) -> None:
@@ -133,7 +140,7 @@
     def close_links(self) -> None:
         """Breaks all links off at once; what is buffered on them is dropped, unread and unsent."""
         outgoing = list(self._outgoing.values())
-        incoming = [*self._incoming.values(), *self._unnamed]
+        incoming = list(self._made)
         for out_link in outgoing:
             out_link.abort()
         for in_link in incoming:
@@ -141,7 +148,6 @@
         lost = {link.member.member_id for link in outgoing} | set(self._incoming)
         self._outgoing.clear()
         self._incoming.clear()
-        self._unnamed.clear()
         for member_id in sorted(lost):
             self._lost(member_id)
 
@@ -152,9 +158,9 @@
             del self._outgoing[member_id]
             self._lost(member_id)
 
-    def incoming_made(self, link: IncomingLink) -> None:
-        """A link was made to this daemon; who made it is not known yet."""
-        self._unnamed.add(link)
+    def incoming_made(self, link: IncomingLink) -> bool:
+        """A link was made to this daemon, by whom is not known yet; false if there are too many."""
+        return self._made.add(link)
 
     def incoming_named(self, link: IncomingLink) -> bool:
         """The other side of a link has said who it is; false if the link is not to be used.
@@ -163,7 +169,7 @@
         or else the later one, counts: messages of a process that has been replaced would arrive
         after those of its successor and undo them.
         """
-        self._unnamed.discard(link)
+        self._made.record_use(link)
         earlier = self._incoming.get(link.sender)
         if earlier is not None and earlier.incarnation > link.incarnation:
             return False
@@ -175,7 +181,7 @@
 
     def incoming_lost(self, link: IncomingLink) -> None:
         """A link made to this daemon is gone."""
-        self._unnamed.discard(link)
+        self._made.discard(link)
         if self._incoming.get(link.sender) is link:
             del self._incoming[link.sender]
             self._lost(link.sender)
--- a/tests/gateway/members/test_links.py
+++ b/tests/gateway/members/test_links.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.members.links import Link
 from quincespool.gateway.members.links import Links
 from quincespool.gateway.members.messages import LinkProbe
+from quincespool.net.held_memory import HeldMemory
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -102,6 +103,8 @@
 def _make_links(name: str, on_refused: Callable[[str], None] = lambda _: None) -> Links:
     return Links(
         name,
+        memory=HeldMemory(10_000_000),
+        max_incoming=10,
         on_message=lambda link, sender, message: None,
         on_lost=lambda link: None,
         on_refused=on_refused,
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -58,6 +58,8 @@
         self.answer: Callable[[ev.Event], None] = lambda _: None
         self.http = http_server.HttpServer(
             settings=settings,
+            memory=HeldMemory(50_000_000),
+            max_connections=1_000,
             post=self._post,
             metrics=metrics,
             dump=lambda: {"some": ("state", Verdict.RAN)},
--- a/tests/net/test_peers.py
+++ b/tests/net/test_peers.py
@@ -21,6 +21,7 @@
 from quincespool.net.framing import FrameReader
 from quincespool.net.framing import frame
 from quincespool.net.gossip import Gossip
+from quincespool.net.held_memory import HeldMemory
 from quincespool.net.metrics import Metrics
 from quincespool.net.peers import Peers
 from tests.net.conftest import typed
@@ -44,6 +45,8 @@
         self.on_event: Callable[[Event], None] = lambda _: None
         self.peers = Peers(
             settings=settings,
+            memory=HeldMemory(10_000_000),
+            max_incoming=10,
             incarnation=incarnation,
             find_member=self.known.get,
             post=self._post,
