Calls of a service that hangs leave room for other callers

What callers saw: calls to a healthy service not answered, and a daemon out of descriptors, while calls to another service hung at its backend servers.

Cause: each call under way takes a connection of its caller and one to a backend server; nothing kept calls of one service from taking all of them. And room for a new connection was searched for among the oldest 64, which calls under way may all be.

Now half of the callers' connections may have calls of one service under way; more are refused at once as not run (service_crowded). The table keeps idle and busy connections apart, so that one is found at once.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -125,7 +125,7 @@
 
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """See `ConnectionOwner.handle`."""
-        self._table.record_use(connection)
+        self._table.record_start(connection)
         work = self._handler.handle(connection, request)
         task = asyncio.get_running_loop().create_task(work)
         self._tasks[connection] = task
@@ -144,7 +144,7 @@
     ) -> None:
         if self._tasks.get(connection) is task:
             del self._tasks[connection]
-        self._table.record_use(connection)
+            self._table.record_end(connection)
         if task.cancelled():
             return
         error = task.exception()
--- a/src/quincespool/gateway/callers/request_handler.py
+++ b/src/quincespool/gateway/callers/request_handler.py
@@ -28,6 +28,7 @@
     from quincespool.gateway.backends.attempt import AttemptContext
     from quincespool.gateway.callers.plain_calls import PlainCallHandler
     from quincespool.gateway.callers.routes import RouteTable
+    from quincespool.gateway.callers.service_slots import ServiceSlots
     from quincespool.gateway.model import Call
     from quincespool.gateway.model import Decision
     from quincespool.gateway.model import Headers
@@ -45,6 +46,10 @@
 STOPPING = "stopping"
 # Callers may retry soon, as another daemon accepts the call at once.
 STOPPING_RETRY_MS = 50
+# Some calls of the service end within this time unless all its backend servers hang.
+SERVICE_CROWDED = "service_crowded"
+SERVICE_CROWDED_RETRY_MS = 200
+_CROWDED_REFUSAL = not_run(SERVICE_CROWDED, retry_after_ms=SERVICE_CROWDED_RETRY_MS)
 _STOPPING_REFUSAL = not_run(STOPPING, retry_after_ms=STOPPING_RETRY_MS)
 
 
@@ -59,6 +64,7 @@
         limits: AccountLimits,
         plain_calls: PlainCallHandler,
         relay: Relay,
+        service_slots: ServiceSlots,
         has_time_until: Callable[[int], bool],
     ) -> None:
         self._context = context
@@ -66,6 +72,7 @@
         self._limits = limits
         self._plain = plain_calls
         self._relay = relay
+        self._service_slots = service_slots
         self._has_time_until = has_time_until
 
     async def handle(self, connection: Connection, request: HttpRequest) -> None:
@@ -86,8 +93,14 @@
         decision = decided.ok
         call = _scope_to_account(call, decision)
         served_by = ""
+        service = decision.service.name
+        if not self._service_slots.has_room(service):
+            reply.refuse(_CROWDED_REFUSAL)
+            self._record_call(call, decision, reply, started_ms, served_by="")
+            return
         try:
-            served_by = await self._serve(call, decision, reply, started_ms)
+            with self._service_slots.occupied(service):
+                served_by = await self._serve(call, decision, reply, started_ms)
         except asyncio.CancelledError:
             if not reply.outcome and not connection.lost:
                 reply.refuse(may_have_run(CUT_OFF))
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -19,6 +19,7 @@
 from quincespool.gateway.callers.plain_calls import PlainCallHandler
 from quincespool.gateway.callers.request_handler import RequestHandler
 from quincespool.gateway.callers.routes import RouteTable
+from quincespool.gateway.callers.service_slots import ServiceSlots
 from quincespool.gateway.callers.side_ports import SidePorts
 from quincespool.gateway.callers.side_ports import make_side_ports
 from quincespool.gateway.clock import now_ms
@@ -234,6 +235,7 @@
             limits=self._program_components.limits,
             plain_calls=PlainCallHandler(self._attempt_context),
             relay=self._program_components.relay,
+            service_slots=ServiceSlots(self._resources.calls_per_service),
             has_time_until=self._allows_deadline,
         )
         self._caller_port = HttpPort(
--- a/src/quincespool/gateway/members/links.py
+++ b/src/quincespool/gateway/members/links.py
@@ -116,11 +116,6 @@
         if self._transport is not None:
             self._transport.abort()
 
-    @property
-    def is_evictable(self) -> bool:
-        """See `Evictable.is_evictable`. Whoever made the link has not shown to be a daemon."""
-        return not self._has_message
-
     def evict(self) -> None:
         """See `Evictable.evict`."""
         self.close()
@@ -304,7 +299,7 @@
             on_message=self._on_message,
             on_lost=self._on_incoming_lost,
             on_made=self._incoming.add,
-            on_named=self._incoming.record_use,
+            on_named=self._incoming.record_start,
         )
 
     def _on_incoming_lost(self, link: Link) -> None:
--- a/src/quincespool/net/connection_table.py
+++ b/src/quincespool/net/connection_table.py
@@ -10,17 +10,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-# With more, a crowd that keeps all connections busy would have each new one search through them.
-MAX_EXAMINED = 64
-
 
 class Evictable(Protocol):
     """A connection that may have to make room."""
 
-    @property
-    def is_evictable(self) -> bool:
-        """Whether nobody waits for an answer on it."""
-
     def evict(self) -> None:
         """Closes it at once."""
 
@@ -37,16 +30,17 @@
 
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
-        # Both in the order of their last use.
+        # Without a whole request so far, idle, and with a request under way; the first two in the
+        # order of their last use.
         self._unproven: dict[T, None] = {}
-        self._proven: dict[T, None] = {}
+        self._idle: dict[T, None] = {}
+        self._busy: set[T] = set()
 
     def __len__(self) -> int:
-        return len(self._unproven) + len(self._proven)
+        return len(self._unproven) + len(self._idle) + len(self._busy)
 
     def __iter__(self) -> Iterator[T]:
-        yield from list(self._unproven)
-        yield from list(self._proven)
+        yield from [*self._unproven, *self._idle, *self._busy]
 
     def add(self, connection: T) -> bool:
         """Adds a new connection; False if there is no room and none can be made."""
@@ -55,22 +49,28 @@
         self._unproven[connection] = None
         return True
 
-    def record_use(self, connection: T) -> None:
-        """Takes note of a whole request or answer on a connection."""
-        if connection in self._unproven or connection in self._proven:
-            self.discard(connection)
-            self._proven[connection] = None
+    def record_start(self, connection: T) -> None:
+        """Takes note of a whole request; its connection is kept until `record_end`."""
+        if self.discard(connection):
+            self._busy.add(connection)
+
+    def record_end(self, connection: T) -> None:
+        """Takes note of the end of a request."""
+        if self.discard(connection):
+            self._idle[connection] = None
 
-    def discard(self, connection: T) -> None:
-        """Forgets a connection that is closed."""
+    def discard(self, connection: T) -> bool:
+        """Forgets a connection that is closed; returns whether it was in the table."""
+        count = len(self)
         self._unproven.pop(connection, None)
-        self._proven.pop(connection, None)
+        self._idle.pop(connection, None)
+        self._busy.discard(connection)
+        return len(self) < count
 
     def _evict_one(self) -> bool:
-        for connections in (self._unproven, self._proven):
-            for _, connection in zip(range(MAX_EXAMINED), connections, strict=False):
-                if connection.is_evictable:
-                    self.discard(connection)
-                    connection.evict()
-                    return True
-        return False
+        connection = next(iter(self._unproven or self._idle), None)
+        if connection is None:
+            return False
+        self.discard(connection)
+        connection.evict()
+        return True
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -240,11 +240,6 @@
         version = self._http.their_http_version
         return version is not None and version < HTTP_1_1
 
-    @property
-    def is_evictable(self) -> bool:
-        """See `Evictable.is_evictable`."""
-        return self._phase is not _Phase.ANSWER
-
     def evict(self) -> None:
         """See `Evictable.evict`."""
         self.abort()
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -132,7 +132,7 @@
         if pending is None:
             return
         answer = effect.answer
-        self._connections.record_use(pending.connection)
+        self._connections.record_end(pending.connection)
         del self._request_of[pending.connection]
         self._metrics.count("http_requests_total", status=str(answer.status))
         self._metrics.observe("http_response_ms", (time.monotonic() - pending.started_s) * 1000)
@@ -178,7 +178,6 @@
 
     def handle(self, connection: Connection, request: HttpRequest) -> None:
         """Turns a request into an event, or answers it at once."""
-        self._connections.record_use(connection)
         result = read_request(request, fresh_id=lambda: uuid.uuid4().hex)
         if result.is_error():
             self.refuse(connection, result.error)
@@ -210,6 +209,7 @@
 
     def _accept(self, connection: Connection, request: EventRequest) -> None:
         request_id = next(self._request_ids)
+        self._connections.record_start(connection)
         self._pending[request_id] = _Pending(
             connection=connection, request=request, started_s=time.monotonic(), chunks=None
         )
--- a/src/quincespool/net/incoming_link.py
+++ b/src/quincespool/net/incoming_link.py
@@ -89,11 +89,6 @@
         self._over = True
         self._transport.abort()
 
-    @property
-    def is_evictable(self) -> bool:
-        """See `Evictable.is_evictable`. Whoever made the link has not said who it is."""
-        return not self.sender
-
     def evict(self) -> None:
         """See `Evictable.evict`."""
         self.abort()
--- a/src/quincespool/net/peers.py
+++ b/src/quincespool/net/peers.py
@@ -169,7 +169,7 @@
         or else the later one, counts: messages of a process that has been replaced would arrive
         after those of its successor and undo them.
         """
-        self._made.record_use(link)
+        self._made.record_start(link)
         earlier = self._incoming.get(link.sender)
         if earlier is not None and earlier.incarnation > link.incarnation:
             return False
--- a/src/quincespool/resource_limits.py
+++ b/src/quincespool/resource_limits.py
@@ -28,6 +28,10 @@
 LINK_SOCKETS_SHARE = 0.15
 
 
+# Of the callers' connections: a service that hangs leaves the others for other calls.
+SERVICE_SHARE = 0.5
+
+
 class ResourceLimits(NamedTuple):
     """Bounds on what others can make a daemon hold, each for all of them together.
 
@@ -35,6 +39,7 @@
       held_bytes: For what is unfinished, unread or under way on connections.
       history_bytes: For the histories of programs.
       caller_connections: Connections of callers.
+      calls_per_service: Calls under way at one service.
       side_connections: Connections to the administrative ports.
       incoming_links: Links that other daemons have made.
     """
@@ -42,6 +47,7 @@
     held_bytes: int
     history_bytes: int
     caller_connections: int
+    calls_per_service: int
     side_connections: int
     incoming_links: int
 
@@ -56,10 +62,12 @@
     shared_bytes = max(MIN_SHARED_BYTES, memory_mb * 1_000_000 - BASE_BYTES)
     sockets = max(MIN_SOCKETS, max_descriptors - FILE_DESCRIPTORS)
     most_connections = int(shared_bytes * CONNECTIONS_SHARE) // CONNECTION_BYTES
+    caller_connections = min(most_connections, int(sockets * CALLER_SOCKETS_SHARE))
     return ResourceLimits(
         held_bytes=int(shared_bytes * CALLERS_SHARE),
         history_bytes=int(shared_bytes * HISTORIES_SHARE),
-        caller_connections=min(most_connections, int(sockets * CALLER_SOCKETS_SHARE)),
+        caller_connections=caller_connections,
+        calls_per_service=int(caller_connections * SERVICE_SHARE),
         side_connections=min(most_connections, int(sockets * SIDE_SOCKETS_SHARE)),
         incoming_links=min(most_connections, int(sockets * LINK_SOCKETS_SHARE)),
     )
--- a/tests/net/test_connection_table.py
+++ b/tests/net/test_connection_table.py
@@ -2,24 +2,28 @@
 
 from __future__ import annotations
 
-from quincespool.net.connection_table import MAX_EXAMINED
 from quincespool.net.connection_table import ConnectionTable
 
 
 class _Connection:
-    def __init__(self, *, is_evictable: bool = True) -> None:
-        self.is_evictable = is_evictable
+    def __init__(self) -> None:
         self.is_evicted = False
 
     def evict(self) -> None:
         self.is_evicted = True
 
 
+def _table(*connections: _Connection) -> ConnectionTable[_Connection]:
+    table: ConnectionTable[_Connection] = ConnectionTable(len(connections))
+    assert all(table.add(one) for one in connections)
+    return table
+
+
 def test_a_connection_without_a_request_makes_room_first() -> None:
-    table: ConnectionTable[_Connection] = ConnectionTable(3)
     used, unused, newer = _Connection(), _Connection(), _Connection()
-    assert all(table.add(one) for one in (used, unused, newer))
-    table.record_use(used)
+    table = _table(used, unused, newer)
+    table.record_start(used)
+    table.record_end(used)
 
     assert table.add(_Connection())
 
@@ -28,11 +32,11 @@
 
 
 def test_then_the_connection_that_is_idle_for_longest() -> None:
-    table: ConnectionTable[_Connection] = ConnectionTable(2)
     first, second = _Connection(), _Connection()
+    table = _table(first, second)
     for one in (first, second, first):
-        assert one in list(table) or table.add(one)
-        table.record_use(one)
+        table.record_start(one)
+        table.record_end(one)
 
     assert table.add(_Connection())
 
@@ -41,12 +45,24 @@
 
 def test_a_connection_in_use_makes_no_room() -> None:
     """Guards against requests under way that lose their connection to a crowd."""
-    table: ConnectionTable[_Connection] = ConnectionTable(MAX_EXAMINED)
-    busy = [_Connection(is_evictable=False) for _ in range(MAX_EXAMINED)]
-    assert all(table.add(one) for one in busy)
+    busy, also_busy = _Connection(), _Connection()
+    table = _table(busy, also_busy)
+    table.record_start(busy)
+    table.record_start(also_busy)
 
     assert not table.add(_Connection())
 
-    assert not any(one.is_evicted for one in busy)
-    table.discard(busy[0])
+    assert not busy.is_evicted
+    table.discard(busy)
     assert table.add(_Connection())
+
+
+def test_a_connection_that_was_evicted_does_not_come_back() -> None:
+    """Guards against a closed connection that takes a place for ever."""
+    gone = _Connection()
+    table = _table(gone)
+    assert table.add(_Connection())
+
+    table.record_start(gone)
+
+    assert gone not in list(table)
