Whole answers of backend servers count while they arrive

What callers saw: a daemon out of memory behind large answers that nobody read.

Cause: the answer to a plain call is held until it is whole, up to 16 MB, and counted nowhere before it is sent; the kernel let the connections to backend servers grow by megabytes, too. Now it counts from its first byte among what may be shed, largest first. An answer that is shed is lost (502, it has run), which isn't counted as a fault of its backend server. The kernel's buffers of these connections have the limit of those of callers.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.backends.exchange import Head
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.futures import start_background_task
+from quincespool.gateway.model import MEMORY_SHORT
 from quincespool.gateway.turns.event_stream import ends_inside_event
 from quincespool.gateway.turns.event_stream import is_event_stream
 
@@ -32,6 +33,7 @@
     from quincespool.gateway.model import Headers
     from quincespool.gateway.platform_codec import AnswerHead
     from quincespool.gateway.platform_codec import PlatformCodec
+    from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
 
 MAX_ANSWER_BYTES = 16_000_000
@@ -85,6 +87,7 @@
     crashes: CrashHistory
     announce_crash: Callable[[str, str], None]
     backend_reports: BackendReports
+    memory: HeldMemory
 
 
 class Attempt:
@@ -104,6 +107,8 @@
         self._complete = False
         self._sent_at_s = 0.0
         self._overdue_timer: asyncio.TimerHandle | None = None
+        self._answer_bytes = 0
+        self._is_shed = False
 
     async def __aenter__(self) -> Attempt:
         self._context.backends.record_call_start(self.entry.backend_id)
@@ -112,6 +117,7 @@
     async def __aexit__(self, *exc: object) -> None:
         self._context.backends.record_call_end(self.entry.backend_id)
         self._stop_overdue_timer()
+        self._context.memory.discard(self)
         if self._connection is None:
             return
         if self._complete:
@@ -186,23 +192,35 @@
 
     async def body(self, head: AnswerHead) -> bytes | AnswerLost:
         """Returns the complete body of the answer whose head is given."""
-        chunks: list[bytes] = []
-        size_bytes = 0
+        answer = bytearray()
         while True:
             event = await self.next_event()
+            if self._is_shed:
+                return AnswerLost(MEMORY_SHORT)
             if isinstance(event, AnswerEnd):
-                body = b"".join(chunks)
+                body = bytes(answer)
                 if _is_cut_stream(head, body):
                     return self.fail(AnswerBroken(ENDED_INSIDE_EVENT, closed=event.closed))
                 return body
             if isinstance(event, AnswerBroken):
                 return self.fail(event)
             if isinstance(event, AnswerChunk):
-                chunks.append(event.data)
-                size_bytes += len(event.data)
-            if size_bytes > MAX_ANSWER_BYTES:
+                answer += event.data
+                self._answer_bytes = len(answer)
+                self._context.memory.update(self, self._answer_bytes)
+            if len(answer) > MAX_ANSWER_BYTES:
                 return self.fail(AnswerBroken("the answer is too large", closed=False))
 
+    def measure_held(self) -> int:
+        """See `Holder.measure_held`."""
+        return self._answer_bytes
+
+    def shed(self) -> None:
+        """See `Holder.shed`. The answer is lost, but no fault of the backend server."""
+        self._is_shed = True
+        if self._connection is not None:
+            self._connection.close()
+
     def complete(self, *, is_valid: bool) -> None:
         """Records that the answer is complete, so that its connection may be used again.
 
--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -11,6 +11,7 @@
 
 from quincespool.net.addresses import split_address
 from quincespool.net.socket_options import last_received_ms_ago
+from quincespool.net.socket_options import limit_buffers
 from quincespool.net.socket_options import limit_silence
 from quincespool.net.socket_options import probe_after
 
@@ -214,6 +215,7 @@
         """Sets the time after which a connection with unacknowledged data is closed."""
         self._transport = cast("asyncio.Transport", transport)
         limit_silence(self._transport, unacknowledged_ms=UNACKNOWLEDGED_MS)
+        limit_buffers(self._transport.get_extra_info("socket"))
         if self._closed:
             self._transport.abort()
 
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -137,6 +137,7 @@
             self._crashes,
             self._announce_crash,
             self._backend_reports,
+            self._held_memory,
         )
         self._cluster_view = ClusterView(
             member_id=settings.member_id,
--- a/src/quincespool/gateway/model.py
+++ b/src/quincespool/gateway/model.py
@@ -344,6 +344,8 @@
 
 # Reason of the refusal when a call failed because of a bug in the gateway.
 FAILED = "failed"
+# Reason of the refusal when the host has no memory left for a call.
+MEMORY_SHORT = "memory_short"
 # Reason of the refusal when the time limit of a call is over.
 TIMEOUT = "timeout"
 
--- a/src/quincespool/resource_limits.py
+++ b/src/quincespool/resource_limits.py
@@ -12,7 +12,7 @@
 MIN_SHARED_BYTES = 16_000_000
 # The shares of the memory beyond that; what is left is for connections to backend servers, for
 # links and for the growth of the process.
-CALLERS_SHARE = 0.45
+CALLERS_SHARE = 0.35
 HISTORIES_SHARE = 0.2
 CONNECTIONS_SHARE = 0.15
 # An idle connection with its parser, timer and kernel structures.
