The histories that a daemon holds for programs are bounded

What callers saw: a daemon out of memory behind programs whose turns are kept, each within the limits of a request; and turns that other daemons relay to it counted nowhere.

Cause: texts of turns stay in the memory of their owner for as long as they can be continued, without a bound. A body of a relayed turn was counted by the daemon that its caller is connected to, not by its owner.

A turn that doesn't fit is refused as not run (memory_short, come back in a second); texts of more than 64 KB have half of it, so that large ones leave room for small ones, and a stream that grows beyond is broken off. A relayed turn is reserved for at its owner, or refused.

--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -72,10 +72,12 @@
 
     Attributes:
       event_count: Number of complete events with data so far.
+      data_bytes: Size of their data.
     """
 
     def __init__(self) -> None:
         self.event_count = 0
+        self.data_bytes = 0
         self._splitter = EventSplitter()
         self._payloads: list[bytes] = []
 
@@ -108,6 +110,7 @@
         payloads = [event.payload for event in events if event.payload is not None]
         self._payloads += payloads
         self.event_count += len(payloads)
+        self.data_bytes += sum(map(len, payloads))
         return len(payloads)
 
 
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -11,6 +11,8 @@
 from typing import NamedTuple
 
 from quincespool.gateway.model import account_of
+from quincespool.gateway.turns.history_memory import LARGE_TURN_BYTES
+from quincespool.gateway.turns.history_memory import HistorySizes
 from quincespool.gateway.turns.records import HistoryPart
 from quincespool.gateway.turns.records import ProgramRenewed
 from quincespool.gateway.turns.records import Record
@@ -112,9 +114,15 @@
 
 
 class Ledger:
-    """The programs of one partition, derived from its records."""
+    """The programs of one partition, derived from its records.
+
+    Attributes:
+      programs: The programs by id.
+      history_sizes: Sizes of the texts of all turns.
+    """
 
     def __init__(self) -> None:
+        self.history_sizes = HistorySizes(0, 0)
         self.programs: dict[str, Program] = {}
         # Covers all accounts: callers choose the ids of turns, and two may choose the same id.
         self._program_ids_by_turn: dict[str, tuple[str, ...]] = {}
@@ -255,7 +263,8 @@
             and program.kept_until_ms + grace_ms < now_ms
         ]
         for program_id in expired:
-            for turn_id in self.programs.pop(program_id).turns:
+            for turn_id, stored in self.programs.pop(program_id).turns.items():
+                self._count_text(len(stored.text), -1)
                 self._remove_turn(program_id, turn_id)
         return len(expired)
 
@@ -265,7 +274,18 @@
         if left:
             self._program_ids_by_turn[turn_id] = left
 
+    def _count_text(self, text_bytes: int, sign: int) -> None:
+        large_bytes = text_bytes if text_bytes > LARGE_TURN_BYTES else 0
+        sizes = self.history_sizes
+        self.history_sizes = HistorySizes(
+            sizes.all_bytes + sign * text_bytes, sizes.large_bytes + sign * large_bytes
+        )
+
     def _store_turn(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
+        earlier = program.turns.get(record.turn_id)
+        if earlier is not None:
+            self._count_text(len(earlier.text), -1)
+        self._count_text(len(text), 1)
         program.turns[record.turn_id] = _StoredTurn(record.previous_id, text)
         # A program that imported the turn may have its complete history after the turn's own
         # program has lost a part of it.
--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -22,6 +22,8 @@
 from quincespool.gateway.store.configuration_copies import ConfigurationCopies
 from quincespool.gateway.turns.admission import make_admission
 from quincespool.gateway.turns.finder import TurnFinder
+from quincespool.gateway.turns.history_memory import HistoryMemory
+from quincespool.gateway.turns.history_memory import HistorySizes
 from quincespool.gateway.turns.ownership import Ownership
 from quincespool.gateway.turns.ownership import list_partitions
 from quincespool.gateway.turns.ownership import partition_of
@@ -123,6 +125,7 @@
             finder=self.finder,
             store_reachable=lambda: store_health.reachable,
             admission=self.admission,
+            histories=HistoryMemory(resources.history_bytes, measure=self._measure_histories),
         )
         self.relay = Relay(
             member_id=settings.member_id,
@@ -134,6 +137,7 @@
             settlements=self.settlements,
             store_reachable=lambda: store_health.reachable,
             has_time_until=has_time_until,
+            memory=memory,
             log=log,
         )
         self.limits = AccountLimits(
@@ -159,6 +163,12 @@
             adopt=cluster_view.adopt_copy,
         )
 
+    def _measure_histories(self) -> HistorySizes:
+        sizes = [owned.ledger.history_sizes for owned in self.ownership.owned.values()]
+        return HistorySizes(
+            sum(one.all_bytes for one in sizes), sum(one.large_bytes for one in sizes)
+        )
+
     def _dispatch_message(self, link: Link, sender: str, message: Any) -> None:
         if isinstance(message, FindTurn | TurnFound | TurnAbsent | TurnForeign):
             self.finder.on_message(link, message)
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -16,6 +16,7 @@
 from quincespool.gateway.members.messages import RelayPiece
 from quincespool.gateway.members.messages import RelayRefused
 from quincespool.gateway.model import FAILED
+from quincespool.gateway.model import MEMORY_SHORT
 from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import Refusal
 from quincespool.gateway.model import may_have_run
@@ -25,6 +26,7 @@
 from quincespool.gateway.turns.relay_codec import encode_headers
 from quincespool.gateway.turns.relay_codec import encode_relay_call
 from quincespool.gateway.turns.turn_records import STORE_UNREACHABLE
+from quincespool.net.incoming_request import request_cost_bytes
 from quincespool.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -44,6 +46,7 @@
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.turns.runner import TurnRunner
     from quincespool.gateway.turns.settlements import Settlements
+    from quincespool.net.held_memory import HeldMemory
 
 # Maximum time for which a turn waits for an owner. A reassigned partition has a new owner within
 # some tens of milliseconds or, if its owner has crashed, within the duration of the lease. A turn
@@ -111,6 +114,7 @@
         settlements: Settlements,
         store_reachable: Callable[[], bool],
         has_time_until: Callable[[int], bool],
+        memory: HeldMemory,
         log: DecisionLog,
     ) -> None:
         self._member_id = member_id
@@ -122,6 +126,7 @@
         self._settlements = settlements
         self._store_reachable = store_reachable
         self._has_time_until = has_time_until
+        self._memory = memory
         self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _PendingTurn] = {}
@@ -286,12 +291,17 @@
             # A partition whose owner is about to leave the group has another owner soon.
             reply.refuse(not_run(NOT_OWNER))
             return
+        cost_bytes = request_cost_bytes(len(call.headers), len(call.body))
+        if not self._memory.reserve(cost_bytes):
+            reply.refuse(not_run(MEMORY_SHORT, retry_after_ms=OWNER_RETRY_MS))
+            return
         task = start_background_task(
             self._run_relayed(call, parameters, owned, reply, until_ms), self._tasks
         )
         key = (link, message.relay_id)
         self._relayed_tasks[key] = task
         task.add_done_callback(lambda _: self._relayed_tasks.pop(key, None))
+        task.add_done_callback(lambda _: self._memory.release(cost_bytes))
 
     async def _run_relayed(
         self,
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -7,6 +7,7 @@
 
 from quincespool.gateway.clock import now_ms
 from quincespool.gateway.clock import wall_ms
+from quincespool.gateway.model import MEMORY_SHORT
 from quincespool.gateway.model import not_run
 from quincespool.gateway.store.interface import StoreError
 from quincespool.gateway.turns.ledger import Admission
@@ -30,6 +31,7 @@
     from quincespool.gateway.model import TurnParameters
     from quincespool.gateway.turns.admission import ProgramAdmission
     from quincespool.gateway.turns.finder import TurnFinder
+    from quincespool.gateway.turns.history_memory import HistoryMemory
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.turns.turn_records import SettleAtOwner
 
@@ -46,6 +48,9 @@
 PARTITION_STALLED = "partition_stalled"
 UNAVAILABLE_STATUS = 503
 NO_SUCH_TURN_STATUS = 404
+# Histories leave the memory as their retention ends, or when other daemons take partitions over.
+MEMORY_RETRY_MS = 1_000
+_MEMORY_REFUSAL = not_run(MEMORY_SHORT, retry_after_ms=MEMORY_RETRY_MS)
 
 
 class TurnRunner:
@@ -59,7 +64,9 @@
         finder: TurnFinder,
         store_reachable: Callable[[], bool],
         admission: ProgramAdmission,
+        histories: HistoryMemory,
     ) -> None:
+        self._histories = histories
         self._context = context
         self._finder = finder
         self._admission = admission
@@ -69,6 +76,7 @@
             context,
             RecordContext(settle_at_owner, store_reachable, self._settlement_tasks),
             admission,
+            histories,
         )
         self._last_engine: dict[str, BackendIncarnation] = {}
 
@@ -104,6 +112,8 @@
             refusal = await self._import_history(call, turn, parameters, owned)
         elif refusal is not None:
             refusal = await _confirm_refusal(refusal, owned)
+        if refusal is None and not self._has_room(len(call.body), turn):
+            refusal = _MEMORY_REFUSAL
         if refusal is None:
             refusal = self._admission.refuse(call, parameters, owned.ledger)
         if refusal is not None:
@@ -163,6 +173,8 @@
         )
         if found.history is None:
             return not_run("no_such_turn", status=NO_SUCH_TURN_STATUS)
+        if not self._has_room(len(found.history), turn):
+            return _MEMORY_REFUSAL
         parts = split_history(
             turn.previous_id,
             turn.program_id,
@@ -175,6 +187,9 @@
         refusal = self._admit(call, turn, owned, can_retry_later=False)
         return None if refusal is None else await _confirm_refusal(refusal, owned)
 
+    def _has_room(self, added_bytes: int, turn: Turn) -> bool:
+        return self._histories.has_room(added_bytes, is_new_program=not turn.previous_id)
+
     def _remember_engine(self, program_id: str, engine: BackendIncarnation | None) -> None:
         if engine is not None:
             self._last_engine.pop(program_id, None)
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -16,6 +16,7 @@
 from quincespool.gateway.backends.exchange import AnswerChunk
 from quincespool.gateway.backends.exchange import AnswerEnd
 from quincespool.gateway.clock import now_ms
+from quincespool.gateway.model import MEMORY_SHORT
 from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
@@ -40,6 +41,7 @@
     from quincespool.gateway.model import TurnParameters
     from quincespool.gateway.platform_codec import AnswerHead
     from quincespool.gateway.turns.admission import ProgramAdmission
+    from quincespool.gateway.turns.history_memory import HistoryMemory
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.gateway.turns.turn_records import RecordContext
 
@@ -57,11 +59,13 @@
       attempts: Dependencies of attempts at engines.
       records: Dependencies of turn records.
       admission: Receives how long turns wait for an engine, and which ones find all engines full.
+      histories: Bounds the memory of the texts of turns.
     """
 
     attempts: AttemptContext
     records: RecordContext
     admission: ProgramAdmission
+    histories: HistoryMemory
 
 
 class TurnRun:
@@ -88,6 +92,7 @@
         self.engine = engine
         self._context = context.attempts
         self._admission = context.admission
+        self._histories = context.histories
         self._call = call
         self._turn = turn
         self._parameters = parameters
@@ -184,6 +189,7 @@
 
     def close(self) -> None:
         """Records how many tokens were sent, unless the turn has ended completely."""
+        self._histories.discard(self)
         self._records.close()
 
     async def _attempt(self, entry: BackendEntry) -> NotRun | AnswerLost | None:
@@ -300,6 +306,8 @@
             completed = self._events.add_events(events)
         else:
             completed = self._events.feed(data)
+        if not self._histories.grow(self, len(self._call.body) + self._events.data_bytes):
+            raise TurnFailedError(may_have_run(MEMORY_SHORT))
         await self._records.count_events_to_send(completed)
         self._reply.send_chunk(data)
         return None
--- a/src/quincespool/net/incoming_request.py
+++ b/src/quincespool/net/incoming_request.py
@@ -35,7 +35,7 @@
     @property
     def cost_bytes(self) -> int:
         """Memory that it takes, at most, while it is under way."""
-        return REQUEST_BYTES + self._head_memory_bytes + BODY_COPIES * len(self._body)
+        return self._head_bytes + request_cost_bytes(len(self._head.headers), len(self._body))
 
     def find_head_fault(self, *, max_head_bytes: int, max_body_bytes: int) -> RequestError | None:
         """Returns why the head can't be accepted, None if it can."""
@@ -72,6 +72,11 @@
         return self._head_bytes + HEADER_BYTES * len(self._head.headers)
 
 
+def request_cost_bytes(header_count: int, body_bytes: int) -> int:
+    """Returns the memory that a request takes, at most, while it is under way."""
+    return REQUEST_BYTES + HEADER_BYTES * header_count + BODY_COPIES * body_bytes
+
+
 def _too_large(max_body_bytes: int) -> RequestError:
     return RequestError(413, f"the body is larger than {max_body_bytes} bytes")
 
