Routes that keep no history record no texts of turns

What callers saw: large streams refused or broken off as memory_short, where the texts of others filled the share of histories, although nobody can ever continue these turns.

Cause: the texts of every turn were recorded and held by its owner, also on routes that don't retain context, where nothing reads them again. Now the record of such a turn says that it has no text, and a turn on such a route continues none. Older daemons read the record as a turn with an empty text.

The programs themselves count besides, 2 KB each and 512 bytes a turn.

--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -68,16 +68,17 @@
 
 
 class EventCollector:
-    """Collects the data of all events of a stream.
+    """Counts the events of a stream, and collects their data if it is needed.
 
     Attributes:
       event_count: Number of complete events with data so far.
-      data_bytes: Size of their data.
+      data_bytes: Size of their data that is kept.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, keeps_data: bool = True) -> None:
         self.event_count = 0
         self.data_bytes = 0
+        self._keeps_data = keeps_data
         self._splitter = EventSplitter()
         self._payloads: list[bytes] = []
 
@@ -98,7 +99,7 @@
 
     @property
     def collected_data(self) -> bytes:
-        """The data of all complete events, each with a line feed after it."""
+        """The data of all complete events that was kept, each with a line feed after it."""
         return b"".join(payload + b"\n" for payload in self._payloads)
 
     def feed(self, data: bytes) -> int:
@@ -108,9 +109,10 @@
     def add_events(self, events: Iterable[StreamEvent]) -> int:
         """Adds complete events instead of bytes; returns how many of them have data."""
         payloads = [event.payload for event in events if event.payload is not None]
-        self._payloads += payloads
         self.event_count += len(payloads)
-        self.data_bytes += sum(map(len, payloads))
+        if self._keeps_data:
+            self._payloads += payloads
+            self.data_bytes += sum(map(len, payloads))
         return len(payloads)
 
 
--- a/src/quincespool/gateway/turns/ledger.py
+++ b/src/quincespool/gateway/turns/ledger.py
@@ -25,6 +25,9 @@
 # A record that is written again follows its first copy within some seconds, in which a program
 # starts fewer turns.
 MAX_RECENT_STARTS = 32
+# Objects of a program and of one of its turns, beside the text.
+PROGRAM_BYTES = 2_048
+TURN_BYTES = 512
 
 
 class Admission(StrEnum):
@@ -118,7 +121,7 @@
 
     Attributes:
       programs: The programs by id.
-      history_sizes: Sizes of the texts of all turns.
+      history_sizes: Memory of all programs and texts of turns.
     """
 
     def __init__(self) -> None:
@@ -132,6 +135,7 @@
         program = self.programs.get(record.program_id)
         if program is None:
             program = self.programs[record.program_id] = Program(record.at_ms)
+            self._count_bytes(PROGRAM_BYTES, 1)
         if isinstance(record, ProgramRenewed):
             program.spent_tokens = record.spent_tokens
             program.reserved = dict(record.reserved)
@@ -155,7 +159,8 @@
             del program.reserved[record.turn_id]
             program.spent_tokens += record.tokens
         if isinstance(record, TurnEnded):
-            self._store_turn(program, record, record.input + record.output)
+            if record.has_text:
+                self._store_turn(program, record, record.input + record.output)
             program.extend_retention(record.at_ms, record.retention_ms)
         else:
             program.retain(record.at_ms, program.retention_ms)
@@ -263,8 +268,9 @@
             and program.kept_until_ms + grace_ms < now_ms
         ]
         for program_id in expired:
+            self._count_bytes(PROGRAM_BYTES, -1)
             for turn_id, stored in self.programs.pop(program_id).turns.items():
-                self._count_text(len(stored.text), -1)
+                self._count_text(stored, -1)
                 self._remove_turn(program_id, turn_id)
         return len(expired)
 
@@ -274,19 +280,22 @@
         if left:
             self._program_ids_by_turn[turn_id] = left
 
-    def _count_text(self, text_bytes: int, sign: int) -> None:
-        large_bytes = text_bytes if text_bytes > LARGE_TURN_BYTES else 0
+    def _count_text(self, stored: _StoredTurn, sign: int) -> None:
+        self._count_bytes(TURN_BYTES + len(stored.text), sign)
+
+    def _count_bytes(self, size_bytes: int, sign: int) -> None:
+        large_bytes = size_bytes if size_bytes > LARGE_TURN_BYTES else 0
         sizes = self.history_sizes
         self.history_sizes = HistorySizes(
-            sizes.all_bytes + sign * text_bytes, sizes.large_bytes + sign * large_bytes
+            sizes.all_bytes + sign * size_bytes, sizes.large_bytes + sign * large_bytes
         )
 
     def _store_turn(self, program: Program, record: TurnEnded | HistoryPart, text: bytes) -> None:
         earlier = program.turns.get(record.turn_id)
         if earlier is not None:
-            self._count_text(len(earlier.text), -1)
-        self._count_text(len(text), 1)
-        program.turns[record.turn_id] = _StoredTurn(record.previous_id, text)
+            self._count_text(earlier, -1)
+        stored = program.turns[record.turn_id] = _StoredTurn(record.previous_id, text)
+        self._count_text(stored, 1)
         # A program that imported the turn may have its complete history after the turn's own
         # program has lost a part of it.
         programs = self._program_ids_by_turn.get(record.turn_id, ())
--- a/src/quincespool/gateway/turns/records.py
+++ b/src/quincespool/gateway/turns/records.py
@@ -30,7 +30,7 @@
 
 
 class TurnEnded(msgspec.Struct, tag="e", array_like=True, frozen=True):
-    """End of a complete turn, which can then be continued; written before the answer's end is sent.
+    """End of a complete turn; written before the end of its answer is sent.
 
     Attributes:
       previous_id: Turn that this one continues, empty if none.
@@ -39,6 +39,7 @@
       tokens: Tokens that the turn generated.
       retention_ms: For how many milliseconds after `at_ms` the turn can be continued.
       at_ms: Wall clock time in milliseconds.
+      has_text: Whether the turn can be continued; if not, input and output are left out.
     """
 
     turn_id: str
@@ -49,6 +50,7 @@
     tokens: int
     retention_ms: int
     at_ms: int
+    has_text: bool = True
 
 
 class TurnBroken(msgspec.Struct, tag="b", array_like=True, frozen=True):
--- a/src/quincespool/gateway/turns/runner.py
+++ b/src/quincespool/gateway/turns/runner.py
@@ -107,12 +107,15 @@
         assert turn is not None
         left_ms = until_ms - now_ms()
         can_retry_later = left_ms > RETRY_LATER_SHARE * parameters.timeout_ms
+        if not parameters.keeps_history:
+            # Only turns with a history continue others.
+            turn = turn._replace(previous_id="")
         refusal = self._admit(call, turn, owned, can_retry_later=can_retry_later)
         if refusal is not None and refusal.status == NO_SUCH_TURN_STATUS:
             refusal = await self._import_history(call, turn, parameters, owned)
         elif refusal is not None:
             refusal = await _confirm_refusal(refusal, owned)
-        if refusal is None and not self._has_room(len(call.body), turn):
+        if refusal is None and not self._has_room_for(call, parameters, owned):
             refusal = _MEMORY_REFUSAL
         if refusal is None:
             refusal = self._admission.refuse(call, parameters, owned.ledger)
@@ -173,7 +176,7 @@
         )
         if found.history is None:
             return not_run("no_such_turn", status=NO_SUCH_TURN_STATUS)
-        if not self._has_room(len(found.history), turn):
+        if not self._histories.has_room(len(found.history), is_new_program=False):
             return _MEMORY_REFUSAL
         parts = split_history(
             turn.previous_id,
@@ -187,8 +190,10 @@
         refusal = self._admit(call, turn, owned, can_retry_later=False)
         return None if refusal is None else await _confirm_refusal(refusal, owned)
 
-    def _has_room(self, added_bytes: int, turn: Turn) -> bool:
-        return self._histories.has_room(added_bytes, is_new_program=not turn.previous_id)
+    def _has_room_for(self, call: Call, parameters: TurnParameters, owned: OwnedPartition) -> bool:
+        added_bytes = len(call.body) if parameters.keeps_history else 0
+        is_new_program = call.program_id not in owned.ledger.programs
+        return self._histories.has_room(added_bytes, is_new_program=is_new_program)
 
     def _remember_engine(self, program_id: str, engine: BackendIncarnation | None) -> None:
         if engine is not None:
--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -174,6 +174,9 @@
           TurnFailedError: if the start of the turn can't be made durable in time.
         """
         previous_id, text = self._turn.previous_id, self._call.body
+        if not self._parameters.keeps_history:
+            # Nothing reads it again, and it would fill the memory of every owner.
+            text, output = b"", b""
         if len(text) + len(output) > MAX_PART_BYTES:
             turn_bytes = text + output
             previous_id = self._submit_long_history(turn_bytes[:-MAX_PART_BYTES])
@@ -187,6 +190,7 @@
             tokens=self.sent_events * self._parameters.tokens_per_event,
             retention_ms=self._parameters.retention_ms,
             at_ms=wall_ms(),
+            has_text=self._parameters.keeps_history,
         )
         ended_ms = now_ms()
         self._is_closed = True
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -100,7 +100,7 @@
         self._reply = reply
         self._until_ms = until_ms
         self._records = TurnRecords(context.records, call, parameters, owned)
-        self._events = EventCollector()
+        self._events = EventCollector(keeps_data=parameters.keeps_history)
         self._progress = StreamProgress(after=call.resumes_after)
         self._head_sent = False
         self._may_have_run = False
