--- a/tests/gateway/test_settings.py
+++ b/tests/gateway/test_settings.py
@@ -61,6 +61,16 @@
     assert given.limit_overage_share == 0.1
 
 
+def test_memory_and_descriptors_are_those_of_the_host() -> None:
+    """Guards against daemons that bound what they hold by another host's memory."""
+    stated = {"limits.memory_mb": 88, "limits.max_fds": 600}
+    without = msgspec.json.decode(_render(), type=GatewaySettings)
+    given = msgspec.json.decode(_render(**stated), type=GatewaySettings)
+
+    assert (without.memory_mb, without.max_descriptors) == (128, 4_096)
+    assert (given.memory_mb, given.max_descriptors) == (88, 600)
+
+
 def test_store_retention_is_that_of_the_platform() -> None:
     without = msgspec.json.decode(_render(), type=GatewaySettings)
     given = msgspec.json.decode(_render(**{"platform.retention_s": 20}), type=GatewaySettings)
