Calls that other daemons relay here have a share of the sockets

What callers saw: none did; found by reading. A relayed turn takes a connection to a backend server at its owner, where the bounds of its caller's daemon don't reach, so that the callers of many daemons could take the descriptors of one.

Now an owner has 0.1 of its sockets' number of them under way and refuses more as not run. The other shares are smaller, so that all of them, with a connection to a backend server for each call and links both ways, fit in the descriptors; a test adds them up. And a connection that is shed by its own reservation doesn't begin its request.

--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -138,6 +138,7 @@
             store_reachable=lambda: store_health.reachable,
             has_time_until=has_time_until,
             memory=memory,
+            max_relayed=resources.relayed_calls,
             log=log,
         )
         self.limits = AccountLimits(
--- a/src/quincespool/gateway/turns/relay.py
+++ b/src/quincespool/gateway/turns/relay.py
@@ -115,6 +115,7 @@
         store_reachable: Callable[[], bool],
         has_time_until: Callable[[int], bool],
         memory: HeldMemory,
+        max_relayed: int,
         log: DecisionLog,
     ) -> None:
         self._member_id = member_id
@@ -127,6 +128,7 @@
         self._store_reachable = store_reachable
         self._has_time_until = has_time_until
         self._memory = memory
+        self._max_relayed = max_relayed
         self._log = log
         self._ids = itertools.count(1)
         self._pending: dict[int, _PendingTurn] = {}
@@ -292,7 +294,8 @@
             reply.refuse(not_run(NOT_OWNER))
             return
         cost_bytes = request_cost_bytes(len(call.headers), len(call.body))
-        if not self._memory.reserve(cost_bytes):
+        is_crowded = len(self._relayed_tasks) >= self._max_relayed
+        if is_crowded or not self._memory.reserve(cost_bytes):
             reply.refuse(not_run(MEMORY_SHORT, retry_after_ms=OWNER_RETRY_MS))
             return
         task = start_background_task(
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -321,6 +321,9 @@
         if not self._memory.reserve(incoming.cost_bytes):
             self._owner.overloaded(self)
             return
+        if self._lost:
+            # The reservation has shed this connection: nobody would get the answer.
+            return
         self._request = incoming.to_request()
         self._owner.handle(self, self._request)
 
--- a/src/quincespool/resource_limits.py
+++ b/src/quincespool/resource_limits.py
@@ -21,11 +21,12 @@
 # Descriptors that sockets may not use: the platform keeps them for files.
 FILE_DESCRIPTORS = 200
 MIN_SOCKETS = 64
-# The shares of the sockets; what is left is for connections to backend servers, other daemons and
-# the store.
-CALLER_SOCKETS_SHARE = 0.35
-SIDE_SOCKETS_SHARE = 0.1
-LINK_SOCKETS_SHARE = 0.15
+# The shares of the sockets; what is left is for connections to backend servers, one for each call
+# under way, and to other daemons and the store.
+CALLER_SOCKETS_SHARE = 0.28
+SIDE_SOCKETS_SHARE = 0.08
+LINK_SOCKETS_SHARE = 0.12
+RELAYED_SOCKETS_SHARE = 0.1
 
 
 # Of the callers' connections: a service that hangs leaves the others for other calls.
@@ -40,6 +41,7 @@
       history_bytes: For the histories of programs.
       caller_connections: Connections of callers.
       calls_per_service: Calls under way at one service.
+      relayed_calls: Calls under way that other daemons relay here.
       side_connections: Connections to the administrative ports.
       incoming_links: Links that other daemons have made.
     """
@@ -48,6 +50,7 @@
     history_bytes: int
     caller_connections: int
     calls_per_service: int
+    relayed_calls: int
     side_connections: int
     incoming_links: int
 
@@ -68,6 +71,7 @@
         history_bytes=int(shared_bytes * HISTORIES_SHARE),
         caller_connections=caller_connections,
         calls_per_service=int(caller_connections * SERVICE_SHARE),
+        relayed_calls=int(sockets * RELAYED_SOCKETS_SHARE),
         side_connections=min(most_connections, int(sockets * SIDE_SOCKETS_SHARE)),
         incoming_links=min(most_connections, int(sockets * LINK_SOCKETS_SHARE)),
     )
--- a/tests/test_resource_limits.py
+++ b/tests/test_resource_limits.py
@@ -24,8 +24,10 @@
     connections = limits.caller_connections + limits.side_connections + limits.incoming_links
     held_bytes = limits.held_bytes + limits.history_bytes + connections * CONNECTION_BYTES
     assert held_bytes < memory_mb * 1_000_000 - BASE_BYTES
-    # Each call under way may take a connection to a backend server besides.
-    assert connections + limits.caller_connections <= max_descriptors - FILE_DESCRIPTORS
+    # Each call under way may take a connection to a backend server besides, and daemons link both
+    # ways.
+    outgoing = limits.caller_connections + limits.relayed_calls + limits.incoming_links
+    assert connections + outgoing <= max_descriptors - FILE_DESCRIPTORS
 
 
 def test_ordinary_calls_fit_the_smallest_host_by_the_hundred() -> None:
