quincespool serve accepts few connections before it counts them

What callers saw: none did.

Cause: asyncio accepts as many connections as its backlog, 1,024, before it calls the protocols that count them and close what is too much. A daemon that is short of processor time finds such a queue.

The tests sample five times as often as before.

--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -26,6 +26,7 @@
 from quincespool.net.error_bodies import unavailable
 from quincespool.net.http_connection import Connection
 from quincespool.net.http_response import HttpResponse
+from quincespool.net.listener import SMALL_BACKLOG
 from quincespool.net.listener import Listener
 from quincespool.net.requests import AuditRequest
 from quincespool.net.requests import CallRequest
@@ -93,7 +94,7 @@
         self._connections: ConnectionTable[Connection] = ConnectionTable(max_connections)
         self._pending: dict[int, _Pending] = {}
         self._request_of: dict[Connection, int] = {}
-        self._listener = Listener(lambda: Connection(self))
+        self._listener = Listener(lambda: Connection(self), backlog=SMALL_BACKLOG)
         metrics.watch("held_bytes", lambda: self.memory.held_bytes)
         metrics.watch("shed_connections_total", lambda: self.memory.shed_connections)
         metrics.watch("http_connections", lambda: len(self._connections))
--- a/src/quincespool/net/listener.py
+++ b/src/quincespool/net/listener.py
@@ -11,13 +11,19 @@
     from collections.abc import Callable
 
 BACKLOG = 1024
+# The event loop of `asyncio` accepts a whole queue before it calls any protocol, which alone can
+# refuse a connection; that of the gateway accepts one at a time.
+SMALL_BACKLOG = 64
 
 
 class Listener:
     """Accepts connections, each with a protocol of its own."""
 
-    def __init__(self, make_protocol: Callable[[], asyncio.Protocol]) -> None:
+    def __init__(
+        self, make_protocol: Callable[[], asyncio.Protocol], *, backlog: int = BACKLOG
+    ) -> None:
         self._make_protocol = make_protocol
+        self._backlog = backlog
         self._server: asyncio.Server | None = None
 
     @property
@@ -33,7 +39,9 @@
           OSError: if the port cannot be had.
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self._make_protocol, host, port, backlog=BACKLOG)
+        self._server = await loop.create_server(
+            self._make_protocol, host, port, backlog=self._backlog
+        )
         for listening in self._server.sockets:
             limit_buffers(listening)
 
--- a/src/quincespool/net/peers.py
+++ b/src/quincespool/net/peers.py
@@ -18,6 +18,7 @@
 from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.framing import frame
 from quincespool.net.incoming_link import IncomingLink
+from quincespool.net.listener import SMALL_BACKLOG
 from quincespool.net.listener import Listener
 from quincespool.net.outgoing_link import OutgoingLink
 
@@ -67,7 +68,7 @@
         self._incoming: dict[str, IncomingLink] = {}
         # All links that others have made, named or not.
         self._made: ConnectionTable[IncomingLink] = ConnectionTable(max_incoming)
-        self._listener = Listener(lambda: IncomingLink(self))
+        self._listener = Listener(lambda: IncomingLink(self), backlog=SMALL_BACKLOG)
         self._sent_messages = 0
         self._sent_bytes = 0
         self._received_messages = 0
--- a/tests/abuse/test_serve.py
+++ b/tests/abuse/test_serve.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -19,12 +20,15 @@
 from tests.processes.deployment import Deployment
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Iterator
     from pathlib import Path
 
 DOOR = "entry-1"
+# While its daemon stands still, a crowd fills the queue of connections to be accepted.
+STANDSTILL_S = 1.0
 MEGABYTE = 1_000_000
 BODY_BYTES = 3_900_000
 STATED = {"memory_mb": SMALL_HOST.memory_mb, "max_descriptors": SMALL_HOST.max_descriptors}
@@ -54,8 +58,19 @@
     connections: int,
     bytes_each: int,
     make_pieces: Callable[[int], Iterable[bytes]],
+    *,
+    beside: Callable[[], Awaitable[None]] | None = None,
 ) -> None:
-    """Sends a flood to one daemon; fails unless it stays within the host and serves."""
+    """Sends a flood to one daemon; fails unless it stays within the host and serves.
+
+    Args:
+      deployment: The daemons and stand-ins.
+      port_key: Setting of the port.
+      connections: See `Flood`.
+      bytes_each: See `Flood`.
+      make_pieces: See `Flood`.
+      beside: Runs while the connections are made.
+    """
     process = deployment.cluster[DOOR]
     settings = msgspec.json.decode((deployment.folder / f"{DOOR}.json").read_bytes())
     ports = [settings["http_port"], settings["peer_port"]]
@@ -63,13 +78,17 @@
 
     async def run() -> None:
         async with PeakUsage(process.process_id, ports) as usage:
+            running = asyncio.ensure_future(beside()) if beside is not None else None
             async with Crowd([flood]) as crowd:
+                if running is not None:
+                    await running
                 await crowd.until_quiet()
                 await asyncio.to_thread(_ask_ordinarily, deployment)
             await asyncio.to_thread(_ask_ordinarily, deployment)
         usage.check(SMALL_HOST)
 
-    _ask_ordinarily(deployment)
+    if beside is None:
+        _ask_ordinarily(deployment)
     asyncio.run(run())
     assert process.running
 
@@ -101,3 +120,16 @@
 def test_idle_links(small_hosts: Deployment) -> None:
     """Guards against links that never say who made them taking all descriptors."""
     _withstand(small_hosts, "peer_port", 1_000, 0, once(b""))
+
+
+def test_connections_that_arrive_at_once(small_hosts: Deployment) -> None:
+    """Guards against a daemon that takes a whole queue of connections before it counts them."""
+    process = small_hosts.cluster[DOOR]
+
+    async def go_on() -> None:
+        await asyncio.sleep(STANDSTILL_S)
+        process.signal(signal.SIGCONT)
+
+    _ask_ordinarily(small_hosts)
+    process.signal(signal.SIGSTOP)
+    _withstand(small_hosts, "http_port", 1_000, 0, once(b""), beside=go_on)
--- a/tests/abuse/usage.py
+++ b/tests/abuse/usage.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-SAMPLE_S = 0.1
+SAMPLE_S = 0.02
 # Columns of /proc/PID/net/tcp.
 _LOCAL_ADDRESS, _QUEUES = 1, 4
 
