One constant for the largest body, and less around the crowds' tests

The largest body without a configuration stood in the daemon and in the administrative ports; both use that of the port now. The comment on the kernel's buffers names backend servers, whose connections have them too.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -22,6 +22,8 @@
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
+# Unless the configuration says otherwise.
+MAX_BODY_BYTES = 8_000_000
 OVERLOAD_RETRY_S = "0.5"
 
 
--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from quincespool.gateway.callers.http_port import MAX_BODY_BYTES
 from quincespool.gateway.callers.http_port import HttpPort
 from quincespool.net.connection_limits import default_limits
 from quincespool.net.connection_table import ConnectionTable
@@ -21,8 +22,6 @@
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
-MAX_BODY_BYTES = 8_000_000
-
 _JSON = [("content-type", "application/json")]
 
 
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -15,6 +15,7 @@
 from quincespool.gateway.backends.quiet import QuietBackendProbe
 from quincespool.gateway.backends.reports import BackendReports
 from quincespool.gateway.callers.caller_limits import connection_limits
+from quincespool.gateway.callers.http_port import MAX_BODY_BYTES
 from quincespool.gateway.callers.http_port import HttpPort
 from quincespool.gateway.callers.plain_calls import PlainCallHandler
 from quincespool.gateway.callers.request_handler import RequestHandler
@@ -56,8 +57,6 @@
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.net.connection_limits import ConnectionLimits
 
-MAX_BODY_BYTES = 8_000_000
-
 
 class GatewayDaemon:
     """One gateway daemon with all its components.
--- a/src/quincespool/net/socket_options.py
+++ b/src/quincespool/net/socket_options.py
@@ -16,7 +16,7 @@
 
 # Without a word for so long, the kernel asks the other side whether it is there.
 DEFAULT_IDLE_S = 5
-# Of what is received and of what is sent, on a connection that a caller or daemon has made.
+# Of what is received and of what is sent, on each connection of a caller, daemon or backend server.
 KERNEL_BUFFER_BYTES = 65_536
 # Place in the kernel's `struct tcp_info`: how often the oldest bytes were sent again in vain.
 _RETRANSMITS = 2
--- a/tests/abuse/crowd.py
+++ b/tests/abuse/crowd.py
@@ -54,14 +54,9 @@
 
 
 class Crowd:
-    """The connections of some floods; a context manager that closes them.
-
-    Attributes:
-      sent_bytes: How much the kernel has taken from all of them.
-    """
+    """The connections of some floods; a context manager that closes them."""
 
     def __init__(self, floods: Iterable[Flood]) -> None:
-        self.sent_bytes = 0
         self._floods = list(floods)
         self._sockets: list[socket.socket] = []
         self._senders: list[asyncio.Task[None]] = []
@@ -113,7 +108,6 @@
                     return
                 await loop.sock_sendall(one, piece[:left_bytes])
                 left_bytes -= len(piece)
-                self.sent_bytes += len(piece)
                 self._moved_s = time.monotonic()
                 # A small crowd must not keep the stand-ins and the ordinary callers waiting.
                 await asyncio.sleep(0)
