Limits of a caller's connection are those in force at each use

Cause: a connection took its limits when it was opened. The h11 parser was built with the head's limit; the body's limit was refreshed only when somebody opened a connection; the times for a head and for idling were armed with the old figures. Ruled out: late adoption (the logs have `configuration adopted` within milliseconds).

Change: the port holds the limits in force and a connection asks for them at each use. The parser has no bound of its own; what has arrived of a head is compared with the limit in force. A configuration that changes limits has the running time limits counted anew. A body that its head has let in isn't refused by a limit that shrinks under it.

--- a/src/quincespool/gateway/callers/caller_limits.py
+++ b/src/quincespool/gateway/callers/caller_limits.py
@@ -22,6 +22,7 @@
     idle_s = (limits.idle_timeout_ms + IDLE_MARGIN_MS) / 1000
     return ConnectionLimits(
         max_head_bytes=limits.max_head_bytes,
+        max_body_bytes=limits.max_body_bytes,
         first_s=idle_s,
         head_s=(limits.head_timeout_ms + HEAD_MARGIN_MS) / 1000,
         body_s=default_limits().body_s,
--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -12,7 +12,6 @@
 from quincespool.net.listener import Listener
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from quincespool.net.connection_limits import ConnectionLimits
@@ -22,8 +21,6 @@
     from quincespool.net.requests import HttpRequest
     from quincespool.net.requests import RequestError
 
-# Unless the configuration says otherwise.
-MAX_BODY_BYTES = 8_000_000
 OVERLOAD_RETRY_S = "0.5"
 
 
@@ -44,7 +41,7 @@
     """Accepts connections and runs one task for each request.
 
     Attributes:
-      max_body_bytes: Largest request body.
+      limits: The limits in force for what callers send.
       draining: Whether answers tell callers to close their connections.
       memory: Bounds what the connections of all ports hold.
     """
@@ -53,13 +50,12 @@
         self,
         handler: Handler,
         *,
-        limits: Callable[[], ConnectionLimits],
-        max_body_bytes: int,
+        limits: ConnectionLimits,
         memory: HeldMemory,
         connections: ConnectionTable[Connection],
         metrics: Metrics,
     ) -> None:
-        self.max_body_bytes = max_body_bytes
+        self.limits = limits
         self.draining = False
         self._handler = handler
         self._metrics = metrics
@@ -68,7 +64,7 @@
         # Those of this port; the table may be shared by several ports.
         self._connections: set[Connection] = set()
         self._tasks: dict[Connection, asyncio.Task[None]] = {}
-        self._listener = Listener(lambda: Connection(self, limits()))
+        self._listener = Listener(lambda: Connection(self))
 
     @property
     def active_requests(self) -> int:
@@ -88,6 +84,14 @@
         """
         await self._listener.start(host, port)
 
+    def apply_limits(self, limits: ConnectionLimits) -> None:
+        """Puts limits in force, on the open connections too."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        for connection in self._connections:
+            connection.apply_limits()
+
     def stop(self) -> None:
         """Stops accepting connections and closes the idle ones."""
         self._listener.stop()
--- a/src/quincespool/gateway/callers/side_ports.py
+++ b/src/quincespool/gateway/callers/side_ports.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from quincespool.gateway.callers.http_port import MAX_BODY_BYTES
 from quincespool.gateway.callers.http_port import HttpPort
 from quincespool.net.connection_limits import default_limits
 from quincespool.net.connection_table import ConnectionTable
@@ -99,8 +98,7 @@
     return [
         HttpPort(
             handler,
-            limits=default_limits,
-            max_body_bytes=MAX_BODY_BYTES,
+            limits=default_limits(),
             memory=memory,
             connections=connections,
             metrics=metrics,
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -15,7 +15,6 @@
 from quincespool.gateway.backends.quiet import QuietBackendProbe
 from quincespool.gateway.backends.reports import BackendReports
 from quincespool.gateway.callers.caller_limits import connection_limits
-from quincespool.gateway.callers.http_port import MAX_BODY_BYTES
 from quincespool.gateway.callers.http_port import HttpPort
 from quincespool.gateway.callers.plain_calls import PlainCallHandler
 from quincespool.gateway.callers.request_handler import RequestHandler
@@ -55,7 +54,6 @@
     from quincespool.gateway.settings import GatewaySettings
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.turns.partition import OwnedPartition
-    from quincespool.net.connection_limits import ConnectionLimits
 
 
 class GatewayDaemon:
@@ -215,6 +213,8 @@
         self._program_components.copies.on_peer_version(peer_id, version)
 
     def _on_configuration_adopted(self) -> None:
+        assert self._routes.configuration is not None
+        self._caller_port.apply_limits(connection_limits(self._routes.configuration.limits))
         self._program_components.copies.on_configuration_adopted()
 
     def _announce_claims(self) -> None:
@@ -240,8 +240,7 @@
         )
         self._caller_port = HttpPort(
             request_handler,
-            limits=self._caller_limits,
-            max_body_bytes=MAX_BODY_BYTES,
+            limits=default_limits(),
             memory=self._held_memory,
             connections=ConnectionTable(self._resources.caller_connections),
             metrics=self._metrics,
@@ -366,13 +365,6 @@
         own_serves = self._is_ready()
         return self._members.caller_addresses(now_ms(), own_serves=own_serves, zone=zone)
 
-    def _caller_limits(self) -> ConnectionLimits:
-        configuration = self._routes.configuration
-        if configuration is None:
-            return default_limits()
-        self._caller_port.max_body_bytes = configuration.limits.max_body_bytes
-        return connection_limits(configuration.limits)
-
     def _record_store_call(self, path: str, status: str) -> None:
         self._metrics.count("gateway_store_calls_total", path=path, status=status)
         self._store_health.record_status(status)
--- a/src/quincespool/net/connection_limits.py
+++ b/src/quincespool/net/connection_limits.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 MAX_HEAD_BYTES = 65_536
+MAX_BODY_BYTES = 8_000_000
 
 HEAD_LIMIT_S = 10.0
 BODY_LIMIT_S = 30.0
@@ -15,6 +16,8 @@
     """Bounds on the size and pace of what a caller sends on one connection.
 
     Attributes:
+      max_head_bytes: Size of the request line and headers.
+      max_body_bytes: Size of the body.
       first_s: From the connection to the first byte on it.
       head_s: From the first byte of a request to the end of its head.
       body_s: From there to its end.
@@ -22,6 +25,7 @@
     """
 
     max_head_bytes: int
+    max_body_bytes: int
     first_s: float
     head_s: float
     body_s: float
@@ -30,4 +34,11 @@
 
 def default_limits() -> ConnectionLimits:
     """Returns the limits of a server that has no others configured."""
-    return ConnectionLimits(MAX_HEAD_BYTES, HEAD_LIMIT_S, HEAD_LIMIT_S, BODY_LIMIT_S, IDLE_LIMIT_S)
+    return ConnectionLimits(
+        max_head_bytes=MAX_HEAD_BYTES,
+        max_body_bytes=MAX_BODY_BYTES,
+        first_s=HEAD_LIMIT_S,
+        head_s=HEAD_LIMIT_S,
+        body_s=BODY_LIMIT_S,
+        idle_s=IDLE_LIMIT_S,
+    )
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from enum import Enum
+import sys
 from typing import TYPE_CHECKING
 from typing import Protocol
 from typing import cast
@@ -15,17 +15,19 @@
 import h11
 
 from quincespool.net.arrival_times import ArrivalTimes
-from quincespool.net.connection_limits import ConnectionLimits
-from quincespool.net.connection_limits import default_limits
 from quincespool.net.connection_memory import ConnectionMemory
+from quincespool.net.connection_phase import Phase
+from quincespool.net.connection_phase import PhaseTimer
 from quincespool.net.http_response import encode_response
 from quincespool.net.http_response import make_head
 from quincespool.net.incoming_request import IncomingRequest
+from quincespool.net.incoming_request import head_too_large
 from quincespool.net.read_stall import ReadStall
 from quincespool.net.requests import RequestError
 from quincespool.net.socket_options import reset_on_close
 
 if TYPE_CHECKING:
+    from quincespool.net.connection_limits import ConnectionLimits
     from quincespool.net.held_memory import HeldMemory
     from quincespool.net.http_response import Headers
     from quincespool.net.http_response import HttpResponse
@@ -37,18 +39,19 @@
 # Of a stream that goes on meanwhile.
 MAX_UNSENT_BYTES = 1_048_576
 
-LINGER_LIMIT_S = 2.0
-
 HTTP_1_1 = b"1.1"
 
 
 class ConnectionOwner(Protocol):
     """What a connection needs of the server it belongs to."""
 
-    max_body_bytes: int
     draining: bool
     memory: HeldMemory
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """The limits in force; asked at each use, as they may change while a connection is open."""
+
     def opened(self, connection: Connection) -> bool:
         """Takes note of a connection; false if there are too many."""
 
@@ -68,14 +71,6 @@
         """Answers that there is no room for the connection or the request, by `respond`."""
 
 
-class _Phase(Enum):
-    IDLE = "idle"
-    HEAD = "head"
-    BODY = "body"
-    ANSWER = "answer"
-    DISCARD = "discard"
-
-
 class Connection(asyncio.Protocol):
     """The server's side of one connection.
 
@@ -83,16 +78,13 @@
       waited_s: For how long the last request has waited behind earlier ones.
     """
 
-    def __init__(self, owner: ConnectionOwner, limits: ConnectionLimits | None = None) -> None:
+    def __init__(self, owner: ConnectionOwner) -> None:
         self._owner = owner
-        self._limits = limits or default_limits()
-        self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
-        )
+        # This bound stays for the life of a connection; `_await_data` has the one in force.
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport
-        self._phase = _Phase.IDLE
-        self._limit: asyncio.TimerHandle | None = None
+        self._timer = PhaseTimer(lambda: owner.limits, self._out_of_time)
         self._stall: ReadStall
         self._incoming: IncomingRequest | None = None
         self._memory: ConnectionMemory
@@ -110,7 +102,7 @@
     def busy(self) -> bool:
         """Whether a request is coming in, being answered or its answer may not be read yet."""
         unsent = not self._lost and self._transport.get_write_buffer_size() > 0
-        return unsent or self._phase is not _Phase.IDLE
+        return unsent or not self._is_idle
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time limit for the first request."""
@@ -123,20 +115,19 @@
             # It must not linger, since it counts nowhere.
             self._transport.close()
             return
-        self._enter(_Phase.IDLE, self._limits.first_s)
+        self._timer.enter(Phase.NEW)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Tells the server that the caller has gone."""
         self._lost = True
         self._stall.stop()
-        if self._limit is not None:
-            self._limit.cancel()
+        self._timer.stop()
         self._memory.close()
         self._owner.closed(self)
 
     def data_received(self, data: bytes) -> None:
         """Takes what the caller sends."""
-        if self._phase is _Phase.DISCARD:
+        if self._timer.phase is Phase.DISCARD:
             return
         self._arrivals.add(len(data), self._loop.time())
         self._http.receive_data(data)
@@ -154,8 +145,8 @@
         A caller that closes and one that closes only its sending side look alike; waiting for the
         difference would keep calls of callers that have gone running.
         """
-        partial = self._phase is _Phase.BODY or (
-            self._phase is _Phase.HEAD and bool(self._http.trailing_data[0])
+        partial = self._timer.phase is Phase.BODY or (
+            self._timer.phase is Phase.HEAD and bool(self._http.trailing_data[0])
         )
         if not partial:
             return False
@@ -224,10 +215,20 @@
         self._lost = True
         self._transport.abort()
 
+    @property
+    def _is_idle(self) -> bool:
+        """Whether nothing of a request has come since the last answer."""
+        return self._timer.phase in {Phase.NEW, Phase.IDLE}
+
+    @property
+    def _is_receiving(self) -> bool:
+        """Whether the next request is awaited or arrives."""
+        return self._is_idle or self._timer.phase in {Phase.HEAD, Phase.BODY}
+
     @property
     def _is_waiting(self) -> bool:
         """Whether requests that arrive wait for an answer to be complete or to be read."""
-        return self._phase is _Phase.ANSWER or self._stall.is_running
+        return self._timer.phase is Phase.ANSWER or self._stall.is_running
 
     @property
     def _sent_ahead_bytes(self) -> int:
@@ -250,11 +251,15 @@
 
     def shed(self) -> None:
         """See `Holder.shed`. Refuses a request that is still arriving, and may go elsewhere."""
-        if self._phase is _Phase.BODY:
+        if self._timer.phase is Phase.BODY:
             self._owner.overloaded(self)
         else:
             self._drop()
 
+    def apply_limits(self) -> None:
+        """Has the present time limit follow a change of the limits in force."""
+        self._timer.apply_limits()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is on it."""
         if not self.busy:
@@ -267,7 +272,7 @@
     def _advance(self) -> None:
         if self._lost:
             return
-        while self._phase in {_Phase.IDLE, _Phase.HEAD, _Phase.BODY} and not self._stall.is_running:
+        while self._is_receiving and not self._stall.is_running:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -283,8 +288,11 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(go_on))
-        if self._phase is _Phase.IDLE and self._http.trailing_data[0]:
-            self._enter(_Phase.HEAD, self._limits.head_s)
+        if self._is_idle and self._sent_ahead_bytes:
+            self._timer.enter(Phase.HEAD)
+        max_head_bytes = self._owner.limits.max_head_bytes
+        if self._sent_ahead_bytes > max_head_bytes:
+            self._owner.refuse(self, head_too_large(max_head_bytes))
 
     def _take(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
         if isinstance(event, h11.Request):
@@ -295,27 +303,25 @@
             self._take_end()
         else:
             self._transport.close()
-            self._phase = _Phase.DISCARD
+            self._timer.enter(Phase.DISCARD)
 
     def _take_head(self, head: h11.Request) -> None:
         self._incoming = IncomingRequest(head)
-        self._enter(_Phase.BODY, self._limits.body_s)
-        fault = self._incoming.find_head_fault(
-            max_head_bytes=self._limits.max_head_bytes, max_body_bytes=self._owner.max_body_bytes
-        )
+        self._timer.enter(Phase.BODY)
+        fault = self._incoming.find_head_fault(self._owner.limits)
         if fault is not None:
             self._owner.refuse(self, fault)
 
     def _take_data(self, data: bytes) -> None:
         assert self._incoming is not None
-        fault = self._incoming.add(data, max_body_bytes=self._owner.max_body_bytes)
+        fault = self._incoming.add(data, self._owner.limits)
         if fault is not None:
             self._owner.refuse(self, fault)
 
     def _take_end(self) -> None:
         assert self._incoming is not None
         incoming, self._incoming = self._incoming, None
-        self._enter(_Phase.ANSWER, None)
+        self._timer.enter(Phase.ANSWER)
         arrived_s = self._arrivals.consume(left_bytes=self._sent_ahead_bytes)
         self.waited_s = self._loop.time() - arrived_s
         if not self._memory.reserve(incoming.cost_bytes):
@@ -333,7 +339,7 @@
         self._memory.release()
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
-            self._enter(_Phase.IDLE, self._limits.idle_s)
+            self._timer.enter(Phase.IDLE)
             self._loop.call_soon(self._advance)
             return
         self._incoming = None
@@ -346,24 +352,16 @@
         rest of what was refused or its next request, would see the reset in place of the answer.
         Reading until the caller closes prevents it.
         """
-        self._enter(_Phase.DISCARD, LINGER_LIMIT_S)
+        self._timer.enter(Phase.DISCARD)
         self._transport.resume_reading()
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
-    def _enter(self, phase: _Phase, limit_s: float | None) -> None:
-        self._phase = phase
-        if self._limit is not None:
-            self._limit.cancel()
-            self._limit = None
-        if limit_s is not None:
-            self._limit = self._loop.call_later(limit_s, self._out_of_time)
-
     def _out_of_time(self) -> None:
-        if self._phase is _Phase.DISCARD:
+        if self._timer.phase is Phase.DISCARD:
             self.abort()
             return
-        if self._phase is _Phase.BODY or self._http.trailing_data[0]:
+        if self._timer.phase is Phase.BODY or self._http.trailing_data[0]:
             message = "the request did not arrive whole in time"
             self._owner.refuse(self, RequestError(status=408, message=message))
             return
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -19,6 +19,7 @@
 from quincespool.core.events import EndReceived
 from quincespool.core.events import WhereReceived
 from quincespool.core.reasons import Reason
+from quincespool.net.connection_limits import default_limits
 from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.error_bodies import answer_headers
 from quincespool.net.error_bodies import error_body
@@ -46,6 +47,7 @@
     from quincespool.core.effects import Respond
     from quincespool.core.effects import RespondText
     from quincespool.core.events import Event
+    from quincespool.net.connection_limits import ConnectionLimits
     from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.settings import Settings
@@ -65,7 +67,6 @@
     """The HTTP side of a daemon.
 
     Attributes:
-      max_body_bytes: Largest request body.
       draining: Whether responses ask callers to close their connections.
       memory: Bounds what all connections hold.
     """
@@ -81,7 +82,6 @@
         dump: Callable[[], dict[str, object]],
         is_ready: Callable[[], bool],
     ) -> None:
-        self.max_body_bytes = settings.max_body_bytes
         self.draining = False
         self._settings = settings
         self._post = post
@@ -99,6 +99,11 @@
         metrics.watch("shed_connections_total", lambda: self.memory.shed_connections)
         metrics.watch("http_connections", lambda: len(self._connections))
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """See `ConnectionOwner.limits`."""
+        return default_limits()._replace(max_body_bytes=self._settings.max_body_bytes)
+
     @property
     def port(self) -> int:
         """Where it listens; differs from the settings if they say 0. Only after `start`."""
--- a/src/quincespool/net/incoming_request.py
+++ b/src/quincespool/net/incoming_request.py
@@ -10,6 +10,8 @@
 if TYPE_CHECKING:
     import h11
 
+    from quincespool.net.connection_limits import ConnectionLimits
+
 # A request under way has a task, its log fields and, mostly, a connection to a backend server.
 REQUEST_BYTES = 16_384
 # Objects of one header, beside its text.
@@ -26,6 +28,7 @@
         self._head_bytes = _head_bytes(head)
         # One buffer: a list of many small chunks takes many times their size.
         self._body = bytearray()
+        self._admitted_body_bytes = 0
 
     @property
     def held_bytes(self) -> int:
@@ -37,23 +40,27 @@
         """Memory that it takes, at most, while it is under way."""
         return self._head_bytes + request_cost_bytes(len(self._head.headers), len(self._body))
 
-    def find_head_fault(self, *, max_head_bytes: int, max_body_bytes: int) -> RequestError | None:
+    def find_head_fault(self, limits: ConnectionLimits) -> RequestError | None:
         """Returns why the head can't be accepted, None if it can."""
-        if self._head_bytes > max_head_bytes:
-            # h11 looks at the size of a head only while it is incomplete.
-            return RequestError(431, f"the head is larger than {max_head_bytes} bytes")
+        self._admitted_body_bytes = limits.max_body_bytes
+        if self._head_bytes > limits.max_head_bytes:
+            return head_too_large(limits.max_head_bytes)
         headers = dict(self._head.headers)
         if b"content-length" in headers and b"transfer-encoding" in headers:
             # Whoever read the other one of the two would take the body for another request.
             return RequestError(400, "both content-length and transfer-encoding")
-        if int(headers.get(b"content-length", b"0")) > max_body_bytes:
-            return _too_large(max_body_bytes)
+        if int(headers.get(b"content-length", b"0")) > limits.max_body_bytes:
+            return _body_too_large(limits.max_body_bytes)
         return None
 
-    def add(self, data: bytes, *, max_body_bytes: int) -> RequestError | None:
-        """Adds a part of the body; returns why it can't be accepted, None if it can."""
+    def add(self, data: bytes, limits: ConnectionLimits) -> RequestError | None:
+        """Adds a part of the body; returns why it can't be accepted, None if it can.
+
+        A limit that shrinks after the head was accepted does not end the request.
+        """
+        max_body_bytes = max(self._admitted_body_bytes, limits.max_body_bytes)
         if len(self._body) + len(data) > max_body_bytes:
-            return _too_large(max_body_bytes)
+            return _body_too_large(max_body_bytes)
         self._body += data
         return None
 
@@ -77,7 +84,12 @@
     return REQUEST_BYTES + HEADER_BYTES * header_count + BODY_COPIES * body_bytes
 
 
-def _too_large(max_body_bytes: int) -> RequestError:
+def head_too_large(max_head_bytes: int) -> RequestError:
+    """Returns the refusal of a head that is larger than the limit."""
+    return RequestError(431, f"the head is larger than {max_head_bytes} bytes")
+
+
+def _body_too_large(max_body_bytes: int) -> RequestError:
     return RequestError(413, f"the body is larger than {max_body_bytes} bytes")
 
 
--- a/tests/net/test_http_server.py
+++ b/tests/net/test_http_server.py
@@ -15,8 +15,8 @@
 from quincespool.core.effects import RespondText
 from quincespool.core.reasons import Reason
 from quincespool.net import connection_limits
+from quincespool.net import connection_phase
 from quincespool.net import error_bodies
-from quincespool.net import http_connection
 from quincespool.net import http_server
 from quincespool.net.connection_table import ConnectionTable
 from quincespool.net.held_memory import HeldMemory
@@ -189,7 +189,7 @@
     Events: a request that is malformed, too large or cut short. Cause: no bound, or closing before
     the refusal is read.
     """
-    monkeypatch.setattr(http_connection, "LINGER_LIMIT_S", 0.5)
+    monkeypatch.setattr(connection_phase, "LINGER_LIMIT_S", 0.5)
     async with server.running():
         text = await server.ask(data, end=True)
         await until(lambda: not server.http._connections)
