A pooled connection is not used for another address of its backend server

What callers could see: a call sent to whatever process listens where the backend server was before its entry was given another address under the same id. Seen by reading, beside the limits of open connections; on the users' platform a backend server that starts again has a new id or start time, which already closes its connections, and a wrong process answers 421.

Cause: idle connections are found by the id alone; the address of the entry counted only when they were opened, the same class as the limits.

Change: a connection knows its address and is reused only for that one.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -90,12 +90,14 @@
     """An HTTP connection to a backend server that carries one request at a time.
 
     Attributes:
+      address: Host and port that it was made to; empty before.
       idle_until_s: Event loop time until which the idle connection may be used again.
       last_received_s: Event loop time at which data was last received or the last request was
         sent, whichever is later.
     """
 
     def __init__(self) -> None:
+        self.address = ""
         self.idle_until_s = 0.0
         self.last_received_s = 0.0
         self._transport: asyncio.Transport | None = None
@@ -128,6 +130,7 @@
           ConnectError: If the connection can't be made in time.
         """
         loop = asyncio.get_running_loop()
+        self.address = address
         try:
             host, port = split_address(address)
             async with asyncio.timeout(timeout_s):
--- a/src/quincespool/gateway/backends/pool.py
+++ b/src/quincespool/gateway/backends/pool.py
@@ -27,7 +27,7 @@
         Raises:
           ConnectError: If no connection can be made.
         """
-        connection = self._take_idle(entry.backend_id) or await self._open(entry.address)
+        connection = self._take_idle(entry) or await self._open(entry.address)
         self._busy.setdefault(entry.backend_id, set()).add(connection)
         return connection
 
@@ -108,12 +108,14 @@
             else:
                 del self._idle[backend_id]
 
-    def _take_idle(self, backend_id: str) -> BackendConnection | None:
+    def _take_idle(self, entry: BackendEntry) -> BackendConnection | None:
         now_s = asyncio.get_running_loop().time()
-        idle = self._idle.get(backend_id, [])
+        idle = self._idle.get(entry.backend_id, [])
         while idle:
             connection = idle.pop()
-            if connection.is_reusable and now_s < connection.idle_until_s:
+            is_in_time = now_s < connection.idle_until_s
+            # The entry may have been given another address since the connection was made.
+            if connection.is_reusable and is_in_time and connection.address == entry.address:
                 return connection
             connection.close()
         return None
