--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -115,7 +115,9 @@
             ownership=self.ownership,
             links=self.links,
         )
-        self.settlements = Settlements(members=members, ownership=self.ownership, links=self.links)
+        self.settlements = Settlements(
+            members=members, ownership=self.ownership, links=self.links, log=log
+        )
         self.admission = make_admission(
             is_controlled=settings.admission_control, log=log, metrics=attempts.metrics
         )
--- a/src/quincespool/gateway/turns/settlements.py
+++ b/src/quincespool/gateway/turns/settlements.py
@@ -16,11 +16,13 @@
 from quincespool.gateway.members.messages import read_optional
 from quincespool.gateway.members.messages import write_optional
 from quincespool.gateway.store.interface import Partition
+from quincespool.gateway.turns.records import ProgramRenewed
 from quincespool.gateway.turns.records import decode_record
 from quincespool.gateway.turns.records import encode_record
 from quincespool.gateway.turns.settlement import Settlement
 
 if TYPE_CHECKING:
+    from quincespool.gateway.decision_log import DecisionLog
     from quincespool.gateway.members.links import Link
     from quincespool.gateway.members.links import Links
     from quincespool.gateway.members.member_table import MemberTable
@@ -41,10 +43,13 @@
 class Settlements:
     """Has the present writers of partitions append records, and appends those of other daemons."""
 
-    def __init__(self, *, members: MemberTable, ownership: Ownership, links: Links) -> None:
+    def __init__(
+        self, *, members: MemberTable, ownership: Ownership, links: Links, log: DecisionLog
+    ) -> None:
         self._members = members
         self._ownership = ownership
         self._links = links
+        self._log = log
         self._ids = itertools.count(1)
         self._requests: dict[int, _Request] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -67,7 +72,23 @@
           budget_tokens: Token budget of the program, None if it must not refuse the turn's start.
           left_ms: Time limit in milliseconds.
         """
-        until_ms = now_ms() + left_ms
+        began_ms = now_ms()
+        outcome = await self._settle(partition, record, budget_tokens, began_ms + left_ms)
+        self._log.write(
+            "record settled",
+            call_id=record.turn_id if not isinstance(record, ProgramRenewed) else "",
+            program_id=record.program_id,
+            record=type(record).__name__,
+            partition=str(partition),
+            budget_tokens=budget_tokens,
+            outcome=outcome.value,
+            took_ms=now_ms() - began_ms,
+        )
+        return outcome is Settlement.DURABLE
+
+    async def _settle(
+        self, partition: Partition, record: Record, budget_tokens: int | None, until_ms: int
+    ) -> Settlement:
         while now_ms() < until_ms:
             owned_here = self._ownership.writer(partition)
             owner = self._members.writer(partition, now_ms())
@@ -78,9 +99,9 @@
                 message = _make_message(next(self._ids), partition, record, budget_tokens)
                 outcome = await self._request(owner[0].peer_address, message, until_ms)
             if outcome is not Settlement.NOT_HERE:
-                return outcome is Settlement.DURABLE
+                return outcome
             await asyncio.sleep(WRITER_POLL_S)
-        return False
+        return Settlement.NOT_HERE
 
     def on_message(self, link: Link, message: SettleTurn | TurnSettled) -> None:
         """Handles a record of another daemon, or the outcome of one that was sent to it."""
--- a/tests/gateway/turns/test_settlements.py
+++ b/tests/gateway/turns/test_settlements.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from quincespool.gateway.decision_log import DecisionLog
 from quincespool.gateway.members.messages import SettleTurn
 from quincespool.gateway.members.messages import TurnSettled
 from quincespool.gateway.model import Daemon
@@ -65,6 +66,7 @@
         ),
         ownership=cast("Ownership", SimpleNamespace(writer=lambda _: None)),
         links=cast("Links", SimpleNamespace(get=get)),
+        log=DecisionLog(asyncio.get_running_loop().time),
     )
 
     def answer(message: SettleTurn) -> None:
