A turn whose partition has moved goes on only within the program's budget

Cause: a turn that had sent an event asked the partition's next owner to take its start without any budget, since what is sent is spent, and then ran to its end beside the turns to which that owner had given the same tokens.

Change: a turn that will hand out more asks with its budget; if that is refused, it is broken off and what was sent is recorded. A turn that has ended or is broken off asks without.

Why it works: all that is handed out after the move is reserved in the next owner's ledger within the budget; what was handed out before without a record is bounded by one turn (UnrecordedTokens).

--- a/src/quincespool/gateway/turns/turn_records.py
+++ b/src/quincespool/gateway/turns/turn_records.py
@@ -61,7 +61,8 @@
 class SettleAtOwner(Protocol):
     """Has the current owner of a partition append a record durably.
 
-    The owner refuses the start of a turn if the program's remaining budget no longer covers it.
+    The owner refuses the start of a turn if the program's remaining budget no longer covers it. A
+    start without a budget only records what was spent: the turn must hand out no more.
     """
 
     def __call__(
@@ -135,13 +136,13 @@
         if self._start_deferred:
             return
         if not self._owned.unrecorded.is_allowed(self._turn.program_id):
-            await self._require_durable_start()
+            await self._require_durable_start(budget_tokens=self._turn.budget_tokens)
             return
         if self._owned.stalled or not self._context.store_reachable():
             return
         await asyncio.wait({self._start_append}, timeout=START_TIMEOUT_MS / 1000)
         if self._start_append.done():
-            await self._require_durable_start()
+            await self._require_durable_start(budget_tokens=self._turn.budget_tokens)
 
     async def count_events_to_send(self, events: int) -> None:
         """Counts events that are about to be sent; first waits for the start if it must be durable.
@@ -156,7 +157,7 @@
                 if self._owned.stalled or not self._context.store_reachable():
                     raise TurnFailedError(may_have_run(STORE_UNREACHABLE))
                 self._owned.flush()
-                await self._require_durable_start()
+                await self._require_durable_start(budget_tokens=self._turn.budget_tokens)
         self.sent_events += events
 
     def count_partial_event(self) -> None:
@@ -198,7 +199,7 @@
         # Submitted before waiting for the start, so that one append writes both records.
         append = self._owned.submit(record)
         if not self._is_start_durable:
-            await self._require_durable_start()
+            await self._require_durable_start(budget_tokens=None)
         return await self._wait_until_durable(record, append, ended_ms + limit_ms)
 
     def close(self) -> None:
@@ -252,7 +253,7 @@
             await asyncio.shield(append)
         except LostPartitionError:
             if self._is_start_durable or await self._settle_at_owner(
-                self._start, SETTLE_TIMEOUT_MS
+                self._start, SETTLE_TIMEOUT_MS, budget_tokens=None
             ):
                 await self._settle_at_owner(record, SETTLE_TIMEOUT_MS)
 
@@ -302,22 +303,33 @@
                 return False
         return True
 
-    async def _require_durable_start(self) -> None:
+    async def _require_durable_start(self, *, budget_tokens: int | None) -> None:
+        """Waits until the start is durable, here or at the partition's next owner.
+
+        Args:
+          budget_tokens: The budget that must cover the whole turn at the next owner, which may have
+            admitted others instead; None if the turn hands out no more tokens.
+
+        Raises:
+          TurnFailedError: if the start does not become durable in time.
+        """
         assert self._start_append is not None
         try:
             async with asyncio.timeout(self._append_timeout_ms / 1000):
                 await asyncio.shield(self._start_append)
         except LostPartitionError as error:
             # The partition was reassigned while the record was being appended.
-            if not await self._settle_at_owner(self._start, SETTLE_TIMEOUT_MS):
+            if not await self._settle_at_owner(
+                self._start, SETTLE_TIMEOUT_MS, budget_tokens=budget_tokens
+            ):
                 raise TurnFailedError(may_have_run("owner_changed")) from error
             self._start_is_durable_elsewhere = True
         except TimeoutError as error:
             raise TurnFailedError(may_have_run("record_not_kept")) from error
 
-    async def _settle_at_owner(self, record: Record, left_ms: int) -> bool:
-        # Tokens that were sent are spent, whatever remains of the budget at the new owner.
-        budget_tokens = None if self.sent_events else self._turn.budget_tokens
+    async def _settle_at_owner(
+        self, record: Record, left_ms: int, *, budget_tokens: int | None = None
+    ) -> bool:
         return await self._context.settle_at_owner(
             self._owned.partition, record, budget_tokens, left_ms
         )
