A status that HTTP doesn't know is no answer

Cause: a status was checked by its form, three digits, not by its range.

Change: over 599 the answer is broken off like any malformed head, at the gateway and at serve.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -10,6 +10,7 @@
 import h11
 
 from quincespool.net.addresses import split_address
+from quincespool.net.http_response import MAX_STATUS
 from quincespool.net.socket_options import last_received_ms_ago
 from quincespool.net.socket_options import limit_buffers
 from quincespool.net.socket_options import limit_silence
@@ -263,6 +264,9 @@
     def _on_http_event(self, event: object) -> None:
         if isinstance(event, h11.Response):
             headers = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers)
+            if event.status_code > MAX_STATUS:
+                self._on_broken_answer(f"status {event.status_code}", closed=False)
+                return
             self._is_stale_answer = not self._matches_request(headers)
             if not self._is_stale_answer:
                 self._events.put_nowait(Head(event.status_code, headers))
--- a/src/quincespool/net/http_client.py
+++ b/src/quincespool/net/http_client.py
@@ -13,6 +13,7 @@
 from quincespool.core.events import ExchangeFailed
 from quincespool.core.events import ExchangeHead
 from quincespool.net.addresses import split_address
+from quincespool.net.http_response import MAX_STATUS
 from quincespool.net.socket_options import limit_silence
 
 if TYPE_CHECKING:
@@ -211,6 +212,9 @@
     def _take(self, event: object) -> None:
         exchange_id = self.effect.exchange_id
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                self._fail(cut=False, detail=f"status {event.status_code}")
+                return
             headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
             self._has_length = _has_length(event, headers)
             self._owner.deliver(
--- a/src/quincespool/net/http_response.py
+++ b/src/quincespool/net/http_response.py
@@ -8,6 +8,9 @@
 
 Headers = list[tuple[str, str]]
 
+# A status beyond is none of HTTP.
+MAX_STATUS = 599
+
 
 class HttpResponse(NamedTuple):
     """A whole response."""
--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -179,3 +179,11 @@
 ) -> None:
     monkeypatch.setattr(http_client, "MAX_RESPONSE_BYTES", 20)
     assert isinstance(await exchange(client, WHOLE), ExchangeFailed)
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600", b"999"])
+async def test_a_status_that_is_none_is_not_a_response(client: Client, status: bytes) -> None:
+    """Guards against callers that are given a response whose status no protocol knows."""
+    last = await exchange(client, WHOLE.replace(b"200", status))
+    assert isinstance(last, ExchangeFailed)
+    assert client.events == [last]
