An entry that is nested too deeply or has too large a number is unreadable

What callers could see: an engine that never gets calls again, as an odd entry under its id had a start time of 400 digits and all its own entries counted as stale; or calls to an engine whose entry had been replaced by an odd one.

Cause: RecursionError and the error for thousands of digits are not the decoder's, so the record was passed over in place of replacing the entry; a start time had no greatest value.

--- a/src/quincespool/platform/entries.py
+++ b/src/quincespool/platform/entries.py
@@ -4,6 +4,7 @@
 
 from typing import Annotated
 from typing import Literal
+from typing import TypeVar
 
 import msgspec
 
@@ -20,6 +21,8 @@
 from quincespool.gateway.model import digest_key
 from quincespool.settings import address_fault
 
+T = TypeVar("T")
+
 CONFIGURATION_TOPIC = "keyed.op"
 CONFIGURATION_KEY = "config"
 BACKENDS_TOPIC = "keyed.servers"
@@ -95,7 +98,10 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+# Beyond any count or time (ms): a larger one, once taken, would outlast all later entries.
+_MAX_COUNT = 2**53
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
 
 
 class _Server(msgspec.Struct):
@@ -121,7 +127,7 @@
     Raises:
       msgspec.DecodeError: if it is not a valid configuration, or two accounts have the same key.
     """
-    config = msgspec.json.decode(value, type=_Config)
+    config = _decode(_CONFIG_DECODER, value)
     return Configuration(
         version=config.version,
         routes=tuple(_route(route) for route in config.routes),
@@ -142,7 +148,7 @@
     Raises:
       msgspec.DecodeError: if the record is not a valid entry.
     """
-    server = _SERVER_DECODER.decode(value)
+    server = _decode(_SERVER_DECODER, value)
     _check_address(server.address)
     return BackendEntry(
         backend_id=backend_id,
@@ -162,7 +168,7 @@
     Raises:
       msgspec.DecodeError: if the record is not a valid entry.
     """
-    daemon = msgspec.json.decode(value, type=Daemon)
+    daemon = _decode(_DAEMON_DECODER, value)
     _check_address(daemon.caller_address)
     _check_address(daemon.peer_address)
     return daemon._replace(member_id=member_id)
@@ -179,7 +185,16 @@
         raise msgspec.ValidationError(fault)
 
 
+_CONFIG_DECODER = msgspec.json.Decoder(_Config)
 _SERVER_DECODER = msgspec.json.Decoder(_Server)
+_DAEMON_DECODER = msgspec.json.Decoder(Daemon)
+
+
+def _decode(decoder: msgspec.json.Decoder[T], value: bytes) -> T:
+    try:
+        return decoder.decode(value)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
 
 
 def _route(route: _Route) -> Route:
--- a/src/quincespool/settings.py
+++ b/src/quincespool/settings.py
@@ -16,6 +16,8 @@
     from collections.abc import Iterator
     from pathlib import Path
 
+MAX_PORT_DIGITS = 5
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 # Least and greatest value of every number; outside of these a daemon would start and then misbehave
@@ -190,7 +192,8 @@
     host, colon, port = address.rpartition(":")
     if not colon:
         return f"{address!r} is not IP:PORT"
-    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= 65_535):
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not (is_number and 1 <= int(port) <= 65_535):
         return f"{address!r} has no port between 1 and 65535"
     return _ip_fault(host)
 
