--- a/tests/gateway/turns/test_moved_budgets.py
+++ b/tests/gateway/turns/test_moved_budgets.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
+from typing import NamedTuple
 
 import pytest
 
@@ -25,6 +27,8 @@
 from tests.support.standins.platform_store import make_platform_store
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from quincespool.gateway.turns.records import Record
     from tests.support.standins.platform_store import PlatformStoreStandIn
 
@@ -33,6 +37,8 @@
 STRIDE = 10
 MAX_TOKENS = EVENTS * STRIDE
 TURNS = 3
+# Of each turn, before the partition moves.
+SENT_EVENTS = 2
 BUDGET_TOKENS = TURNS * MAX_TOKENS
 PARAMETERS = TurnParameters(
     version=1,
@@ -121,22 +127,36 @@
     return old
 
 
-async def test_turns_whose_partition_moves_get_no_second_budget() -> None:
-    """Guards against turns that run on beside those to which the next owner gave their tokens."""
+class _Moved(NamedTuple):
+    """A program some of whose turns have sent events when their partition moves."""
+
+    program: _Program
+    turns: list[TurnRecords]
+    new: OwnedPartition
+
+
+@contextlib.asynccontextmanager
+async def _moved_turns() -> AsyncIterator[_Moved]:
     async with make_platform_store() as stand_in:
         old = await _begin_program(stand_in)
         program = _Program()
         stand_in.knobs.delay_ms = 500
         turns = [program.begin(f"t{number}", old) for number in range(TURNS)]
         for records in turns:
-            await program.hand_out(records, 2)
+            await program.hand_out(records, SENT_EVENTS)
 
         stand_in.state.partition(*PARTITION).epoch = 2
         stand_in.knobs.delay_ms = 0
         new = program.settled_at = _own(stand_in, 2)
         await new.ready_event.wait()
+        yield _Moved(program, turns, new)
+
+
+async def test_turns_whose_partition_moves_get_no_second_budget() -> None:
+    """Guards against turns that run on beside those to which the next owner gave their tokens."""
+    async with _moved_turns() as (program, turns, new):
         program.tokens += await _admit_all(new)
-        works = [program.hand_out(records, EVENTS - 2) for records in turns]
+        works = [program.hand_out(records, EVENTS - SENT_EVENTS) for records in turns]
         failures = await asyncio.gather(*works, return_exceptions=True)
 
         assert all(isinstance(one, TurnFailedError) for one in failures)
@@ -150,39 +170,18 @@
 
 async def test_a_turn_goes_on_where_the_next_owner_has_budget_for_it() -> None:
     """Guards against streams that are cut although the program may have their tokens."""
-    async with make_platform_store() as stand_in:
-        old = await _begin_program(stand_in)
-        program = _Program()
-        stand_in.knobs.delay_ms = 500
-        turns = [program.begin(f"t{number}", old) for number in range(TURNS)]
-        for records in turns:
-            await program.hand_out(records, 2)
-
-        stand_in.state.partition(*PARTITION).epoch = 2
-        stand_in.knobs.delay_ms = 0
-        new = program.settled_at = _own(stand_in, 2)
-        await new.ready_event.wait()
-        await asyncio.gather(*[program.hand_out(records, EVENTS - 2) for records in turns])
+    async with _moved_turns() as (program, turns, _):
+        works = [program.hand_out(records, EVENTS - SENT_EVENTS) for records in turns]
+        await asyncio.gather(*works)
         assert program.tokens == TURNS * MAX_TOKENS
 
 
 async def test_a_turn_that_has_ended_is_recorded_whatever_is_left_of_the_budget() -> None:
     """Guards against whole answers that are cut, as their tokens were given to other turns."""
-    async with make_platform_store() as stand_in:
-        old = await _begin_program(stand_in)
-        program = _Program()
-        stand_in.knobs.delay_ms = 500
-        records = program.begin("t1", old)
-        await program.hand_out(records, 2)
-
-        stand_in.state.partition(*PARTITION).epoch = 2
-        stand_in.knobs.delay_ms = 0
-        new = program.settled_at = _own(stand_in, 2)
-        await new.ready_event.wait()
+    async with _moved_turns() as (_, turns, new):
         await _admit_all(new)
-        until_ms = now_ms() + 4_000
-        assert await records.append_end(b"", until_ms)
-        assert new.ledger.programs["p"].spent_tokens == 2 * STRIDE
+        assert await turns[0].append_end(b"", now_ms() + 4_000)
+        assert new.ledger.programs["p"].spent_tokens == SENT_EVENTS * STRIDE
 
 
 @pytest.fixture(autouse=True)
