Bytes without end of backend servers are bounded, one by one and together

What callers saw: 504 at the end of their time for calls whose engine sent interim answers, another request's answer or the body of a refusal without end; and, where many streams had an event without end, a process beyond the memory of its host: 446.6 MB of 88 with 150 resumable streams.

Cause: what is whole was bounded, and what callers make a daemon hold; what an engine sends and that isn't whole yet was not: an event, the chunks that wait while a turn waits for the store, whatever comes before the awaited head, the body of a refusal that nobody reads. A line in many pieces was copied for each.

An attempt of a resumable stream that goes on behind an earlier event is broken off.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -37,6 +38,9 @@
     from quincespool.net.metrics import Metrics
 
 MAX_ANSWER_BYTES = 16_000_000
+# Of the body of a refusal, which nobody reads.
+MAX_REFUSAL_BYTES = 65_536
+REFUSAL_LIMIT_S = 0.25
 ENDED_INSIDE_EVENT = "the stream ended inside an event"
 BACKEND_FULL = "backend_full"
 BACKEND_REPLACED = "backend_replaced"
@@ -95,6 +99,7 @@
 
     Attributes:
       entry: The entry of the backend server.
+      is_shed: Whether the answer was given up because the daemon held too much.
     """
 
     def __init__(self, context: AttemptContext, entry: BackendEntry, call: Call) -> None:
@@ -107,8 +112,8 @@
         self._complete = False
         self._sent_at_s = 0.0
         self._overdue_timer: asyncio.TimerHandle | None = None
-        self._answer_bytes = 0
-        self._is_shed = False
+        self._unfinished_bytes = 0
+        self.is_shed = False
 
     async def __aenter__(self) -> Attempt:
         self._context.backends.record_call_start(self.entry.backend_id)
@@ -141,6 +146,7 @@
                 headers,
                 body,
                 matches_request=self._is_own_answer,
+                on_queued=self._report_held,
             )
         except ConnectError as error:
             ejected = self._record_failure("unreachable", unreachable=True)
@@ -195,7 +201,7 @@
         answer = bytearray()
         while True:
             event = await self.next_event()
-            if self._is_shed:
+            if self.is_shed:
                 return AnswerLost(MEMORY_SHORT)
             if isinstance(event, AnswerEnd):
                 body = bytes(answer)
@@ -206,18 +212,26 @@
                 return self.fail(event)
             if isinstance(event, AnswerChunk):
                 answer += event.data
-                self._answer_bytes = len(answer)
-                self._context.memory.update(self, self._answer_bytes)
+                self.hold(len(answer))
             if len(answer) > MAX_ANSWER_BYTES:
                 return self.fail(AnswerBroken("the answer is too large", closed=False))
 
+    def hold(self, unfinished_bytes: int) -> None:
+        """Sets how much of the answer is kept until it, or its next event, is whole."""
+        self._unfinished_bytes = unfinished_bytes
+        self._report_held()
+
+    def _report_held(self) -> None:
+        self._context.memory.update(self, self.measure_held())
+
     def measure_held(self) -> int:
         """See `Holder.measure_held`."""
-        return self._answer_bytes
+        queued_bytes = 0 if self._connection is None else self._connection.queued_bytes
+        return self._unfinished_bytes + queued_bytes
 
     def shed(self) -> None:
         """See `Holder.shed`. The answer is lost, but no fault of the backend server."""
-        self._is_shed = True
+        self.is_shed = True
         if self._connection is not None:
             self._connection.close()
 
@@ -262,8 +276,12 @@
         return NotRun(BACKEND_FULL, sent=True)
 
     async def _discard_rest(self) -> None:
-        while not isinstance(await self.next_event(), AnswerEnd | AnswerBroken):
-            pass
+        """Reads a refusal to its end, so that its connection may be used again, if that is near."""
+        left_bytes = MAX_REFUSAL_BYTES
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REFUSAL_LIMIT_S):
+                while left_bytes > 0 and isinstance(event := await self.next_event(), AnswerChunk):
+                    left_bytes -= len(event.data)
 
     def fail(self, event: AnswerBroken) -> AnswerLost:
         """Records that the answer will never be complete."""
--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -34,6 +34,13 @@
 # A connection is no longer used from this long before the backend server would close it, since a
 # request that is sent while it closes ends with the verdict "may have run".
 IDLE_MARGIN_S = 1.0
+# What waits to be taken, of one answer; then nothing more is read.
+MAX_QUEUED_BYTES = 65_536
+# Objects of one chunk, beside its data.
+CHUNK_BYTES = 128
+# What comes on a connection before the head of the awaited answer: interim answers, and answers to
+# earlier requests.
+MAX_UNMATCHED_BYTES = 1_048_576
 
 
 class Head(NamedTuple):
@@ -93,6 +100,7 @@
     Attributes:
       address: Host and port that it was made to; empty before.
       idle_until_s: Event loop time until which the idle connection may be used again.
+      queued_bytes: Memory of the chunks of the answer that wait to be taken.
       last_received_s: Event loop time at which data was last received or the last request was
         sent, whichever is later.
     """
@@ -101,12 +109,17 @@
         self.address = ""
         self.idle_until_s = 0.0
         self.last_received_s = 0.0
+        self.queued_bytes = 0
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(h11.CLIENT)
         self._events: asyncio.Queue[ExchangeEvent] = asyncio.Queue()
         self._request: h11.Request | None = None
         self._matches_request: Callable[[Headers], bool] = lambda _: True
+        self._on_queued: Callable[[], None] = lambda: None
+        self._is_reading = True
         self._is_stale_answer = False
+        self._has_head = False
+        self._unmatched_bytes = 0
         self._complete = True
         self._closed = False
 
@@ -151,6 +164,7 @@
         body: bytes,
         *,
         matches_request: Callable[[Headers], bool],
+        on_queued: Callable[[], None] = lambda: None,
     ) -> None:
         """Sends a request.
 
@@ -160,6 +174,7 @@
           headers: The headers, except those that state the length of the body.
           body: The complete body.
           matches_request: Returns whether an answer with the given headers belongs to this request.
+          on_queued: Called when `queued_bytes` changes, until the answer is over.
 
         Raises:
           ConnectError: If the request can't be sent. No part of it was sent in this case.
@@ -175,14 +190,35 @@
         data = self._http.send(h11.Data(data=body)) or b"" if body else b""
         self._http.send(h11.EndOfMessage())
         self._matches_request = matches_request
+        self._on_queued = on_queued
         self._complete = False
+        self._has_head = False
+        self._unmatched_bytes = 0
         self._events = asyncio.Queue()
         self.last_received_s = asyncio.get_running_loop().time()
         self._transport.write(head + data)
 
     async def next_event(self) -> ExchangeEvent:
         """Waits for the next event; `AnswerEnd` or `AnswerBroken` is the last one of an answer."""
-        return await self._events.get()
+        event = await self._events.get()
+        if isinstance(event, AnswerChunk):
+            self._count_queued(-len(event.data) - CHUNK_BYTES)
+        return event
+
+    def _count_queued(self, added_bytes: int) -> None:
+        """Counts a chunk that came or was taken; reads no more while too much waits."""
+        self.queued_bytes += added_bytes
+        if self._closed or self._transport is None:
+            return
+        if self._is_reading and self.queued_bytes > MAX_QUEUED_BYTES:
+            self._is_reading = False
+            self._transport.pause_reading()
+        elif not self._is_reading and self.queued_bytes <= MAX_QUEUED_BYTES // 2:
+            self._is_reading = True
+            self.last_received_s = asyncio.get_running_loop().time()
+            self._transport.resume_reading()
+        # Last, as it may close the connection.
+        self._on_queued()
 
     def probe_after(self, idle_s: int) -> None:
         """Has the kernel probe the host once nothing has been received from it for `idle_s`."""
@@ -233,6 +269,15 @@
         self.last_received_s = asyncio.get_running_loop().time()
         self._http.receive_data(data)
         self._read_events()
+        self._bound_unmatched(len(data))
+
+    def _bound_unmatched(self, received_bytes: int) -> None:
+        """Gives the answer up if too much comes before its head."""
+        if self._has_head:
+            return
+        self._unmatched_bytes += received_bytes
+        if self._unmatched_bytes > MAX_UNMATCHED_BYTES:
+            self._on_broken_answer("too many bytes that are no answer", closed=False)
 
     def eof_received(self) -> bool:
         """Handles the end of the stream, which also ends an answer that states no length."""
@@ -268,11 +313,13 @@
                 self._on_broken_answer(f"status {event.status_code}", closed=False)
                 return
             self._is_stale_answer = not self._matches_request(headers)
+            self._has_head = not self._is_stale_answer
             if not self._is_stale_answer:
                 self._events.put_nowait(Head(event.status_code, headers))
         elif isinstance(event, h11.Data):
             if not self._is_stale_answer:
                 self._events.put_nowait(AnswerChunk(bytes(event.data)))
+                self._count_queued(len(event.data) + CHUNK_BYTES)
         elif isinstance(event, h11.EndOfMessage):
             self._on_end_of_answer()
         elif isinstance(event, h11.ConnectionClosed):
--- a/src/quincespool/gateway/turns/event_stream.py
+++ b/src/quincespool/gateway/turns/event_stream.py
@@ -10,6 +10,9 @@
 
     from quincespool.gateway.model import Headers
 
+# Largest event, with its comments, that is waited for.
+MAX_EVENT_BYTES = 1_048_576
+
 _DATA = b"data:"
 _COMMENT = b":"
 _MEDIA_TYPE = "text/event-stream"
@@ -34,13 +37,20 @@
     """Splits the bytes of a stream into complete events; an event ends with an empty line."""
 
     def __init__(self) -> None:
-        self._partial_line = b""
+        # A buffer: a line that arrives in many pieces must not be copied for each of them.
+        self._partial_line = bytearray()
         self._lines: list[bytes] = []
+        self._lines_bytes = 0
+
+    @property
+    def incomplete_size_bytes(self) -> int:
+        """Size of `incomplete_bytes`."""
+        return self._lines_bytes + len(self._partial_line)
 
     @property
     def incomplete_bytes(self) -> bytes:
         """The bytes after the last complete event."""
-        return b"".join(line + b"\n" for line in self._lines) + self._partial_line
+        return b"".join(line + b"\n" for line in self._lines) + bytes(self._partial_line)
 
     @property
     def has_incomplete_event(self) -> bool:
@@ -56,14 +66,19 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes of the stream; returns the events that they complete."""
+        if b"\n" not in data:
+            self._partial_line += data
+            return []
         events = []
-        lines = (self._partial_line + data).split(b"\n")
-        self._partial_line = lines.pop()
+        *lines, rest = bytes(self._partial_line + data).split(b"\n")
+        self._partial_line = bytearray(rest)
         for line in lines:
             self._lines.append(line)
+            self._lines_bytes += len(line) + 1
             if not line.removesuffix(b"\r"):
                 events.append(_read_event(self._lines))
                 self._lines.clear()
+                self._lines_bytes = 0
         return events
 
 
@@ -82,6 +97,11 @@
         self._splitter = EventSplitter()
         self._payloads: list[bytes] = []
 
+    @property
+    def incomplete_size_bytes(self) -> int:
+        """Size of `incomplete_bytes`."""
+        return self._splitter.incomplete_size_bytes
+
     @property
     def incomplete_bytes(self) -> bytes:
         """The bytes after the last complete event."""
--- a/src/quincespool/gateway/turns/stream_progress.py
+++ b/src/quincespool/gateway/turns/stream_progress.py
@@ -40,12 +40,21 @@
         self._number_step: int | None = None
         self._splitter = EventSplitter()
         self._awaits_continuation = False
+        # Whether the current attempt has returned an event that the caller did not have, and an
+        # earlier one behind it.
+        self._has_new_event = False
+        self._has_gone_back = False
 
     @property
     def can_resume(self) -> bool:
         """Whether another attempt can be told after which event to continue."""
         return not self._has_unnumbered_event
 
+    @property
+    def incomplete_size_bytes(self) -> int:
+        """Size of `incomplete_bytes`."""
+        return self._splitter.incomplete_size_bytes
+
     @property
     def incomplete_bytes(self) -> bytes:
         """Bytes that the current attempt has returned after its last complete event."""
@@ -60,14 +69,19 @@
         """Begins another attempt; drops an event that the last attempt returned incompletely."""
         self._splitter = EventSplitter()
         self._awaits_continuation = self.has_begun
+        self._has_new_event = False
+        self._has_gone_back = False
 
     def add_bytes(self, data: bytes) -> list[StreamEvent]:
         """Adds bytes of the current attempt; returns complete events that the caller does not have.
 
         Raises:
           EventGapError: if an attempt that continues a stream leaves events out before its first
-            one, or returns an event without a number.
+            one, or returns an event without a number; if an attempt goes on after it has gone back
+            to an earlier event, as it may do so without end.
         """
+        if self._has_gone_back:
+            raise EventGapError(f"an earlier event follows event {self.last_number}")
         return [event for event in self._splitter.feed(data) if self._is_new(event)]
 
     def _is_new(self, event: StreamEvent) -> bool:
@@ -80,6 +94,7 @@
             self._has_unnumbered_event = True
         elif last is not None:
             if number <= last:
+                self._has_gone_back = self._has_new_event
                 # The engine has started from an earlier event than was requested.
                 return False
             if (
@@ -91,5 +106,6 @@
             self._number_step = number - last
         self.last_number = number
         self._awaits_continuation = False
+        self._has_new_event = True
         self.has_begun = True
         return True
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -20,6 +20,7 @@
 from quincespool.gateway.model import TIMEOUT
 from quincespool.gateway.model import may_have_run
 from quincespool.gateway.model import not_run
+from quincespool.gateway.turns.event_stream import MAX_EVENT_BYTES
 from quincespool.gateway.turns.event_stream import EventCollector
 from quincespool.gateway.turns.event_stream import is_event_stream
 from quincespool.gateway.turns.stream_progress import EventGapError
@@ -232,6 +233,8 @@
         self._relay_head(head)
         while True:
             event = await attempt.next_event()
+            if attempt.is_shed:
+                raise TurnFailedError(may_have_run(MEMORY_SHORT))
             if isinstance(event, AnswerChunk):
                 lost = await self._relay_piece(attempt, event.data)
                 if lost is not None:
@@ -295,23 +298,32 @@
         If the stream may be resumed, only complete events are relayed, otherwise all bytes as they
         arrive.
         """
-        if self._parameters.is_resumable:
-            try:
-                events = self._progress.add_bytes(data)
-            except EventGapError as error:
-                return attempt.fail(AnswerBroken(str(error), closed=False))
-            data = b"".join(event.raw for event in events)
-            if not data:
-                return None
-            completed = self._events.add_events(events)
-        else:
-            completed = self._events.feed(data)
+        try:
+            data, completed = self._parse_piece(data)
+        except EventGapError as error:
+            return attempt.fail(AnswerBroken(str(error), closed=False))
+        unfinished_bytes = self._parser.incomplete_size_bytes
+        if unfinished_bytes > MAX_EVENT_BYTES:
+            return attempt.fail(AnswerBroken("an event is too large", closed=False))
+        attempt.hold(unfinished_bytes)
         if not self._histories.grow(self, len(self._call.body) + self._events.data_bytes):
             raise TurnFailedError(may_have_run(MEMORY_SHORT))
-        await self._records.count_events_to_send(completed)
-        self._reply.send_chunk(data)
+        if data:
+            await self._records.count_events_to_send(completed)
+            self._reply.send_chunk(data)
         return None
 
+    def _parse_piece(self, data: bytes) -> tuple[bytes, int]:
+        """Returns what of a piece of the body is relayed, and how many events it completes.
+
+        Raises:
+          EventGapError: if the stream does not go on after the last relayed event.
+        """
+        if not self._parameters.is_resumable:
+            return data, self._events.feed(data)
+        events = self._progress.add_bytes(data)
+        return b"".join(event.raw for event in events), self._events.add_events(events)
+
     async def _finish(self, entry: BackendEntry, end: AnswerEnd) -> None:
         """Appends the end of the turn durably, then ends the answer to the caller."""
         ended_ms = now_ms()
--- a/tests/abuse/deployment.py
+++ b/tests/abuse/deployment.py
@@ -31,6 +31,7 @@
 
     from tests.abuse.crowd import Flood
     from tests.support.standins.platform_engine import PlatformEngine
+    from tests.support.standins.platform_store import PlatformStoreStandIn
 
 START_LIMIT_S = 30.0
 # A daemon that answers no ordinary caller within so many tries serves none.
@@ -90,6 +91,7 @@
       daemon: The daemon.
       engine: Generates tokens.
       plain: Answers calls without tokens.
+      store: The store that the daemon reaches.
       caller_limits: What clients may send, by the names of the configuration.
     """
 
@@ -99,6 +101,7 @@
         self.daemon: _Daemon
         self.engine: PlatformEngine
         self.plain: PlatformEngine
+        self.store: PlatformStoreStandIn
         self._folder = folder
         self._asked = 0
         self._stack = contextlib.AsyncExitStack()
@@ -116,9 +119,9 @@
             1, plain_limit_ms=PLAIN_LIMIT_MS, limits=CALLER_LIMITS, has_resumable=True
         )
         state.put("keyed.op", "config", configuration)
-        store = await enter(make_platform_store(state))
-        way = await enter(Proxy(store.address))
-        self.daemon = _Daemon("small1", self._folder, store, way)
+        self.store = await enter(make_platform_store(state))
+        way = await enter(Proxy(self.store.address))
+        self.daemon = _Daemon("small1", self._folder, self.store, way)
         await self.daemon.start()
         async with asyncio.timeout(START_LIMIT_S):
             while not await self.daemon.is_ready():
--- a/tests/gateway/turns/test_stream_progress.py
+++ b/tests/gateway/turns/test_stream_progress.py
@@ -86,3 +86,15 @@
 def test_events_that_the_caller_has_are_left_out() -> None:
     progress = StreamProgress(after=3)
     assert _new_bytes(progress, _stream()) == _stream(3)
+
+
+def test_an_attempt_that_goes_back_is_ended_after_what_came_before() -> None:
+    """Guards against a stream that repeats its events without end, and against losing new ones."""
+    progress = StreamProgress(after=None)
+    first, second = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n"
+    assert [event.raw for event in progress.add_bytes(first + second + first)] == [first, second]
+    with pytest.raises(EventGapError):
+        progress.add_bytes(second)
+    progress.begin_attempt()
+    third = b"id: 3\ndata: c\n\n"
+    assert [event.raw for event in progress.add_bytes(second + third)] == [third]
