--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -31,8 +31,8 @@
 from quincespool.gateway.model import Daemon
 from quincespool.gateway.planned_stop import PlannedStop
 from quincespool.gateway.store.cluster_view import ClusterView
-from quincespool.gateway.store.cluster_view import StoreHealth
 from quincespool.gateway.store.hedged_requests import HedgedRequests
+from quincespool.gateway.store.store_health import StoreHealth
 from quincespool.gateway.ticker import Ticker
 from quincespool.gateway.turns.program_components import ProgramComponents
 from quincespool.gateway.turns.renewal import ProgramRenewer
--- a/src/quincespool/gateway/turns/program_components.py
+++ b/src/quincespool/gateway/turns/program_components.py
@@ -40,9 +40,9 @@
     from quincespool.gateway.members.member_table import MemberTable
     from quincespool.gateway.settings import GatewaySettings
     from quincespool.gateway.store.cluster_view import ClusterView
-    from quincespool.gateway.store.cluster_view import StoreHealth
     from quincespool.gateway.store.hedged_requests import HedgedRequests
     from quincespool.gateway.store.interface import Store
+    from quincespool.gateway.store.store_health import StoreHealth
     from quincespool.gateway.turns.partition import OwnedPartition
     from quincespool.net.held_memory import HeldMemory
     from quincespool.resource_limits import ResourceLimits
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -9,7 +9,6 @@
 import asyncio
 import sys
 from typing import TYPE_CHECKING
-from typing import Protocol
 from typing import cast
 
 import h11
@@ -27,8 +26,7 @@
 from quincespool.net.socket_options import reset_on_close
 
 if TYPE_CHECKING:
-    from quincespool.net.connection_limits import ConnectionLimits
-    from quincespool.net.held_memory import HeldMemory
+    from quincespool.net.connection_owner import ConnectionOwner
     from quincespool.net.http_response import Headers
     from quincespool.net.http_response import HttpResponse
     from quincespool.net.requests import HttpRequest
@@ -42,35 +40,6 @@
 HTTP_1_1 = b"1.1"
 
 
-class ConnectionOwner(Protocol):
-    """What a connection needs of the server it belongs to."""
-
-    draining: bool
-    memory: HeldMemory
-
-    @property
-    def limits(self) -> ConnectionLimits:
-        """The limits in force; asked at each use, as they may change while a connection is open."""
-
-    def opened(self, connection: Connection) -> bool:
-        """Takes note of a connection; false if there are too many."""
-
-    def closed(self, connection: Connection) -> None:
-        """Forgets a connection; its request, if there is one, has lost its caller."""
-
-    def dropped(self) -> None:
-        """Counts a caller that reads too slowly."""
-
-    def handle(self, connection: Connection, request: HttpRequest) -> None:
-        """Answers a request, now or later, by `respond` or `start_stream`."""
-
-    def refuse(self, connection: Connection, error: RequestError) -> None:
-        """Answers a request that is malformed as HTTP, by `respond`."""
-
-    def overloaded(self, connection: Connection) -> None:
-        """Answers that there is no room for the connection or the request, by `respond`."""
-
-
 class Connection(asyncio.Protocol):
     """The server's side of one connection.
 
@@ -78,7 +47,7 @@
       waited_s: For how long the last request has waited behind earlier ones.
     """
 
-    def __init__(self, owner: ConnectionOwner) -> None:
+    def __init__(self, owner: ConnectionOwner[Connection]) -> None:
         self._owner = owner
         # This bound stays for the life of a connection; `_await_data` has the one in force.
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=sys.maxsize)
--- a/tests/gateway/store/test_store_health.py
+++ b/tests/gateway/store/test_store_health.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from quincespool.gateway.decision_log import DecisionLog
-from quincespool.gateway.store.cluster_view import FULL_STATUS_HOLD_MS
-from quincespool.gateway.store.cluster_view import StoreHealth
+from quincespool.gateway.store.store_health import FULL_STATUS_HOLD_MS
+from quincespool.gateway.store.store_health import StoreHealth
 
 
 def test_a_store_stays_full_for_a_while_although_it_answers_other_requests() -> None:
