A configuration is in force in time though reads of the store are never answered

Callers: 2 s after a version is acknowledged, the platform's bound, requests on kept connections still got 431, 413 and 404 by the version before it, at all daemons at once.

Cause: a read of the configuration waits 2,000 ms for a change and is given up 700 ms after that. Where the connection has fallen silent, the version is read 2.7 s after the read began, and a failed read was followed by a pause of 250 ms whether it had been refused at once or had taken its whole time. Heartbeats of other daemons tell of a newer version earlier, but all daemons have just read the version before, so that their reads begin, and end, together.

What is not answered is given up after 1.5 s and read again at once, as reads that failed begin at least 250 ms apart in place of that long after each other.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -148,6 +148,7 @@
             members=self._members,
             log=self._log,
             now_ms=now_ms,
+            configuration_apply_ms=settings.configuration_apply_ms,
             backends_interval_ms=lambda: self._live_settings.current.backends_interval_ms,
             on_new_daemon=self._greet_daemon,
             on_newer_configuration=self._on_newer_configuration,
--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -31,6 +31,7 @@
     "store_limit_ms": (50, 60_000),
     "store_retention_s": (1, 31_536_000),
     "backends_interval_ms": (50, 60_000),
+    "configuration_apply_ms": (500, 600_000),
     "addresses_valid_ms": (100, 60_000),
     "limit_window_s": (1, 3_600),
     "limit_slack_calls": (0, 1_000_000),
@@ -58,6 +59,8 @@
         for longer are written again before they expire.
       backends_interval_ms: Interval at which the entries of backend servers are read. It must be
         short enough to stop using a backend server before it has drained.
+      configuration_apply_ms: Time from when operators have written a configuration until requests
+        that are sent must be handled by it.
       addresses_valid_ms: How long callers may use an answer of the directory. A shorter time makes
         callers ask more often, and the host that they ask first may be without power, which costs
         them a second; a longer time makes it likelier that they connect to such a host. Three times
@@ -92,6 +95,7 @@
     store_limit_ms: int = 600
     store_retention_s: float = 300.0
     backends_interval_ms: int = 400
+    configuration_apply_ms: int = 2_000
     addresses_valid_ms: int = 2_000
     limit_window_s: int = 5
     limit_slack_calls: int = 0
--- a/src/quincespool/gateway/store/cluster_view.py
+++ b/src/quincespool/gateway/store/cluster_view.py
@@ -13,6 +13,7 @@
 from quincespool.gateway.backends.backend_table import EntryChange
 from quincespool.gateway.store.follower import TopicFollower
 from quincespool.policy.polling import backend_entries_interval_ms
+from quincespool.policy.polling import configuration_wait_ms
 from quincespool.policy.polling import daemon_entries_pause_ms
 
 if TYPE_CHECKING:
@@ -32,9 +33,6 @@
     from quincespool.gateway.store.interface import Store
     from quincespool.gateway.store.store_health import StoreHealth
 
-# A read of the configuration waits this long for a change; a connection that no longer responds is
-# detected when this time is over.
-CONFIGURATION_WAIT_MS = 2_000
 DAEMONS_WAIT_MS = 5_000
 
 
@@ -61,6 +59,7 @@
         members: MemberTable,
         log: DecisionLog,
         now_ms: Callable[[], int],
+        configuration_apply_ms: int,
         backends_interval_ms: Callable[[], int],
         on_new_daemon: Callable[[Daemon], None],
         on_predecessor: Callable[[int], None],
@@ -81,6 +80,7 @@
           members: The known daemons; updated.
           log: Receives a line on each change.
           now_ms: Returns the steady clock.
+          configuration_apply_ms: Time in which a configuration must be in force.
           backends_interval_ms: Returns the interval at which entries of backend servers are read.
           on_new_daemon: Called with the entry of a daemon that is new or has changed.
           on_predecessor: Called with the incarnation of an earlier process under this daemon's id.
@@ -107,7 +107,7 @@
             store=store,
             on_record=self._on_configuration_record,
             on_listing=lambda _: None,
-            wait_ms=CONFIGURATION_WAIT_MS,
+            wait_ms=configuration_wait_ms(configuration_apply_ms),
             pause_ms=lambda: 0,
         )
         self.backend_entries = TopicFollower(
--- a/src/quincespool/gateway/store/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -16,8 +16,8 @@
     from quincespool.gateway.store.interface import KeyedRecord
     from quincespool.gateway.store.interface import Store
 
-# Delay after a failed read: short enough to detect the store's recovery at once, long enough that a
-# hundred waiting daemons don't use up the store's request rate.
+# Least time from a failed read to the next: short enough to detect the store's recovery at once,
+# long enough that a hundred waiting daemons don't use up the store's request rate.
 RETRY_DELAY_S = 0.25
 
 
@@ -65,14 +65,17 @@
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
+        loop = asyncio.get_running_loop()
         while True:
+            began_s = loop.time()
             try:
                 await self._read()
             except ExpiredError:
                 # Records were deleted before they were read; a full listing has their result.
                 self._offset = None
             except StoreError:
-                await asyncio.sleep(RETRY_DELAY_S)
+                # A read that is not answered has taken its time already.
+                await asyncio.sleep(began_s + RETRY_DELAY_S - loop.time())
             else:
                 await self._pause()
 
--- a/src/quincespool/policy/polling.py
+++ b/src/quincespool/policy/polling.py
@@ -1,4 +1,4 @@
-"""Computes how often each daemon reads the shared entries from the store.
+"""Computes how often each daemon reads the configuration and shared entries from the store.
 
 If each of hundreds of hosts read the entries as often as each of ten hosts does, the reads alone
 would use up the request rate of the store. If the interval grew without limit, daemons would see
@@ -20,6 +20,22 @@
 # second.
 MAX_BACKEND_ENTRIES_MS = 1_500
 
+# Part of the time in which a configuration must be in force that a read may not wait for it: a read
+# that is never answered is given up 700 ms after its wait, and the next one needs some time too.
+CONFIGURATION_MARGIN_MS = 1_200
+MIN_CONFIGURATION_WAIT_MS = 250
+MAX_CONFIGURATION_WAIT_MS = 2_000
+
+
+def configuration_wait_ms(apply_ms: int) -> int:
+    """Returns for how long, in ms, one read of the configuration waits for a change.
+
+    Args:
+      apply_ms: Time in which a configuration must be in force.
+    """
+    wait_ms = apply_ms - CONFIGURATION_MARGIN_MS
+    return max(MIN_CONFIGURATION_WAIT_MS, min(MAX_CONFIGURATION_WAIT_MS, wait_ms))
+
 
 def backend_entries_interval_ms(min_ms: int, daemons: int) -> int:
     """Returns the pause, in ms, between two reads of the entries of backend servers.
--- a/tests/policy/test_polling.py
+++ b/tests/policy/test_polling.py
@@ -5,9 +5,12 @@
 import pytest
 
 from quincespool.policy.polling import backend_entries_interval_ms
+from quincespool.policy.polling import configuration_wait_ms
 from quincespool.policy.polling import daemon_entries_pause_ms
 
 MIN_SERVED_MS = 2_000
+# Beyond its wait, a read of the store that is not answered is given up.
+ROUND_TRIP_MS = 700
 
 
 @pytest.mark.parametrize("daemons", [1, 11, 67, 195, 740, 5_000])
@@ -19,6 +22,12 @@
     assert backend_entries_interval_ms(400, daemons) < MIN_SERVED_MS
 
 
+@pytest.mark.parametrize("apply_ms", [1_200, 2_000, 3_000, 15_000])
+def test_a_read_that_is_never_answered_is_given_up_in_time(apply_ms: int) -> None:
+    """Guards against a configuration that comes late because a connection has fallen silent."""
+    assert configuration_wait_ms(apply_ms) + ROUND_TRIP_MS < apply_ms
+
+
 def test_reads_of_all_daemons_together_grow_slowly() -> None:
     assert backend_entries_interval_ms(400, 10) == 400
     for daemons in (67, 140):
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -25,6 +25,8 @@
 
     def __init__(self, target: str) -> None:
         self.cut_back = False
+        # Replaced when the open connections fall silent; each keeps the one it was made under.
+        self._silence = asyncio.Event()
         self.address = ""
         self._target = target
         self._server: asyncio.Server | None = None
@@ -49,6 +51,11 @@
         for writer in self._writers:
             reset(writer)
 
+    def silence(self) -> None:
+        """Lets nothing more pass on the open connections, and nobody knows; new ones work."""
+        self._silence.set()
+        self._silence = asyncio.Event()
+
     def heal(self) -> None:
         """Ends all faults; connections that lost something are reset, as TCP would never go on."""
         if self.cut_back:
@@ -74,8 +81,11 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, forth: bool
     ) -> None:
         self._writers.add(writer)
+        silence = self._silence
         try:
             while data := await reader.read(_READ_BYTES):
+                if silence.is_set():
+                    await asyncio.Event().wait()
                 while self.cut_back and not forth:
                     await asyncio.sleep(_HEAL_POLL_S)
                 writer.write(data)
