Daemons that stood still read what was written before they take requests

Cause: a process that goes on finds in its sockets what the store said meanwhile and the requests. A request is parsed and judged as its bytes are read; what the store says takes some turns of the event loop more. So the requests came first. The same holds for entries of backend servers: a call could go to one that had left long ago.

Mend: a daemon notes that it runs with each request and heartbeat. Reads may overlap now, so a record is delivered once.

--- a/src/quincespool/gateway/callers/http_port.py
+++ b/src/quincespool/gateway/callers/http_port.py
@@ -12,6 +12,7 @@
 from quincespool.net.listener import Listener
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Coroutine
 
     from quincespool.net.connection_limits import ConnectionLimits
@@ -54,11 +55,23 @@
         memory: HeldMemory,
         connections: ConnectionTable[Connection],
         metrics: Metrics,
+        may_take: Callable[[], bool] = lambda: True,
     ) -> None:
+        """Creates a port that does not listen yet.
+
+        Args:
+          handler: Answers the requests.
+          limits: The limits at first.
+          memory: Bounds what the connections of all ports hold.
+          connections: Bounds the connections; may be shared by several ports.
+          metrics: Counts connections that are refused or dropped.
+          may_take: Whether requests may be taken now; if not, `resume` must be called later.
+        """
         self.limits = limits
         self.draining = False
         self._handler = handler
         self._metrics = metrics
+        self._may_take = may_take
         self.memory = memory
         self._table = connections
         # Those of this port; the table may be shared by several ports.
@@ -92,6 +105,15 @@
         for connection in self._connections:
             connection.apply_limits()
 
+    def may_take(self) -> bool:
+        """See `ConnectionOwner.may_take`."""
+        return self._may_take()
+
+    def resume(self) -> None:
+        """Takes the requests that have arrived while none were taken."""
+        for connection in list(self._connections):
+            connection.resume()
+
     def stop(self) -> None:
         """Stops accepting connections and closes the idle ones."""
         self._listener.stop()
--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -153,6 +153,7 @@
             on_new_daemon=self._greet_daemon,
             on_newer_configuration=self._on_newer_configuration,
             on_configuration_adopted=self._on_configuration_adopted,
+            on_refreshed=self._resume_callers,
             on_predecessor=self._release_predecessor,
         )
 
@@ -218,6 +219,9 @@
         self._caller_port.apply_limits(connection_limits(self._routes.configuration.limits))
         self._program_components.copies.on_configuration_adopted()
 
+    def _resume_callers(self) -> None:
+        self._caller_port.resume()
+
     def _announce_claims(self) -> None:
         self._presence.send_claims()
 
@@ -245,6 +249,7 @@
             memory=self._held_memory,
             connections=ConnectionTable(self._resources.caller_connections),
             metrics=self._metrics,
+            may_take=self._cluster_view.refresh.is_current,
         )
         side = SidePorts(
             codec=self._codec,
--- a/src/quincespool/gateway/maintenance.py
+++ b/src/quincespool/gateway/maintenance.py
@@ -59,13 +59,17 @@
 
     def subscribe(self, ticker: Ticker) -> None:
         """Schedules each task at its interval."""
-        ticker.every(lambda: HEARTBEAT_INTERVAL_MS, self._presence.send_heartbeats)
+        ticker.every(lambda: HEARTBEAT_INTERVAL_MS, self._beat)
         ticker.every(self._daemon_check_interval_ms, self._presence.check_silence)
         ticker.every(self._backend_check_interval_ms, self._quiet_backends.check)
         ticker.every(lambda: MAINTENANCE_INTERVAL_MS, self._refresh_liveness)
         ticker.every(lambda: EXPIRY_INTERVAL_MS, self._expire)
         ticker.every(self._renewal_interval_ms, self._renew_programs)
 
+    def _beat(self) -> None:
+        self._cluster_view.refresh.record_running()
+        self._presence.send_heartbeats()
+
     def _daemon_check_interval_ms(self) -> int:
         due_ms = self._members.silence_check_due_in_ms(now_ms())
         return max(MIN_CHECK_INTERVAL_MS, min(due_ms, PROBE_AFTER_MS))
--- a/src/quincespool/gateway/store/cluster_view.py
+++ b/src/quincespool/gateway/store/cluster_view.py
@@ -12,6 +12,7 @@
 
 from quincespool.gateway.backends.backend_table import EntryChange
 from quincespool.gateway.store.follower import TopicFollower
+from quincespool.gateway.store.view_refresh import ViewRefresh
 from quincespool.policy.polling import backend_entries_interval_ms
 from quincespool.policy.polling import configuration_wait_ms
 from quincespool.policy.polling import daemon_entries_pause_ms
@@ -43,6 +44,7 @@
       configuration: Follower of the configuration topic.
       backend_entries: Follower of the entries of backend servers.
       daemon_entries: Follower of the entries of daemons.
+      refresh: Brings the view up to date after the process has stood still.
     """
 
     def __init__(
@@ -65,6 +67,7 @@
         on_predecessor: Callable[[int], None],
         on_newer_configuration: Callable[[str, int], None],
         on_configuration_adopted: Callable[[], None],
+        on_refreshed: Callable[[], None],
     ) -> None:
         """Creates the view of one daemon.
 
@@ -87,6 +90,7 @@
           on_newer_configuration: Called with the id of a daemon that has a newer configuration in
             force, and with its version.
           on_configuration_adopted: Called when a newer configuration has been adopted.
+          on_refreshed: Called when requests may be taken again after the process has stood still.
         """
         self._member_id = member_id
         self._incarnation = incarnation
@@ -128,6 +132,13 @@
             wait_ms=DAEMONS_WAIT_MS,
             pause_ms=lambda: daemon_entries_pause_ms(len(members.entries)),
         )
+        self.refresh = ViewRefresh(
+            [self.configuration, self.backend_entries],
+            max_stall_ms=configuration_apply_ms // 2,
+            now_ms=now_ms,
+            log=log,
+            on_done=on_refreshed,
+        )
 
     @property
     def can_route_calls(self) -> bool:
--- a/src/quincespool/gateway/store/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -12,7 +12,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from quincespool.gateway.store.interface import KeyedPage
     from quincespool.gateway.store.interface import KeyedRecord
     from quincespool.gateway.store.interface import Store
 
@@ -63,6 +62,15 @@
         """Ends the pause between two reads early."""
         self._read_now.set()
 
+    async def refresh(self) -> None:
+        """Reads what was written until now; without effect before the first reading.
+
+        Raises:
+          StoreError: If the topic cannot be read.
+        """
+        if self._offset is not None:
+            await self._read_on(self._offset, wait_ms=0)
+
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         loop = asyncio.get_running_loop()
@@ -80,17 +88,26 @@
                 await self._pause()
 
     async def _read(self) -> None:
-        page: KeyedPage
-        if self._offset is None:
-            page = await self._store.read_newest(self._topic)
-            self._deliver(page.records)
-            self._on_listing([record.key for record in page.records])
-            self.synced_event.set()
-        else:
-            page = await self._store.read_keyed(self._topic, self._offset, wait_ms=self._wait_ms)
-            self._deliver(page.records)
+        if self._offset is not None:
+            await self._read_on(self._offset, wait_ms=self._wait_ms)
+            return
+        page = await self._store.read_newest(self._topic)
+        self._deliver(page.records)
+        self._on_listing([record.key for record in page.records])
+        self.synced_event.set()
         self._offset = page.end_offset
 
+    async def _read_on(self, from_offset: int, *, wait_ms: int) -> None:
+        """Reads and delivers the records from an offset; two such reads may overlap."""
+        page = await self._store.read_keyed(self._topic, from_offset, wait_ms=wait_ms)
+        if self._offset is None:
+            # Another read has found that records are missing, and a full listing is due.
+            return
+        # A record that is delivered again after a later one with its key would undo that one.
+        known_offset = self._offset
+        self._offset = max(known_offset, page.end_offset)
+        self._deliver([record for record in page.records if record.offset >= known_offset])
+
     def _deliver(self, records: list[KeyedRecord]) -> None:
         """Passes records on one by one; an exception on one must not block those after it."""
         for record in records:
--- a/src/quincespool/net/connection_owner.py
+++ b/src/quincespool/net/connection_owner.py
@@ -25,6 +25,9 @@
     def limits(self) -> ConnectionLimits:
         """The limits in force; asked at each use, as they may change while a connection is open."""
 
+    def may_take(self) -> bool:
+        """Whether requests may be taken now; if not, connections are told by `resume` later."""
+
     def opened(self, connection: C_contra) -> bool:
         """Takes note of a connection; false if there are too many."""
 
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -59,6 +59,8 @@
         self._memory: ConnectionMemory
         self._arrivals = ArrivalTimes()
         self._lost = False
+        # Whether what has arrived waits until its owner takes requests again.
+        self._held = False
         self._request: HttpRequest | None = None
         self.waited_s = 0.0
 
@@ -71,7 +73,7 @@
     def busy(self) -> bool:
         """Whether a request is coming in, being answered or its answer may not be read yet."""
         unsent = not self._lost and self._transport.get_write_buffer_size() > 0
-        return unsent or not self._is_idle
+        return unsent or self._held or not self._is_idle
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the time limit for the first request."""
@@ -196,8 +198,8 @@
 
     @property
     def _is_waiting(self) -> bool:
-        """Whether requests that arrive wait for an answer to be complete or to be read."""
-        return self._timer.phase is Phase.ANSWER or self._stall.is_running
+        """Whether requests that arrive wait, for an answer or for the owner."""
+        return self._held or self._timer.phase is Phase.ANSWER or self._stall.is_running
 
     @property
     def _sent_ahead_bytes(self) -> int:
@@ -229,6 +231,13 @@
         """Has the present time limit follow a change of the limits in force."""
         self._timer.apply_limits()
 
+    def resume(self) -> None:
+        """Takes what has arrived while the owner took no requests."""
+        if self._held and not self._lost:
+            self._held = False
+            self._timer.apply_limits()
+            self._advance()
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is on it."""
         if not self.busy:
@@ -241,6 +250,11 @@
     def _advance(self) -> None:
         if self._lost:
             return
+        if not self._owner.may_take():
+            self._held = True
+            # Nothing of it is late while it waits here.
+            self._timer.stop()
+            return
         while self._is_receiving and not self._stall.is_running:
             try:
                 event = self._http.next_event()
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -104,6 +104,10 @@
         """See `ConnectionOwner.limits`."""
         return default_limits()._replace(max_body_bytes=self._settings.max_body_bytes)
 
+    def may_take(self) -> bool:
+        """See `ConnectionOwner.may_take`."""
+        return True
+
     @property
     def port(self) -> int:
         """Where it listens; differs from the settings if they say 0. Only after `start`."""
--- a/tests/soak/test_changed_configuration.py
+++ b/tests/soak/test_changed_configuration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import signal
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,6 +25,10 @@
 
 # The platform's bound from the acknowledgement of a version to the requests that it holds for.
 APPLY_S = 2.0
+# Of daemons that stand still, well beyond `APPLY_S`.
+STALL_S = 3.0
+# For requests to arrive at hosts whose daemons don't run.
+ARRIVAL_S = 0.1
 CONNECTIONS = 12
 LONG_HEADER = {"x-context": "c" * 6_000}
 LONG_BODY = b"b" * 6_000
@@ -137,3 +142,24 @@
         assert narrowed == [431, 431, 431, 413, 413, 413, 404, 404, 404, 431, 431, 431]
         for connection in connections:
             connection.close()
+
+
+async def test_daemons_that_stood_still_take_requests_by_the_newest_version(
+    tmp_path: Path,
+) -> None:
+    """Guards against requests that wait at a daemon and are read before the version they need."""
+    async with SoakDeployment(tmp_path, 3) as deployment:
+        deployment.configure(NARROW)
+        await asyncio.sleep(0.2)
+        connections = await _open(deployment)
+        for daemon in deployment.daemons:
+            daemon.signal(signal.SIGSTOP)
+        deployment.configure(WIDE)
+        await asyncio.sleep(STALL_S)
+        asking = asyncio.create_task(_ask_all(connections, "wide"))
+        await asyncio.sleep(ARRIVAL_S)
+        for daemon in deployment.daemons:
+            daemon.signal(signal.SIGCONT)
+        assert await asking == [200] * CONNECTIONS
+        for connection in connections:
+            connection.close()
