--- /dev/null
+++ b/tests/deploy/__init__.py
@@ -0,0 +1,3 @@
+"""deploy of quincespool."""
+
+from __future__ import annotations
