A version's line in the log tells for how long it may have been unread

Whether a daemon adopted a version late could not be told from its log: the line has a time, but not when the version came. unread_ms in "configuration adopted" is the time since the store last answered a read of the configuration, so the most that the version can have waited; gateway_configuration_unread_ms tells it at any time, before a version comes. Test: tests/gateway/store/test_view_refresh.py::test_a_late_adoption_tells_how_late_it_may_be.

--- a/src/quincespool/gateway/daemon.py
+++ b/src/quincespool/gateway/daemon.py
@@ -298,6 +298,9 @@
         self._metrics.watch("http_connections", lambda: self._caller_port.connection_count)
         self._metrics.watch("held_bytes", lambda: self._held_memory.held_bytes)
         self._metrics.watch("shed_connections_total", lambda: self._held_memory.shed_connections)
+        self._metrics.watch(
+            "gateway_configuration_unread_ms", self._cluster_view.configuration.unread_ms
+        )
         self._metrics.watch("processor_seconds", time.process_time)
         self._metrics.watch("ready", lambda: float(self._is_ready()))
         self._metrics.watch("gateway_store_full", lambda: float(self._store_health.full))
--- a/src/quincespool/gateway/store/cluster_view.py
+++ b/src/quincespool/gateway/store/cluster_view.py
@@ -211,6 +211,7 @@
             configuration_version=configuration.version,
             source=source,
             offset=offset,
+            unread_ms=self.configuration.unread_ms(),
             routes=len(configuration.routes),
             accounts=len(accounts.by_name) if accounts is not None else 0,
             keys=len(accounts.by_key) if accounts is not None else 0,
--- a/src/quincespool/gateway/store/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -57,6 +57,14 @@
         self._pause_ms = pause_ms
         self._offset: int | None = None
         self._read_now = asyncio.Event()
+        self._answered_s = asyncio.get_running_loop().time()
+
+    def unread_ms(self) -> int:
+        """Returns for how long at most records may have been in the topic without being known.
+
+        That is the time since the last answer of the store, or since the start if there was none.
+        """
+        return int(1_000 * (asyncio.get_running_loop().time() - self._answered_s))
 
     def read_soon(self) -> None:
         """Ends the pause between two reads early."""
@@ -96,6 +104,7 @@
         self._on_listing([record.key for record in page.records])
         self.synced_event.set()
         self._offset = page.end_offset
+        self._answered_s = asyncio.get_running_loop().time()
 
     async def _read_on(self, from_offset: int, *, wait_ms: int) -> None:
         """Reads and delivers the records from an offset; two such reads may overlap."""
@@ -107,6 +116,7 @@
         known_offset = self._offset
         self._offset = max(known_offset, page.end_offset)
         self._deliver([record for record in page.records if record.offset >= known_offset])
+        self._answered_s = asyncio.get_running_loop().time()
 
     def _deliver(self, records: list[KeyedRecord]) -> None:
         """Passes records on one by one; an exception on one must not block those after it."""
--- a/src/quincespool/net/metric_table.py
+++ b/src/quincespool/net/metric_table.py
@@ -80,6 +80,9 @@
     "commit_append_failed_total": MetricSpec("counter", "Appends of batches that failed."),
     "commit_resends_total": MetricSpec("counter", "Groups sent again to the log."),
     "ledger_void_entries_total": MetricSpec("counter", "Entries read that do not count."),
+    "gateway_configuration_unread_ms": MetricSpec(
+        "gauge", "Since the store last answered a read of the configuration."
+    ),
     "gateway_calls_total": MetricSpec("counter", "Calls of callers by how they ended."),
     "gateway_call_ms": MetricSpec("histogram", "From a whole request to the end of its answer."),
     "gateway_streams_broken_total": MetricSpec(
--- a/tests/gateway/store/test_view_refresh.py
+++ b/tests/gateway/store/test_view_refresh.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from quincespool.gateway.store.follower import TopicFollower
 from quincespool.gateway.store.interface import KeyedPage
@@ -11,6 +12,9 @@
 from tests.support.client import fetch
 from tests.support.platform_entries import HOST_NAME
 
+if TYPE_CHECKING:
+    import pytest
+
 LONG_AGO_MS = 60_000
 HEADERS = {"host": HOST_NAME, "request-id": "r", "deadline-ms": "3000"}
 
@@ -82,3 +86,18 @@
                 answers += await reader.read(65_536)
         writer.close()
     assert answers.index(b"first") < answers.index(b"second")
+
+
+async def test_a_late_adoption_tells_how_late_it_may_be(caplog: pytest.LogCaptureFixture) -> None:
+    """Guards against a log in which a version that came late looks like one that came at once."""
+    caplog.set_level("INFO")
+    async with GatewayCluster(1) as cluster:
+        daemon = cluster.nodes["a"].daemon
+        daemon._cluster_view.configuration._answered_s -= LONG_AGO_MS / 1_000
+        cluster.configure(2)
+        await cluster.until(lambda: daemon._routes.version == 2)
+        unread_ms = daemon._cluster_view.configuration.unread_ms()
+    lines = [record.msg for record in caplog.records if isinstance(record.msg, dict)]
+    adopted = [line for line in lines if line["message"] == "configuration adopted"]
+    assert [line["unread_ms"] >= LONG_AGO_MS for line in adopted] == [False, True]
+    assert unread_ms < LONG_AGO_MS
