Tests of heads that are cut, on every path that reads an answer

Another operator: an engine stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole. Here that does not happen: every reader has h11 parse the head, which has no head before its empty line; the end of the connection before that is an error. So nothing is mended; the tests would tell.

--- a/tests/net/test_http_client.py
+++ b/tests/net/test_http_client.py
@@ -134,6 +134,19 @@
     assert (last.sent, last.cut) == (True, False)
 
 
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n"])
+@pytest.mark.parametrize("line_end", [b"\r\n", b"\n"])
+async def test_a_head_that_is_cut_at_any_byte_is_no_response(
+    client: Client, before: bytes, line_end: bytes
+) -> None:
+    """Guards against a caller that is given a response of which not even the head came whole."""
+    head = WHOLE[: -len(b"abc")].replace(b"\r\n", line_end)
+    for length in range(len(head)):
+        client.events.clear()
+        assert isinstance(await exchange(client, before + head[:length]), ExchangeFailed)
+        assert len(client.events) == 1
+
+
 async def test_refused_connection_has_sent_nothing(client: Client) -> None:
     async with BackendServer(WHOLE) as server:
         pass
--- a/tests/support/standins/raw_backend.py
+++ b/tests/support/standins/raw_backend.py
@@ -13,19 +13,30 @@
     Attributes:
       address: Host and port.
       sent_bytes: How much it has sent in all.
+      requests: How many requests it has answered.
     """
 
-    def __init__(self, start: bytes, *, endless: bytes = b"", keeps_open: bool = False) -> None:
+    def __init__(
+        self,
+        start: bytes,
+        *,
+        later: bytes | None = None,
+        endless: bytes = b"",
+        keeps_open: bool = False,
+    ) -> None:
         """Creates a backend server that is not running yet.
 
         Args:
           start: The beginning of each answer; `{id}` stands for the id of the request.
+          later: In its place from the second request on.
           endless: Sent behind it again and again until the caller closes.
           keeps_open: Whether the connection stays open after the beginning.
         """
         self.address = ""
         self.sent_bytes = 0
+        self.requests = 0
         self._start = start
+        self._later = start if later is None else later
         self._endless = endless
         self._keeps_open = keeps_open
         self._server: asyncio.Server
@@ -56,7 +67,9 @@
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = (await reader.readuntil(b"\r\n\r\n")).lower()
         call_id = head.partition(b"request-id: ")[2].partition(b"\r\n")[0]
-        writer.write(self._start.replace(b"{id}", call_id))
+        start = self._later if self.requests else self._start
+        self.requests += 1
+        writer.write(start.replace(b"{id}", call_id))
         await writer.drain()
         while self._endless:
             writer.write(self._endless)
