An answer is awaited on though a late one has come by itself before it

Cause: after a late answer the parser is made anew and given what came behind that answer. If that was nothing, it was given no data, which is how a parser is told that the connection has ended; the awaited answer was then given up.

Evidence: tests/gateway/backends/test_exchange.py::test_an_answer_that_comes_after_a_late_one_is_awaited failed before. Found with the tests of cut heads, whose first cut behind a late answer passed for this reason.

Mend: nothing is handed on where nothing came; the end of the connection is, where it has ended.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -343,7 +343,7 @@
 
     def _skip_stale_answer(self) -> None:
         """Resets the parser after an answer to an earlier request, to read the awaited answer."""
-        rest = self._http.trailing_data[0]
+        rest, is_ended = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         assert self._request is not None
         self._http.send(self._request)
@@ -351,7 +351,11 @@
             length = int(dict(self._request.headers).get(b"content-length", b"0"))
             self._http.send(h11.Data(data=bytes(length)))
             self._http.send(h11.EndOfMessage())
-        self._http.receive_data(rest)
+        # No data stands for the end of the connection.
+        if rest:
+            self._http.receive_data(rest)
+        if is_ended:
+            self._http.receive_data(b"")
 
     def _on_broken_answer(self, detail: str, *, closed: bool) -> None:
         if self._complete:
--- a/tests/gateway/backends/test_exchange.py
+++ b/tests/gateway/backends/test_exchange.py
@@ -161,6 +161,26 @@
         assert not any(isinstance(event, AnswerEnd) for event in events)
 
 
+async def test_an_answer_that_comes_after_a_late_one_is_awaited() -> None:
+    """Guards against an answer that is given up since a late one came before it, by itself."""
+    late, awaited = COMPLETE % b"earlier", COMPLETE % b"mine"
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(65_536)
+        writer.write(late)
+        await asyncio.sleep(0.05)
+        writer.write(awaited)
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        host, port = server.sockets[0].getsockname()
+        connection = BackendConnection()
+        await connection.connect(f"{host}:{port}")
+        events = await _request(connection, "mine")
+        connection.close()
+    assert isinstance(events[-1], AnswerEnd)
+    assert _body(events) == b"abc"
+
+
 async def test_a_late_answer_that_ends_with_its_connection_is_not_taken_for_the_awaited_one() -> (
     None
 ):
