A refresh reads each topic to its end, and none is due at a start

Found when read again: where one topic could not be read, the refresh was over before the other one was, so that the configuration could still be old; and the time from a daemon's making to its first request counted as standing still. Test: tests/gateway/store/test_view_refresh.py::test_a_topic_that_cannot_be_read_does_not_cut_the_reading_of_another_short.

--- a/src/quincespool/gateway/store/view_refresh.py
+++ b/src/quincespool/gateway/store/view_refresh.py
@@ -12,7 +12,6 @@
 from typing import TYPE_CHECKING
 
 from quincespool.gateway.futures import start_background_task
-from quincespool.gateway.store.interface import StoreError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +51,8 @@
         self._now_ms = now_ms
         self._log = log
         self._on_done = on_done
-        self._running_ms = now_ms()
+        # Unknown until the daemon has started.
+        self._running_ms: int | None = None
         self._refreshes: set[asyncio.Task[None]] = set()
 
     def is_current(self) -> bool:
@@ -63,7 +63,7 @@
     def record_running(self) -> None:
         """Takes note that the process runs; called several times within `max_stall_ms`."""
         at_ms = self._now_ms()
-        stall_ms = at_ms - self._running_ms
+        stall_ms = at_ms - self._running_ms if self._running_ms is not None else 0
         self._running_ms = at_ms
         if stall_ms > self._max_stall_ms and not self._refreshes:
             start_background_task(self._refresh(stall_ms), self._refreshes).add_done_callback(
@@ -75,8 +75,12 @@
         detail = ""
         try:
             async with asyncio.timeout(REFRESH_LIMIT_S):
-                await asyncio.gather(*[one.refresh() for one in self._followers])
-        except (StoreError, TimeoutError) as error:
+                # Each is read to its end, whether or not another one can be read.
+                results = await asyncio.gather(
+                    *[one.refresh() for one in self._followers], return_exceptions=True
+                )
+            detail = "; ".join(repr(error) for error in results if error is not None)
+        except TimeoutError as error:
             detail = repr(error)
         self._log.write_always(
             "view refreshed", stall_ms=stall_ms, took_ms=self._now_ms() - began_ms, detail=detail
--- a/tests/gateway/store/test_view_refresh.py
+++ b/tests/gateway/store/test_view_refresh.py
@@ -5,9 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from quincespool.gateway.decision_log import DecisionLog
 from quincespool.gateway.store.follower import TopicFollower
 from quincespool.gateway.store.interface import KeyedPage
 from quincespool.gateway.store.interface import KeyedRecord
+from quincespool.gateway.store.interface import StoreError
+from quincespool.gateway.store.view_refresh import ViewRefresh
 from tests.gateway.gateway_cluster import GatewayCluster
 from tests.support.client import fetch
 from tests.support.platform_entries import HOST_NAME
@@ -15,10 +18,19 @@
 if TYPE_CHECKING:
     import pytest
 
+    from tests.gateway.gateway_cluster import Node
+
 LONG_AGO_MS = 60_000
 HEADERS = {"host": HOST_NAME, "request-id": "r", "deadline-ms": "3000"}
 
 
+def _stand_still(node: Node) -> None:
+    refresh = node.daemon._cluster_view.refresh
+    refresh.record_running()
+    assert refresh._running_ms is not None
+    refresh._running_ms -= LONG_AGO_MS
+
+
 class _Store:
     """A store whose reads that wait are answered when the test says so."""
 
@@ -59,12 +71,46 @@
     assert delivered == [b"old", b"new"]
 
 
+class _Topic:
+    """A followed topic that cannot be read, or only when the test says so."""
+
+    def __init__(self, *, fails: bool = False) -> None:
+        self.readable = asyncio.Event()
+        self._fails = fails
+
+    async def refresh(self) -> None:
+        if self._fails:
+            raise StoreError("away", refused=True)
+        await self.readable.wait()
+
+
+async def test_a_topic_that_cannot_be_read_does_not_cut_the_reading_of_another_short() -> None:
+    """Guards against requests that are taken before the configuration has been read."""
+    at_ms, done = 0, asyncio.Event()
+    slow = _Topic()
+    refresh = ViewRefresh(
+        [_Topic(fails=True), slow],  # type: ignore[list-item]
+        max_stall_ms=1_000,
+        now_ms=lambda: at_ms,
+        log=DecisionLog(lambda: 0.0),
+        on_done=done.set,
+    )
+    assert refresh.is_current()
+    at_ms = 2_000
+    assert not refresh.is_current()
+    await asyncio.sleep(0.01)
+    assert not refresh.is_current()
+    slow.readable.set()
+    await done.wait()
+    assert refresh.is_current()
+
+
 async def test_requests_are_taken_though_the_store_does_not_answer() -> None:
     """Guards against a daemon that stood still and then waits for a store that is away."""
     async with GatewayCluster(1) as cluster:
         node = cluster.nodes["a"]
         node.store.knobs.silent = True
-        node.daemon._cluster_view.refresh._running_ms -= LONG_AGO_MS
+        _stand_still(node)
         reply = await fetch(node.address, "POST", "/idempotent/x", headers=HEADERS, body=b"x")
         assert reply.status == 200
 
@@ -75,7 +121,7 @@
         node = cluster.nodes["a"]
         reader, writer = await asyncio.open_connection(*node.address.split(":"))
         node.store.knobs.delay_ms = 100
-        node.daemon._cluster_view.refresh._running_ms -= LONG_AGO_MS
+        _stand_still(node)
         for call_id in ("first", "second"):
             fields = f"host: {HOST_NAME}\r\nrequest-id: {call_id}\r\ndeadline-ms: 3000\r\n"
             writer.write(f"GET /idempotent/x HTTP/1.1\r\n{fields}\r\n".encode())
