--- a/src/quincespool/net/connection_phase.py
+++ b/src/quincespool/net/connection_phase.py
@@ -41,7 +41,9 @@
       phase: The present phase.
     """
 
-    def __init__(self, limits: Callable[[], ConnectionLimits], on_timeout: Callable[[], None]):
+    def __init__(
+        self, limits: Callable[[], ConnectionLimits], on_timeout: Callable[[], None]
+    ) -> None:
         self.phase = Phase.NEW
         self._limits = limits
         self._on_timeout = on_timeout
--- a/src/quincespool/net/http_connection.py
+++ b/src/quincespool/net/http_connection.py
@@ -271,10 +271,11 @@
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self._write(self._http.send(go_on))
-        if self._is_idle and self._sent_ahead_bytes:
+        arrived_bytes = self._sent_ahead_bytes
+        if self._is_idle and arrived_bytes:
             self._timer.enter(Phase.HEAD)
         max_head_bytes = self._owner.limits.max_head_bytes
-        if self._sent_ahead_bytes > max_head_bytes:
+        if arrived_bytes > max_head_bytes:
             self._owner.refuse(self, head_too_large(max_head_bytes))
 
     def _take(self, event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]) -> None:
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -47,7 +47,6 @@
     from quincespool.core.effects import Respond
     from quincespool.core.effects import RespondText
     from quincespool.core.events import Event
-    from quincespool.net.connection_limits import ConnectionLimits
     from quincespool.net.held_memory import HeldMemory
     from quincespool.net.metrics import Metrics
     from quincespool.settings import Settings
@@ -83,6 +82,7 @@
         is_ready: Callable[[], bool],
     ) -> None:
         self.draining = False
+        self.limits = default_limits()._replace(max_body_bytes=settings.max_body_bytes)
         self._settings = settings
         self._post = post
         self._metrics = metrics
@@ -99,11 +99,6 @@
         metrics.watch("shed_connections_total", lambda: self.memory.shed_connections)
         metrics.watch("http_connections", lambda: len(self._connections))
 
-    @property
-    def limits(self) -> ConnectionLimits:
-        """See `ConnectionOwner.limits`."""
-        return default_limits()._replace(max_body_bytes=self._settings.max_body_bytes)
-
     def may_take(self) -> bool:
         """See `ConnectionOwner.may_take`."""
         return True
