--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from asyncio.subprocess import Process
     from collections.abc import Iterable
+    from collections.abc import Mapping
     from pathlib import Path
 
     from tests.support.standins.platform_engine import PlatformEngine
@@ -63,7 +64,16 @@
 class SoakDaemon:
     """One daemon, started again and again under the same name and addresses."""
 
-    def __init__(self, name: str, folder: Path, store: PlatformStoreStandIn, way: Proxy) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        store: PlatformStoreStandIn,
+        way: Proxy,
+        *,
+        changes: Mapping[str, object] | None = None,
+    ) -> None:
+        """Creates a daemon that does not run yet; `changes` override its settings."""
         self.name = name
         self.store = store
         self.way_to_store = way
@@ -71,6 +81,7 @@
         # The stops that took longer than their grace: name, process and Unix time in milliseconds.
         self.killed: list[str] = []
         self._folder = folder
+        self._changes = changes or {}
         self._starting = asyncio.Lock()
         self._process: Process | None = None
         self._settings = folder / f"{name}.json"
@@ -134,7 +145,7 @@
             return False
 
     def _write_settings(self, addresses_valid_ms: int) -> None:
-        settings = self._make_settings(addresses_valid_ms)
+        settings = {**self._make_settings(addresses_valid_ms), **self._changes}
         self._settings.write_bytes(msgspec.json.encode(settings))
 
     def _make_settings(self, addresses_valid_ms: int) -> dict[str, object]:
@@ -167,8 +178,14 @@
     """
 
     def __init__(
-        self, folder: Path, daemon_count: int, *, retention_s: float = RETENTION_S
+        self,
+        folder: Path,
+        daemon_count: int,
+        *,
+        retention_s: float = RETENTION_S,
+        settings: Mapping[str, object] | None = None,
     ) -> None:
+        """Creates a deployment that does not run yet; `settings` override those of daemons."""
         self.state = StoreState()
         self.state.retention_s = retention_s
         self.daemons: list[SoakDaemon] = []
@@ -180,6 +197,7 @@
         self.version = 1
         self._folder = folder
         self._count = daemon_count
+        self._settings = settings
         self._stack = contextlib.AsyncExitStack()
         self._announcing: asyncio.Task[None] | None = None
 
@@ -195,7 +213,8 @@
         for number in range(self._count):
             store = await self._stack.enter_async_context(make_platform_store(self.state))
             way = await self._stack.enter_async_context(Proxy(store.address))
-            self.daemons.append(SoakDaemon(f"d{number}", self._folder, store, way))
+            name = f"d{number}"
+            self.daemons.append(SoakDaemon(name, self._folder, store, way, changes=self._settings))
         await asyncio.gather(*[one.start() for one in self.daemons])
         await self.until_ready(START_LIMIT_S + self._count)
         return self
