The shortest bound for configurations leaves room for heartbeats

Half of configuration_apply_ms is how long a daemon may stand still unnoticed, and it notes that it runs every 200 ms at least: with 500 ms, which the range allowed, a heartbeat that is a little late would have looked like standing still.

--- a/src/quincespool/gateway/settings.py
+++ b/src/quincespool/gateway/settings.py
@@ -31,7 +31,7 @@
     "store_limit_ms": (50, 60_000),
     "store_retention_s": (1, 31_536_000),
     "backends_interval_ms": (50, 60_000),
-    "configuration_apply_ms": (500, 600_000),
+    "configuration_apply_ms": (1_200, 600_000),
     "addresses_valid_ms": (100, 60_000),
     "limit_window_s": (1, 3_600),
     "limit_slack_calls": (0, 1_000_000),
--- a/src/quincespool/gateway/store/follower.py
+++ b/src/quincespool/gateway/store/follower.py
@@ -60,9 +60,9 @@
         self._answered_s = asyncio.get_running_loop().time()
 
     def unread_ms(self) -> int:
-        """Returns for how long at most records may have been in the topic without being known.
+        """Returns the time since the store last answered, or since the start if it never did.
 
-        That is the time since the last answer of the store, or since the start if there was none.
+        Records cannot have been in the topic unread for longer.
         """
         return int(1_000 * (asyncio.get_running_loop().time() - self._answered_s))
 
--- a/src/quincespool/net/http_server.py
+++ b/src/quincespool/net/http_server.py
@@ -67,6 +67,7 @@
 
     Attributes:
       draining: Whether responses ask callers to close their connections.
+      limits: Bounds on what a caller sends.
       memory: Bounds what all connections hold.
     """
 
