A connection on which a late answer came is not used again

Also, late answers without end were bounded by their bytes alone, and taken one by one with a parser each: tests/gateway/backends/test_endless_answers.py[other_answers-non_idempotent] failed with (504 after the call's whole time in place of 502).

Now such a connection is closed once the awaited answer is whole, as it was in most cases before, and an answer behind more than 16 late ones is given up. tests/gateway/backends: 146 passed.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -41,6 +41,8 @@
 # What comes on a connection before the head of the awaited answer: interim answers, and answers to
 # earlier requests.
 MAX_UNMATCHED_BYTES = 1_048_576
+# Answers to earlier requests before the awaited one; each takes a parser of its own.
+MAX_LATE_ANSWERS = 16
 
 
 class Head(NamedTuple):
@@ -118,6 +120,7 @@
         self._on_queued: Callable[[], None] = lambda: None
         self._is_reading = True
         self._is_stale_answer = False
+        self._late_answers = 0
         self._has_head = False
         self._unmatched_bytes = 0
         self._complete = True
@@ -331,18 +334,22 @@
             return
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         extra, ended_by_close = self._http.trailing_data
-        reusable = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        is_done = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         self._complete = True
-        if reusable and not unsent and not extra and not self._closed:
+        if is_done and not unsent and not extra and not self._late_answers and not self._closed:
             self._http.start_next_cycle()
         else:
-            # Data follows the answer, or the backend server has not read the whole request body:
-            # further data on this connection can't be matched to a request.
+            # Data follows the answer, more late answers may follow, or the backend server has not
+            # read the whole request body: further data can't be matched to a request.
             self.close()
         self._events.put_nowait(AnswerEnd(closed=ended_by_close))
 
     def _skip_stale_answer(self) -> None:
         """Resets the parser after an answer to an earlier request, to read the awaited answer."""
+        self._late_answers += 1
+        if self._late_answers > MAX_LATE_ANSWERS:
+            self._on_broken_answer("too many answers to other requests", closed=False)
+            return
         rest, is_ended = self._http.trailing_data
         self._http = h11.Connection(h11.CLIENT)
         assert self._request is not None
--- a/tests/gateway/backends/test_exchange.py
+++ b/tests/gateway/backends/test_exchange.py
@@ -176,9 +176,11 @@
         connection = BackendConnection()
         await connection.connect(f"{host}:{port}")
         events = await _request(connection, "mine")
+        is_reusable = connection.is_reusable
         connection.close()
     assert isinstance(events[-1], AnswerEnd)
     assert _body(events) == b"abc"
+    assert not is_reusable
 
 
 async def test_a_late_answer_that_ends_with_its_connection_is_not_taken_for_the_awaited_one() -> (
