The last cut of a head through daemons is in its empty line, as it says

Found when read again: the place was counted on the head with a shorter id, so that the cut came before the empty line. tests/gateway/backends/test_cut_heads.py: 64 passed. No assertion was changed.

--- a/tests/gateway/backends/test_cut_heads.py
+++ b/tests/gateway/backends/test_cut_heads.py
@@ -117,7 +117,7 @@
     + b"11\r\nid: 2\ndata: two\n\n\r\n"
 )
 # In the status, between two lines, behind the length, in the empty line.
-CUTS = [12, 17, 36, len(WHOLE) - 1]
+CUTS = [12, 17, 36, len(STAMPED) - 1]
 
 
 @pytest.mark.parametrize("kind", ["idempotent", "non_idempotent", "tool", "stream"])
