Body chunks that arrive together are kept as one

Cause: an answer is read in pieces of up to the kernel's buffer, and each chunk of one byte became an object of its own in the queue. Reading pauses when too much waits, but only between two reads: one read of 1-byte chunks makes over ten thousand objects, on each connection.

Change: the chunks of one read are joined before they are queued; the bytes and their order stay.

--- a/src/quincespool/gateway/backends/exchange.py
+++ b/src/quincespool/gateway/backends/exchange.py
@@ -298,16 +298,30 @@
         )
 
     def _read_events(self) -> None:
+        # Joined: the objects of many small pieces take far more memory than their bytes.
+        body = bytearray()
         while not self._complete:
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
+                self._queue_chunk(body)
                 ended = self._http.trailing_data[1]
                 self._on_broken_answer(f"answer ended early or malformed: {error}", closed=ended)
                 return
             if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
+                break
+            if isinstance(event, h11.Data):
+                body += b"" if self._is_stale_answer else event.data
+                continue
+            self._queue_chunk(body)
+            body.clear()
             self._on_http_event(event)
+        self._queue_chunk(body)
+
+    def _queue_chunk(self, body: bytearray) -> None:
+        if body:
+            self._events.put_nowait(AnswerChunk(bytes(body)))
+            self._count_queued(len(body) + CHUNK_BYTES)
 
     def _on_http_event(self, event: object) -> None:
         if isinstance(event, h11.Response):
@@ -319,10 +333,6 @@
             self._has_head = not self._is_stale_answer
             if not self._is_stale_answer:
                 self._events.put_nowait(Head(event.status_code, headers))
-        elif isinstance(event, h11.Data):
-            if not self._is_stale_answer:
-                self._events.put_nowait(AnswerChunk(bytes(event.data)))
-                self._count_queued(len(event.data) + CHUNK_BYTES)
         elif isinstance(event, h11.EndOfMessage):
             self._on_end_of_answer()
         elif isinstance(event, h11.ConnectionClosed):
--- a/tests/gateway/backends/test_exchange.py
+++ b/tests/gateway/backends/test_exchange.py
@@ -211,3 +211,18 @@
         assert isinstance(events[0], Head)
         assert events[0].status == 200
         connection.close()
+
+
+async def test_small_chunks_that_arrive_together_are_kept_as_one() -> None:
+    """Guards against a process that runs out of memory by the objects of many small chunks."""
+    count = 5_000
+    head = b"HTTP/1.1 200 OK\r\nrequest-id: a\r\ntransfer-encoding: chunked\r\n\r\n"
+    async with Backend(head + count * b"1\r\nx\r\n" + b"0\r\n\r\n") as backend:
+        connection = BackendConnection()
+        await connection.connect(backend.address)
+        events = await _request(connection, "a")
+        assert _body(events) == count * b"x"
+        assert isinstance(events[-1], AnswerEnd)
+        assert len(events) < count / 10
+        assert connection.queued_bytes == 0
+        connection.close()
