An engine that sends no event within the time limit counts as failing

Only broken answers counted against an engine, and its quick heads counted for it, so it looked better than the sound one, whose latency was measured under the crowd.

Ruled out: shedding (no answer was shed in these logs), the sound engine's entry or connection (reachable; its other turns were complete).

Change: a turn whose time is over, with a head and no event, is a failure of its engine, as it is for plain calls; and the time without an event is reported as a late answer, also when the caller leaves first.

--- a/src/quincespool/gateway/backends/attempt.py
+++ b/src/quincespool/gateway/backends/attempt.py
@@ -100,6 +100,7 @@
     Attributes:
       entry: The entry of the backend server.
       is_shed: Whether the answer was given up because the daemon held too much.
+      awaits_event: Whether the answer is a stream that has begun, without a whole event so far.
     """
 
     def __init__(self, context: AttemptContext, entry: BackendEntry, call: Call) -> None:
@@ -114,6 +115,7 @@
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._unfinished_bytes = 0
         self.is_shed = False
+        self.awaits_event = False
 
     async def __aenter__(self) -> Attempt:
         self._context.backends.record_call_start(self.entry.backend_id)
@@ -122,6 +124,8 @@
     async def __aexit__(self, *exc: object) -> None:
         self._context.backends.record_call_end(self.entry.backend_id)
         self._stop_overdue_timer()
+        if self.awaits_event:
+            self._report_without_event()
         self._context.memory.discard(self)
         if self._connection is None:
             return
@@ -242,6 +246,7 @@
           is_valid: Whether the answer counts as a success of the backend server, not as a failure.
         """
         self._complete = True
+        self.awaits_event = False
         if is_valid:
             took_s = asyncio.get_running_loop().time() - self._sent_at_s
             self._context.backends.record_success(self.entry, took_s * 1000)
@@ -325,6 +330,15 @@
         if asyncio.get_running_loop().time() - due_s < MAX_TIMER_DELAY_S:
             self._context.backend_reports.report_overdue(self.entry, late_ms)
 
+    def _report_without_event(self) -> None:
+        """Reports an engine that had sent no event in the usual time of a complete answer.
+
+        Otherwise the engine would count as quick, as its answer's head was.
+        """
+        took_ms = now_ms() - self._started_ms
+        if took_ms > self._context.backends.service_times.total_ms(self.entry.service):
+            self._context.backend_reports.report_overdue(self.entry, took_ms)
+
     async def _check_crash(self) -> None:
         """Checks whether the backend server crashed during the call; if so, announces the crash.
 
--- a/src/quincespool/gateway/turns/turn_run.py
+++ b/src/quincespool/gateway/turns/turn_run.py
@@ -223,7 +223,12 @@
             self.engine = entry.incarnation
             if not could_have_run:
                 self._admission.record_start(self._parameters, now_ms() - self._started_ms)
-            return await self._relay(attempt, head)
+            try:
+                return await self._relay(attempt, head)
+            except asyncio.CancelledError:
+                if attempt.awaits_event and now_ms() >= self._until_ms:
+                    attempt.timed_out()
+                raise
 
     async def _relay(self, attempt: Attempt, head: AnswerHead) -> AnswerLost | None:
         began_ms, earlier_events = now_ms(), self._events.event_count
@@ -231,6 +236,7 @@
         if head.status != 200:
             return await self._relay_failure(attempt, head)
         self._relay_head(head)
+        attempt.awaits_event = True
         while True:
             event = await attempt.next_event()
             if attempt.is_shed:
@@ -239,6 +245,7 @@
                 lost = await self._relay_piece(attempt, event.data)
                 if lost is not None:
                     return lost
+                attempt.awaits_event = self._events.event_count == earlier_events
                 continue
             if isinstance(event, AnswerEnd) and is_event_stream(head.headers, if_unstated=True):
                 event = self._check_end(event)
--- a/tests/gateway/backends/test_endless_answers.py
+++ b/tests/gateway/backends/test_endless_answers.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
 from tests.gateway.backends.troubled_cluster import STAMP
 from tests.gateway.backends.troubled_cluster import ask_status
 from tests.gateway.backends.troubled_cluster import cluster_before
+from tests.gateway.gateway_cluster import GatewayCluster
+from tests.support.client import ConnectionLostError
+from tests.support.platform_entries import make_backend_entry
 from tests.support.standins.raw_backend import RawBackend
 
 FILLER = 65_536 * b"x"
@@ -71,3 +76,46 @@
         await cluster.until(lambda: daemon._routes.version == 2)
         assert await ask_status(cluster, "stream") == 0
         assert backend.sent_bytes <= MOST_BYTES
+
+
+PAUSE_S = 0.02
+TURNS = 6
+TURN_LIMIT_MS = 300
+PATIENCE_S = 0.2
+WITHOUT_EVENTS = {
+    "nothing": (b"", b""),
+    "comments": (b"", b": x\n\n"),
+    "part_of_an_event": (b"id: 1\ndata: ", b"x"),
+}
+
+
+@pytest.mark.parametrize("is_impatient", [False, True], ids=["time_is_over", "caller_leaves"])
+@pytest.mark.parametrize("case", WITHOUT_EVENTS)
+async def test_an_engine_that_sends_no_event_is_passed_over(
+    case: str, *, is_impatient: bool
+) -> None:
+    """Guards against turns that all go to the nearest engine, which completes none of them."""
+    start, endless = WITHOUT_EVENTS[case]
+    backend = RawBackend(EVENTS_HEAD + start, endless=endless, pause_s=PAUSE_S, keeps_open=True)
+    async with backend as near, GatewayCluster() as cluster:
+        table = cluster.nodes["a"].daemon._backends
+        entries = {"near": make_backend_entry("model", near.address, zone="z")}
+        for name in ("e1", "e2"):
+            address = cluster.engines[name].address
+            entries[name] = make_backend_entry("model", address, zone="far")
+        for backend_id, entry in entries.items():
+            cluster.state.put("keyed.servers", backend_id, entry)
+        await cluster.until(lambda: table.entries["e2"].zone == "far" and "near" in table.entries)
+        statuses = [await _ask_within(cluster, f"p{n}", is_impatient) for n in range(TURNS)]
+        assert near.requests
+        assert statuses.count(200) >= TURNS - 2
+
+
+async def _ask_within(cluster: GatewayCluster, program_id: str, is_impatient: bool) -> int:
+    """Returns the status of a turn, 0 if it is cut or its caller leaves."""
+    limit_s = PATIENCE_S if is_impatient else None
+    try:
+        async with asyncio.timeout(limit_s):
+            return (await cluster.turn("a", program_id, deadline_ms=TURN_LIMIT_MS))[1].status
+    except (ConnectionLostError, TimeoutError):
+        return 0
--- a/tests/support/standins/raw_backend.py
+++ b/tests/support/standins/raw_backend.py
@@ -22,6 +22,7 @@
         *,
         later: bytes | None = None,
         endless: bytes = b"",
+        pause_s: float = 0.0,
         keeps_open: bool = False,
     ) -> None:
         """Creates a backend server that is not running yet.
@@ -30,6 +31,7 @@
           start: The beginning of each answer; `{id}` stands for the id of the request.
           later: In its place from the second request on.
           endless: Sent behind it again and again until the caller closes.
+          pause_s: Time between two times of `endless`.
           keeps_open: Whether the connection stays open after the beginning.
         """
         self.address = ""
@@ -38,6 +40,7 @@
         self._start = start
         self._later = start if later is None else later
         self._endless = endless
+        self._pause_s = pause_s
         self._keeps_open = keeps_open
         self._server: asyncio.Server
         self._tasks: set[asyncio.Task[None]] = set()
@@ -75,5 +78,7 @@
             writer.write(self._endless)
             await writer.drain()
             self.sent_bytes += len(self._endless)
+            if self._pause_s:
+                await asyncio.sleep(self._pause_s)
         if self._keeps_open:
             await reader.read()
