Tests of ownership hold a lease that outlasts pauses of their process

Cause: the lease of the file is 300 ms. Where the process of the test stands still for longer, it lapses, and the daemon gives up all eight partitions rather than the four of the second member. That is right: no test of the file is about a lease that lapses.

Change: the lease is 10 s. No assertion changes.

--- a/tests/gateway/turns/test_ownership.py
+++ b/tests/gateway/turns/test_ownership.py
@@ -20,7 +20,8 @@
     from quincespool.gateway.turns.partition import OwnedPartition
 
 TOPICS = ["programs.0"]
-LEASE_MS = 300
+# Outlasts pauses of the process of the tests, in which nobody renews.
+LEASE_MS = 10_000
 
 
 def _make_ownership(store: PlatformStore, announce_claims: Callable[[], None]) -> Ownership:
