A step whose processor time reads 0 counts as not measured

Cause: the kernel takes the time that the host of a virtual machine held back off the processor time of whoever runs then.

Change: the spread of a kind leaves readings of 0 out, and still counts them as samples.

Figures taken before may hold such a 0 as their least.

--- a/src/quincespool/bench/one_daemon.py
+++ b/src/quincespool/bench/one_daemon.py
@@ -117,7 +117,7 @@
 
     def times_us(self) -> dict[str, Spread]:
         """Returns the processor time of one event of each kind, in microseconds."""
-        return {kind: spread(values) for kind, values in sorted(self._times_us.items())}
+        return {kind: _spread_us(values) for kind, values in sorted(self._times_us.items())}
 
     def total_us(self) -> dict[str, float]:
         """Returns the processor time of all events of each kind, in microseconds."""
@@ -195,3 +195,15 @@
             return f"{stream.split('-')[0]} read, {'records' if records else 'empty'}"
         case _:
             return type(event).__name__
+
+
+def _spread_us(readings_us: list[float]) -> Spread:
+    """Returns the spread of readings, without those of steps whose time was not counted.
+
+    The kernel takes what the host of a virtual machine held back off the processor time of the step
+    in which it was, which may then read as 0.
+    """
+    counted_us = [one for one in readings_us if one > 0] or readings_us
+    figures = spread(counted_us)
+    figures["samples"] = len(readings_us)
+    return figures
